--- /dev/null
+++ b/pkg/wire/codec.go
@@ -0,0 +1,45 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/segmentio/encoding/proto"
+)
+
+// ErrDecode reports bytes that are not a valid message.
+var ErrDecode = errors.New("invalid message")
+
+// Message is a pointer to a domain type that carries protobuf tags and checks itself.
+type Message[T any] interface {
+	*T
+	// Check returns an error that names the first invalid field.
+	Check() error
+}
+
+// Encode returns the protobuf encoding of m.
+func Encode[T any, M Message[T]](m M) ([]byte, error) {
+	body, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", m, err)
+	}
+	return body, nil
+}
+
+// Decode returns the message in body after its check; errors wrap ErrDecode.
+func Decode[T any, M Message[T]](body []byte) (m M, err error) {
+	defer func() {
+		// The codec panics on some malformed input instead of returning an error.
+		if r := recover(); r != nil {
+			m, err = nil, fmt.Errorf("%w: decode %T: %v", ErrDecode, m, r)
+		}
+	}()
+	value := M(new(T))
+	if err := proto.Unmarshal(body, value); err != nil {
+		return nil, fmt.Errorf("%w: decode %T: %w", ErrDecode, value, err)
+	}
+	if err := value.Check(); err != nil {
+		return nil, fmt.Errorf("%w: check %T: %w", ErrDecode, value, err)
+	}
+	return value, nil
+}
--- /dev/null
+++ b/pkg/wire/frame.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// Version is the protocol version that both ends of a stream must share.
+	Version = 1
+
+	// MaxFrame is the largest frame body in bytes; larger frames are refused before allocation.
+	MaxFrame = 4 << 20
+
+	frameHeaderSize = 5
+)
+
+// ErrFrameTooLarge reports a frame whose announced size exceeds the reader's limit.
+var ErrFrameTooLarge = errors.New("frame too large")
+
+type (
+	// Kind tells what a frame's body holds; its meaning belongs to the stream's protocol.
+	Kind uint8
+
+	// Frame is one length-prefixed unit on a stream.
+	Frame struct {
+		Kind Kind
+		Body []byte
+	}
+)
+
+// WriteFrame writes one frame in a single write.
+func WriteFrame(w io.Writer, kind Kind, body []byte) error {
+	if len(body) > MaxFrame {
+		return fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, len(body), MaxFrame)
+	}
+	buf := make([]byte, frameHeaderSize+len(body))
+	buf[0] = byte(kind)
+	binary.BigEndian.PutUint32(buf[1:frameHeaderSize], uint32(len(body)))
+	copy(buf[frameHeaderSize:], body)
+	if _, err := w.Write(buf); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// ReadFrame reads one frame whose body holds at most limit bytes; it returns io.EOF only between frames.
+func ReadFrame(r io.Reader, limit int) (Frame, error) {
+	var header [frameHeaderSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		if errors.Is(err, io.EOF) {
+			return Frame{}, io.EOF
+		}
+		return Frame{}, fmt.Errorf("read frame header: %w", err)
+	}
+	size := binary.BigEndian.Uint32(header[1:])
+	if uint64(size) > uint64(limit) {
+		return Frame{}, fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, size, limit)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return Frame{}, fmt.Errorf("read frame body: %w", err)
+	}
+	return Frame{Kind: Kind(header[0]), Body: body}, nil
+}
+
+// WriteMessage encodes m and writes it as one frame.
+func WriteMessage[T any, M Message[T]](w io.Writer, kind Kind, m M) error {
+	body, err := Encode[T](m)
+	if err != nil {
+		return err
+	}
+	return WriteFrame(w, kind, body)
+}
