--- /dev/null
+++ b/pkg/rules/check.go
@@ -0,0 +1,118 @@
+package rules
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"unicode/utf8"
+)
+
+const (
+	// With more than half of the routes critical, shedding by importance no longer protects the
+	// critical ones from each other. Small files are exempt.
+	maxCriticalShare  = 0.5
+	minRoutesForShare = 8
+)
+
+// check reports what only the whole file shows: unknown names, contradictions and shadowed routes.
+func (p *parser) check() {
+	if p.set.revision.Line == 0 {
+		p.problem(1, 1, "the file has no rules", `start the file with "revision N", where N is the revision in force plus one`)
+	} else if p.set.revision.Line < 0 {
+		p.set.revision.Line = 0
+	}
+	for _, key := range p.set.Keys {
+		if p.set.Accounts[key.Account] == nil {
+			p.failWord(key.Line, key.Account, fmt.Sprintf("the key belongs to the unknown account %q", key.Account),
+				p.declareOr("account", key.Account))
+		}
+	}
+	critical := 0
+	for _, route := range p.set.Routes {
+		p.checkRoute(route)
+		if route.Importance != Critical {
+			continue
+		}
+		critical++
+		if limit := int(maxCriticalShare * float64(len(p.set.Routes))); len(p.set.Routes) >= minRoutesForShare && critical == limit+1 {
+			p.failWord(route.Line, "importance=", fmt.Sprintf("more than %d of %d routes are critical, so that shedding no longer protects them", limit, len(p.set.Routes)),
+				"use importance=normal or importance=bulk for routes that may be shed earlier")
+		}
+	}
+	for i := range p.set.routes.methods {
+		p.checkShadowed(&p.set.routes.methods[i].root)
+	}
+}
+
+func (p *parser) checkRoute(route *Route) {
+	if route.Service != "" && p.set.Services[route.Service] == nil {
+		p.failWord(route.Line, "service=", fmt.Sprintf("the route leads to the unknown service %q", route.Service),
+			p.declareOr("service", route.Service))
+	}
+	for _, account := range route.Accounts {
+		if p.set.Accounts[account] == nil {
+			p.failWord(route.Line, "accounts=", fmt.Sprintf("the route is restricted to the unknown account %q", account),
+				p.declareOr("account", account))
+		}
+	}
+	if route.Access == AccessOpen && len(route.Accounts) > 0 {
+		p.failWord(route.Line, "accounts=", "an open route cannot be restricted to accounts", "use access=keyed or remove accounts=")
+	}
+	if route.Offline && route.Access == AccessKeyed {
+		p.failWord(route.Line, "offline=", "a keyed route cannot be served offline, because a withdrawn key would not be noticed",
+			"use access=open or remove offline=serve")
+	}
+	if route.Offline && route.Run == RunOnce {
+		p.failWord(route.Line, "offline=", "a route with run=once cannot be served offline, because its record cannot be kept",
+			"use run=idempotent or remove offline=serve")
+	}
+}
+
+// checkShadowed reports routes ending in {name...} whose every path is taken by other routes.
+func (p *parser) checkShadowed(n *node) {
+	if n.rest != nil && n.coveredRest() {
+		route := n.rest.route
+		p.failWord(route.Line, route.Path, "the route never matches, because other routes take all its paths",
+			"remove the line or one of the routes with variables in its place")
+	}
+	for _, e := range n.literals {
+		p.checkShadowed(e.next)
+	}
+	if n.variable != nil {
+		p.checkShadowed(n.variable)
+	}
+}
+
+// coveredRest reports whether every non-empty remaining path is matched before the node's own rest.
+func (n *node) coveredRest() bool {
+	empty := n.literal("")
+	return empty != nil && empty.end != nil && n.variable != nil && n.variable.end != nil &&
+		(n.variable.rest != nil || n.variable.coveredRest())
+}
+
+// declareOr returns a fix for a name that no rule declares.
+func (p *parser) declareOr(kind, name string) string {
+	var known []string
+	switch kind {
+	case "service":
+		for other := range p.set.Services {
+			known = append(known, other)
+		}
+	default:
+		for other := range p.set.Accounts {
+			known = append(known, other)
+		}
+	}
+	slices.Sort(known)
+	if meant := suggest(name, known); strings.HasPrefix(meant, `"`) {
+		return fmt.Sprintf("use %s or add a rule for %s %q", meant, kind, name)
+	}
+	return fmt.Sprintf("add a rule for %s %q", kind, name)
+}
+
+// failWord records a problem at the first word of a line that starts with the given text.
+func (p *parser) failWord(line int, start, message, fix string) {
+	text := p.lines[line-1]
+	at := max(strings.Index(text, " "+start), strings.Index(text, "\t"+start)) + 1
+	p.problem(line, utf8.RuneCountInString(text[:at])+1, message, fix)
+}
--- /dev/null
+++ b/pkg/rules/types.go
@@ -0,0 +1,140 @@
+package rules
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// KindRevision is the kind of the rule that numbers the configuration.
+	KindRevision Kind = "revision"
+	// KindService is the kind of a rule that describes a service.
+	KindService Kind = "service"
+	// KindAccount is the kind of a rule that describes a client account.
+	KindAccount Kind = "account"
+	// KindKey is the kind of a rule that issues a key to a client account.
+	KindKey Kind = "key"
+	// KindRoute is the kind of a rule that maps requests to a service.
+	KindRoute Kind = "route"
+
+	// DefaultRetryShare is the retry share of a service whose rule names none.
+	DefaultRetryShare = 0.10
+	// DefaultRetries is the retry budget of a route whose rule names none.
+	DefaultRetries = 2
+)
+
+type (
+	// Kind is the first word of a rule.
+	Kind string
+
+	// Set is one complete, checked configuration; it is never changed after Parse returns it.
+	Set struct {
+		Revision uint64              `json:"revision"`
+		Author   string              `json:"author"` // requester of the revision rule
+		Reason   string              `json:"reason,omitempty"`
+		Services map[string]*Service `json:"services"` // by service name
+		Accounts map[string]*Account `json:"accounts"` // by account name
+		Keys     []*Key              `json:"keys"`     // in file order
+		Routes   []*Route            `json:"routes"`   // in file order
+
+		revision Revision
+		routes   routeIndex
+		keys     keyIndex
+	}
+
+	// Rule is what all kinds of rules have in common.
+	Rule struct {
+		Kind      Kind   `json:"kind"`
+		Name      string `json:"name"` // unique within the kind
+		Line      int    `json:"line"` // in the rules file, from 1
+		Requester string `json:"requester"`
+		Reason    string `json:"reason,omitempty"`
+	}
+
+	// Statement is one rule of any kind: *Revision, *Service, *Account, *Key or *Route.
+	Statement interface {
+		statement() *Rule
+	}
+
+	// Revision numbers the configuration; it is the first rule of a file.
+	Revision struct {
+		Rule
+		Number uint64 `json:"number"`
+	}
+
+	// Service describes one kind of backend server and the limits of each of its instances.
+	Service struct {
+		Rule
+		Slots       int     `json:"slots"`       // concurrent requests per instance
+		Connections int     `json:"connections"` // connections per instance
+		RetryShare  float64 `json:"retry-share"` // ratio of retries to recent successes, 0.1 is 10%
+	}
+
+	// Account describes a client account and its share of the fleet.
+	Account struct {
+		Rule
+		Rate  Rate `json:"rate"`
+		Burst int  `json:"burst"` // requests
+	}
+
+	// Rate is a number of requests per period.
+	Rate struct {
+		Count int           `json:"count"`
+		Per   time.Duration `json:"per"` // one second, one minute or one hour
+	}
+
+	// Key is one key of a client account; its name is <account>:<first 8 hex digits of the hash>.
+	Key struct {
+		Rule
+		Account string `json:"account"`
+		Hash    Hash   `json:"hash"`
+		State   State  `json:"state"`
+	}
+
+	// Hash is the SHA-256 hash of a key.
+	Hash [32]byte
+
+	// Route maps the requests of one method and path pattern to a service; its name is <method><path>.
+	Route struct {
+		Rule
+		Method     string        `json:"method"`
+		Path       string        `json:"path"` // pattern
+		Service    string        `json:"service"`
+		Access     Access        `json:"access"`
+		Accounts   []string      `json:"accounts,omitempty"` // empty: every client account
+		Run        Run           `json:"run"`
+		Importance Importance    `json:"importance"`
+		Deadline   time.Duration `json:"deadline"` // for the whole call
+		Retries    int           `json:"retries"`  // over the whole call graph
+		Offline    bool          `json:"offline"`  // served while the daemon is not fresh
+		Nested     bool          `json:"nested"`   // only for nested calls, hidden from callers
+	}
+)
+
+// Identity returns the text that names the rule to operators and callers: <kind>/<name>@<line>.
+func (r *Rule) Identity() string { return fmt.Sprintf("%s/%s@%d", r.Kind, r.Name, r.Line) }
+
+// PerSecond returns the rate in requests per second.
+func (r Rate) PerSecond() float64 { return float64(r.Count) / r.Per.Seconds() }
+
+// AllowsAccount reports whether the route's list of client accounts admits the named one.
+func (r *Route) AllowsAccount(name string) bool {
+	if len(r.Accounts) == 0 {
+		return true
+	}
+	for _, account := range r.Accounts {
+		if account == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Revision) statement() *Rule { return &r.Rule }
+func (s *Service) statement() *Rule  { return &s.Rule }
+func (a *Account) statement() *Rule  { return &a.Rule }
+func (k *Key) statement() *Rule      { return &k.Rule }
+func (r *Route) statement() *Rule    { return &r.Rule }
+
+// RuleOf returns the common part of a rule of any kind.
+func RuleOf(s Statement) *Rule { return s.statement() }
