--- /dev/null
+++ b/pkg/admin/client.go
@@ -0,0 +1,158 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	// maxBody allows for a rules file of 4 MiB in which JSON escapes every third byte.
+	maxBody = 16 << 20
+
+	// DefaultTimeout is the time for one request without the time that the server was asked to wait.
+	DefaultTimeout = 5 * time.Second
+)
+
+var (
+	// ErrUnreachable means that no answer arrived.
+	ErrUnreachable = errors.New("not reachable")
+	// ErrTimeout means that the answer did not arrive in time.
+	ErrTimeout = errors.New("timed out")
+	// ErrAnswer means that the answer is not one of this protocol.
+	ErrAnswer = errors.New("invalid answer")
+)
+
+type (
+	// Client reads the operators' endpoint of one daemon; an answer with an error status is an *Error.
+	Client struct {
+		// Address is the numeric IP address and port of the endpoint.
+		Address string
+		// Timeout is the time for one request; zero means DefaultTimeout.
+		Timeout time.Duration
+		// HTTP sends the requests; nil means a client without proxy or redirects.
+		HTTP *http.Client
+	}
+
+	// Report is a pointer to a type that the endpoint answers with.
+	Report[T any] interface {
+		*T
+		// Check returns an error that names the first invalid field.
+		Check() error
+	}
+)
+
+// direct never follows proxy settings of the environment: the endpoint is addressed by numeric IP.
+var direct = &http.Client{
+	Transport:     &http.Transport{},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// Status returns the status of the daemon.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return get[Status](ctx, c, PathStatus, nil, 0)
+}
+
+// InForce returns how far a revision has reached, after at most wait when it is not in force everywhere.
+func (c *Client) InForce(ctx context.Context, revision uint64, wait time.Duration) (*InForce, error) {
+	query := url.Values{ParamRevision: {strconv.FormatUint(revision, 10)}}
+	wait = min(wait, MaxWait)
+	if wait > 0 {
+		query.Set(ParamWait, wait.String())
+	}
+	return get[InForce](ctx, c, PathInForce, query, wait)
+}
+
+// Rules returns the revision in force with its text.
+func (c *Client) Rules(ctx context.Context) (*Revision, error) {
+	return get[Revision](ctx, c, PathRules, nil, 0)
+}
+
+// History returns at most limit revisions without their texts.
+func (c *Client) History(ctx context.Context, limit int) (*History, error) {
+	return get[History](ctx, c, PathHistory, url.Values{ParamLimit: {strconv.Itoa(limit)}}, 0)
+}
+
+// Revision returns one accepted revision with its text.
+func (c *Client) Revision(ctx context.Context, number uint64) (*Revision, error) {
+	return get[Revision](ctx, c, PathRevision+strconv.FormatUint(number, 10), nil, 0)
+}
+
+// Explain returns a rule of a revision; revision 0 is the one in force.
+func (c *Client) Explain(ctx context.Context, rule string, revision uint64) (*Explain, error) {
+	query := url.Values{ParamRule: {rule}}
+	if revision > 0 {
+		query.Set(ParamRevision, strconv.FormatUint(revision, 10))
+	}
+	return get[Explain](ctx, c, PathExplain, query, 0)
+}
+
+// Dump returns the named sections of the daemon's state, or all sections.
+func (c *Client) Dump(ctx context.Context, sections ...string) (*Dump, error) {
+	return get[Dump](ctx, c, PathDump, url.Values{ParamSection: sections}, 0)
+}
+
+func get[T any, M Report[T]](ctx context.Context, c *Client, path string, query url.Values, wait time.Duration) (M, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: c.Address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, c.Address, err)
+	}
+	client := c.HTTP
+	if client == nil {
+		client = direct
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, transportError(c.Address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	switch {
+	case err != nil:
+		return nil, transportError(c.Address, err)
+	case len(body) > maxBody:
+		return nil, fmt.Errorf("%w: %s: more than %d bytes", ErrAnswer, c.Address, maxBody)
+	case response.StatusCode != http.StatusOK:
+		refusal, err := decode[Error](body)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %s: status %d", ErrAnswer, c.Address, response.StatusCode)
+		}
+		return nil, refusal
+	}
+	report, err := decode[T, M](body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s%s: %w", ErrAnswer, c.Address, path, err)
+	}
+	return report, nil
+}
+
+func decode[T any, M Report[T]](body []byte) (M, error) {
+	report := M(new(T))
+	if err := json.Unmarshal(body, report); err != nil {
+		return nil, fmt.Errorf("decode %T: %w", report, err)
+	}
+	if err := report.Check(); err != nil {
+		return nil, fmt.Errorf("check %T: %w", report, err)
+	}
+	return report, nil
+}
+
+func transportError(address string, err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %s: %w", ErrTimeout, address, err)
+	}
+	return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
+}
