--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -98,15 +98,15 @@
 
 	// Counts are the counters and levels of one daemon since its start.
 	Counts struct {
-		Calls       uint64            `json:"calls"`        // accepted at the ingress or as nested calls
-		Running     uint64            `json:"running"`      // now
-		Queued      uint64            `json:"queued"`       // now, at admission
-		Completed   uint64            `json:"completed"`    // whole responses delivered
-		Retries     uint64            `json:"retries"`      // sends after the first one
-		Connections uint64            `json:"connections"`  // of callers, now
+		Calls       uint64            `json:"calls"`         // accepted at the ingress or as nested calls
+		Running     uint64            `json:"running"`       // now
+		Queued      uint64            `json:"queued"`        // now, at admission
+		Completed   uint64            `json:"completed"`     // whole responses delivered
+		Retries     uint64            `json:"retries"`       // sends after the first one
+		Connections uint64            `json:"connections"`   // of callers, now
 		Sessions    uint64            `json:"peer-sessions"` // with other daemons, now
-		Backends    uint64            `json:"backends"`     // instances known to this daemon
-		Refused     map[string]uint64 `json:"refused"`      // by reason
+		Backends    uint64            `json:"backends"`      // instances known to this daemon
+		Refused     map[string]uint64 `json:"refused"`       // by reason
 	}
 
 	// InForce reports how far a revision has reached.
