Read and check the settings of buckthornd

Cause: the daemon needs its addresses, limits and control instances before anything else. Change: TOML settings whose names, defaults, bounds and documentation are struct tags; every error is reported with file, line and column in one pass; docs/settings.md is generated by a test.

--- /dev/null
+++ b/internal/config/parse_test.go
@@ -0,0 +1,87 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const testSecret = "correct horse battery staple"
+
+func fakeSecret(path string) (string, error) {
+	if path != "secret" {
+		return "", fmt.Errorf("open %s: no such file", path)
+	}
+	return testSecret + "\n", nil
+}
+
+// Guards against settings that are accepted although the daemon could not run with them, and against
+// reports that stop at the first error or lose its position. Each file has a golden report.
+func TestParseFiles(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			var report string
+			settings, err := Parse(filepath.Base(file), text, fakeSecret)
+			if err != nil {
+				report = err.Error() + "\n"
+			} else {
+				report = settings.Text()
+			}
+			golden.Assert(t, report, strings.TrimSuffix(filepath.Base(file), ".toml")+".golden")
+		})
+	}
+}
+
+// Guards against a secret that shows up in printed settings or log lines.
+func TestSecretIsHidden(t *testing.T) {
+	text, err := os.ReadFile("testdata/valid.toml")
+	assert.NilError(t, err)
+	settings, err := Parse("valid.toml", text, fakeSecret)
+	assert.NilError(t, err)
+	assert.Equal(t, string(settings.Secret), testSecret)
+	for _, shown := range []string{settings.Text(), fmt.Sprintf("%v %+v %#v", settings, settings, *settings)} {
+		assert.Assert(t, !strings.Contains(shown, "horse"), shown)
+	}
+}
+
+// Guards against a secret file that every user of the machine can read.
+func TestSecretFileMode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "secret")
+	assert.NilError(t, os.WriteFile(path, []byte(testSecret), 0o600))
+	secret, err := readSecret(path)
+	assert.NilError(t, err)
+	assert.Equal(t, secret, testSecret)
+	assert.NilError(t, os.Chmod(path, 0o644))
+	_, err = readSecret(path)
+	assert.ErrorContains(t, err, "mode 0644")
+}
+
+// Guards against printed settings that buckthornd would not accept again.
+func TestTextParses(t *testing.T) {
+	text, err := os.ReadFile("testdata/valid.toml")
+	assert.NilError(t, err)
+	settings, err := Parse("valid.toml", text, fakeSecret)
+	assert.NilError(t, err)
+	again, err := Parse("printed", []byte(settings.Text()), fakeSecret)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Text(), settings.Text())
+}
+
+// Guards against a reference page that differs from the code, and against undocumented settings.
+func TestReference(t *testing.T) {
+	for _, f := range fieldsOf(&Settings{}) {
+		assert.Assert(t, f.tag.Get("doc") != "" && f.tag.Get("toml") != "", f.name)
+		assert.Equal(t, f.tagged("min"), f.tagged("max"), f.name)
+	}
+	golden.Assert(t, Reference(), "../../../docs/settings.md")
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,174 @@
+package config
+
+import (
+	"encoding"
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+type (
+	// Settings are the settings of one daemon; they never change after the start. The tags name,
+	// document and bound every field: required fields have no default, min and max are inclusive.
+	Settings struct {
+		Name             string         `toml:"name" required:"true" doc:"Name of the instance, unique in the fleet: lower-case letters, digits and hyphens."`
+		AvailabilityZone string         `toml:"availability-zone" required:"true" doc:"Name of the availability zone of the instance."`
+		Region           string         `toml:"region" required:"true" doc:"Name of the region of the instance."`
+		IngressAddress   netip.AddrPort `toml:"ingress-address" required:"true" doc:"Address on which callers are served over HTTP."`
+		LocalAddress     netip.AddrPort `toml:"local-address" required:"true" doc:"Address for the backend server beside the daemon: announcements and nested calls."`
+		PeerAddress      netip.AddrPort `toml:"peer-address" required:"true" doc:"Address on which other daemons connect."`
+		AdminAddress     netip.AddrPort `toml:"admin-address" required:"true" doc:"Address of the operators' endpoint: status, dump and metrics."`
+		PeerAdvertise    netip.AddrPort `toml:"peer-advertise" doc:"Address under which other daemons reach peer-address; the default is peer-address, which then has to name one IP address."`
+		DataFolder       string         `toml:"data-folder" doc:"Folder of the durable log; set on control instances only."`
+		ControlAddresses []Control      `toml:"control-addresses" required:"true" doc:"Table of the control instances: voter name = peer address."`
+		Secret           Secret         `toml:"secret" doc:"Secret shared by all daemons, 16 to 256 bytes. Either this or secret-file is required."`
+		SecretFile       string         `toml:"secret-file" doc:"File that holds the secret; white space around it is ignored. Others may not have access to the file."`
+		RulesFile        string         `toml:"rules-file" doc:"Rules file that this daemon watches and proposes; set where operators edit it."`
+		LogLevel         zerolog.Level  `toml:"log-level" default:"info" doc:"Least severe level that is logged: debug, info, warn or error."`
+		Limits           Limits         `toml:"limits"`
+	}
+
+	// Limits bound what one daemon accepts from its callers and its backend server.
+	Limits struct {
+		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body."`
+		HeaderSize     Size          `toml:"header-size" default:"64KiB" min:"4KiB" max:"1MiB" doc:"Largest request header."`
+		Connections    int           `toml:"connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at one time."`
+		QueueLength    int           `toml:"queue-length" default:"1000" min:"0" max:"100000" doc:"Most requests that wait for admission, even where half the concurrency limit is more."`
+		QueueWait      time.Duration `toml:"queue-wait" default:"100ms" min:"1ms" max:"10s" doc:"Longest wait for admission."`
+		HeaderTimeout  time.Duration `toml:"header-timeout" default:"10s" min:"100ms" max:"5m" doc:"Time in which a caller has to send the request header."`
+		BodyTimeout    time.Duration `toml:"body-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest pause within a request body."`
+		WriteTimeout   time.Duration `toml:"write-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest time that a caller may accept no byte of a response."`
+		IdleTimeout    time.Duration `toml:"idle-timeout" default:"2m" min:"1s" max:"1h" doc:"Time after which an unused connection is closed."`
+		ConnectTimeout time.Duration `toml:"connect-timeout" default:"1s" min:"10ms" max:"30s" doc:"Time for a connection to a backend server or another daemon."`
+	}
+
+	// Control is one control instance.
+	Control struct {
+		Name    string         `json:"name"`
+		Address netip.AddrPort `json:"address"` // peer address
+	}
+
+	// Size is a number of bytes, written as 512B, 64KiB, 16MiB or 1GiB.
+	Size int64
+
+	// Secret is shown as "(hidden)" wherever it is printed.
+	Secret string
+)
+
+var (
+	sizeUnits = []struct {
+		name  string
+		bytes int64
+	}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+	_ encoding.TextMarshaler = Secret("")
+)
+
+// String returns the size in the largest unit that divides it.
+func (s Size) String() string {
+	for _, unit := range sizeUnits {
+		if s != 0 && int64(s)%unit.bytes == 0 {
+			return strconv.FormatInt(int64(s)/unit.bytes, 10) + unit.name
+		}
+	}
+	return strconv.FormatInt(int64(s), 10) + "B"
+}
+
+// String hides the secret.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return "(hidden)"
+}
+
+// GoString hides the secret.
+func (s Secret) GoString() string { return strconv.Quote(s.String()) }
+
+// MarshalText hides the secret.
+func (s Secret) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// assign sets one field from a TOML value, which is a string or an int64; the error tells the expected form.
+func assign(field any, value any) error {
+	text, isText := value.(string)
+	number, isNumber := value.(int64)
+	switch target := field.(type) {
+	case *int:
+		if !isNumber {
+			return fmt.Errorf("expected a whole number without quotes, found %s", shown(value))
+		}
+		*target = int(number)
+		return nil
+	case *string:
+		if isText {
+			*target = text
+			return nil
+		}
+	case *Secret:
+		if isText {
+			*target = Secret(text)
+			return nil
+		}
+		return fmt.Errorf("expected a string") // the value is not repeated
+	case *Size:
+		size, ok := parseSize(text)
+		if !ok {
+			return fmt.Errorf(`expected a size with its unit such as "64KiB" (B, KiB, MiB or GiB), found %s`, shown(value))
+		}
+		*target = size
+		return nil
+	case *time.Duration:
+		duration, err := time.ParseDuration(text)
+		if err != nil || duration < 0 || text == "0" {
+			return fmt.Errorf(`expected a duration with its unit such as "5s" or "250ms", found %s`, shown(value))
+		}
+		*target = duration
+		return nil
+	case *netip.AddrPort:
+		address, err := netip.ParseAddrPort(text)
+		if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
+			return fmt.Errorf(`expected a numeric IP address and port such as "10.0.0.1:7401" or "[::1]:7401", found %s`, shown(value))
+		}
+		*target = address
+		return nil
+	case *zerolog.Level:
+		for _, level := range []zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel} {
+			if level.String() == text {
+				*target = level
+				return nil
+			}
+		}
+		return fmt.Errorf("expected debug, info, warn or error, found %s", shown(value))
+	}
+	return fmt.Errorf("expected a string, found %s", shown(value))
+}
+
+func parseSize(text string) (Size, bool) {
+	for _, unit := range sizeUnits {
+		digits, found := strings.CutSuffix(text, unit.name)
+		if !found {
+			continue
+		}
+		number, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || number < 0 || digits[0] == '+' || number > math.MaxInt64/unit.bytes {
+			return 0, false
+		}
+		return Size(number * unit.bytes), true
+	}
+	return 0, false
+}
+
+func shown(value any) string {
+	switch v := value.(type) {
+	case string:
+		return strconv.Quote(v)
+	case int64:
+		return strconv.FormatInt(v, 10)
+	}
+	return fmt.Sprintf("a %s", value)
+}
--- /dev/null
+++ b/internal/config/text.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const referenceHead = `# Settings of buckthornd
+
+This page is generated from the code: ` + "`go test ./internal/config -update`" + `.
+
+The settings are one TOML file, named by ` + "`buckthornd --settings FILE`" + `. Unknown settings are errors. The
+daemon checks all settings at its start, reports every error with file, line and column, and does not
+start when there is one. ` + "`buckthornd settings`" + ` prints the settings in force; the secret is hidden.
+
+Addresses are a numeric IP address and a port. Durations are strings such as "250ms", "5s" or "2m", and sizes
+are strings such as "512B", "64KiB", "16MiB" or "1GiB". Relative paths are relative to the working directory.
+`
+
+// Text returns the settings in force as TOML, with the secret hidden.
+func (s *Settings) Text() string {
+	var text strings.Builder
+	table := ""
+	for _, f := range fieldsOf(s) {
+		if f.value.IsZero() && !f.tagged("default") {
+			continue
+		}
+		if at := strings.IndexByte(f.name, '.'); at >= 0 && f.name[:at] != table {
+			if table == "" {
+				s.writeControls(&text)
+			}
+			table = f.name[:at]
+			fmt.Fprintf(&text, "\n[%s]\n", table)
+		}
+		switch value := f.value.Interface().(type) {
+		case []Control: // a table, which has to follow the plain settings
+		case Secret:
+			if s.SecretFile == "" {
+				fmt.Fprintf(&text, "%s = %q\n", f.key(), value)
+			}
+		case int:
+			fmt.Fprintf(&text, "%s = %d\n", f.key(), value)
+		default:
+			fmt.Fprintf(&text, "%s = %q\n", f.key(), fmt.Sprint(value))
+		}
+	}
+	return text.String()
+}
+
+func (s *Settings) writeControls(text *strings.Builder) {
+	text.WriteString("\n[control-addresses]\n")
+	for _, control := range s.ControlAddresses {
+		fmt.Fprintf(text, "%s = %q\n", control.Name, control.Address)
+	}
+}
+
+// Reference returns the documentation of all settings in Markdown.
+func Reference() string {
+	var text strings.Builder
+	text.WriteString(referenceHead)
+	table := "-"
+	for _, f := range fieldsOf(&Settings{}) {
+		prefix, _, nested := strings.Cut(f.name, ".")
+		if !nested {
+			prefix = ""
+		}
+		if prefix != table {
+			table = prefix
+			if table != "" {
+				fmt.Fprintf(&text, "\n## Table `[%s]`\n", table)
+			}
+			text.WriteString("\n| setting | type | default | bounds | meaning |\n| --- | --- | --- | --- | --- |\n")
+		}
+		standard, bounds := "", ""
+		switch {
+		case f.tag.Get("required") == "true":
+			standard = "required"
+		case f.tagged("default"):
+			standard = "`" + f.tag.Get("default") + "`"
+		}
+		if f.tagged("min") {
+			bounds = f.tag.Get("min") + " to " + f.tag.Get("max")
+		}
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s | %s |\n", f.key(), f.kind(), standard, bounds, f.tag.Get("doc"))
+	}
+	return text.String()
+}
+
+func (f field) key() string { return f.name[strings.IndexByte(f.name, '.')+1:] }
+
+func (f field) tagged(name string) bool {
+	_, found := f.tag.Lookup(name)
+	return found
+}
+
+func (f field) kind() string {
+	switch f.value.Interface().(type) {
+	case int:
+		return "number"
+	case Size:
+		return "size"
+	case time.Duration:
+		return "duration"
+	case netip.AddrPort:
+		return "address"
+	case []Control:
+		return "table"
+	case zerolog.Level, string, Secret:
+		return "string"
+	}
+	return f.value.Kind().String()
+}
