--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"unicode/utf8"
 )
 
 const (
@@ -110,9 +109,17 @@
 	return fmt.Sprintf("add a rule for %s %q", kind, name)
 }
 
-// failWord records a problem at the first word of a line that starts with the given text.
+// failWord records a problem at the first word of a rule that starts with the given text.
 func (p *parser) failWord(line int, start, message, fix string) {
-	text := p.lines[line-1]
-	at := max(strings.Index(text, " "+start), strings.Index(text, "\t"+start)) + 1
-	p.problem(line, utf8.RuneCountInString(text[:at])+1, message, fix)
+	p.number, p.line = line, p.lines[line-1]
+	body, _, _ := strings.Cut(p.line, "#")
+	p.split(body)
+	offset := 0
+	for _, w := range p.words {
+		if strings.HasPrefix(w.text, start) {
+			offset = w.offset
+			break
+		}
+	}
+	p.fail(offset, message, fix)
 }
--- a/pkg/rules/compare.go
+++ b/pkg/rules/compare.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 type (
@@ -90,6 +91,21 @@
 	return all
 }
 
+// Find returns the rule with an identity as Identity returns it; the line may be left out, and is not
+// compared, because a rule keeps its name when it moves.
+func (s *Set) Find(identity string) (Statement, bool) {
+	kind, name, _ := strings.Cut(identity, "/")
+	if at := strings.LastIndexByte(name, '@'); at >= 0 {
+		name = name[:at]
+	}
+	for _, statement := range s.Statements() {
+		if keyOf(statement) == (ruleKey{kind: Kind(kind), name: name}) {
+			return statement, true
+		}
+	}
+	return nil, false
+}
+
 func keyOf(s Statement) ruleKey {
 	rule := RuleOf(s)
 	return ruleKey{kind: rule.Kind, name: rule.Name}
--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -12,7 +12,8 @@
 	// MaxLine is the longest line of a rules file in bytes.
 	MaxLine = 4 << 10
 
-	maxProblems = 1000 // further ones are counted, not listed
+	// maxProblems ends the parsing; a file of one-letter lines took 2 s when all were looked at.
+	maxProblems = 1000
 
 	maxServices = 2_000 // the design size has 360
 	maxAccounts = 20_000
@@ -34,7 +35,6 @@
 		line     string // the current line
 		words    []word // of the current line, before the requester
 		problems Problems
-		dropped  int // problems beyond maxProblems
 
 		names map[string]int // key hashes and names, with the line that declared them
 	}
@@ -62,17 +62,15 @@
 		p.number, p.line = i+1, strings.TrimSuffix(line, "\r")
 		p.lines[i] = p.line
 		p.parseLine()
+		if len(p.problems) >= maxProblems {
+			p.problem(p.number, 1, fmt.Sprintf("the check ends here after %d problems", len(p.problems)),
+				"fix the listed problems and check again")
+			return nil, p.problems
+		}
 	}
 	p.check()
 	if len(p.problems) > 0 {
 		p.problems.sort()
-		if p.dropped > 0 {
-			p.problems = append(p.problems, Problem{
-				File: name, Line: len(p.lines), Column: 1,
-				Message: fmt.Sprintf("%d more problems are not listed", p.dropped),
-				Fix:     "fix the listed problems and check again",
-			})
-		}
 		return nil, p.problems
 	}
 	return p.set, nil
@@ -88,9 +86,11 @@
 	}
 	if len(p.line) > MaxLine {
 		p.longLine()
+		p.unreadable()
 		return
 	}
 	if !p.plainText() {
+		p.unreadable()
 		return
 	}
 	rule := Rule{Line: p.number}
@@ -166,6 +166,13 @@
 	}
 }
 
+// unreadable keeps a missing revision from being reported when the line in its place is faulty.
+func (p *parser) unreadable() {
+	if p.set.revision.Line == 0 {
+		p.set.revision.Line = -1
+	}
+}
+
 func (p *parser) longLine() {
 	p.problem(p.number, MaxLine+1, fmt.Sprintf("the line has %d bytes, the limit is %d", len(p.line), MaxLine),
 		"shorten the line")
@@ -177,9 +184,5 @@
 }
 
 func (p *parser) problem(line, column int, message, fix string) {
-	if len(p.problems) >= maxProblems {
-		p.dropped++
-		return
-	}
 	p.problems = append(p.problems, Problem{File: p.file, Line: line, Column: column, Message: message, Fix: fix})
 }
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -77,17 +77,19 @@
 }
 
 func (p *parser) revision(rule Rule) {
+	switch line := p.set.revision.Line; {
+	case line > 0:
+		p.fail(p.words[0].offset, fmt.Sprintf("the revision is already given on line %d", line), "remove one of the two lines")
+		return
+	case line < 0:
+		p.fail(p.words[0].offset, "the revision is not the first rule", "move the line to the top of the file")
+	}
+	p.set.revision.Line = rule.Line // also when the number is invalid, so that later rules are not blamed
 	value, ok := p.argument(1, "the revision number", "revision 42")
 	if !ok {
 		return
 	}
 	p.excess(2)
-	if line := p.set.revision.Line; line > 0 {
-		p.fail(p.words[0].offset, fmt.Sprintf("the revision is already given on line %d", line), "remove one of the two lines")
-		return
-	} else if line < 0 {
-		p.fail(p.words[0].offset, "the revision is not the first rule", "move the line to the top of the file")
-	}
 	rule.Name = value.text
 	number := p.integer(value, 1, math.MaxInt)
 	p.set.revision = Revision{Rule: rule, Number: uint64(number)}
@@ -143,6 +145,11 @@
 		return
 	}
 	p.names[value.text] = rule.Line
+	if line, found := p.names[string(KindKey)+"/"+rule.Name]; found {
+		p.fail(value.offset, fmt.Sprintf("the first %d digits of the hash are those of the account's key on line %d", keyDigits, line),
+			"create another key")
+		return
+	}
 	if p.declare(rule, len(p.set.Keys), maxKeys) {
 		p.set.Keys = append(p.set.Keys, key)
 		p.set.keys[hash.prefix()] = append(p.set.keys[hash.prefix()], key)
@@ -244,6 +251,7 @@
 	return word{}, false
 }
 
+// excess reports the word at index, where the rule should have ended.
 func (p *parser) excess(index int) {
 	if index < len(p.words) {
 		p.fail(p.words[index].offset, fmt.Sprintf("unknown word %q", shorten(p.words[index].text)), "remove the word")
--- a/pkg/rules/value.go
+++ b/pkg/rules/value.go
@@ -35,9 +35,9 @@
 // percent returns a ratio for a text such as 10% or 2.5%.
 func (p *parser) percent(v word) float64 {
 	digits, found := strings.CutSuffix(v.text, "%")
-	whole, fraction, _ := strings.Cut(digits, ".")
+	whole, fraction, decimals := strings.Cut(digits, ".")
 	number, err := strconv.ParseFloat(digits, 64)
-	if !found || err != nil || !isDigits(whole) || len(fraction) > 2 || number > 100 {
+	if !found || err != nil || !isDigits(whole) || decimals && !isDigits(fraction) || len(fraction) > 2 || number > 100 {
 		p.fail(v.offset, fmt.Sprintf("%q is not a percentage from 0%% to 100%%", shorten(v.text)), `write a number with at most two decimals and "%", for example "10%"`)
 		return 0
 	}
@@ -107,7 +107,7 @@
 		valid = 'a' <= c && c <= 'z' || '0' <= c && c <= '9' || c == '-'
 	}
 	if !valid {
-		p.fail(v.offset, fmt.Sprintf("%q is not the name of a %s", shorten(v.text), kind),
+		p.fail(v.offset, fmt.Sprintf("%q is not a valid %s name", shorten(v.text), kind),
 			fmt.Sprintf("use at most %d lower-case letters, digits and hyphens, starting with a letter", maxNameLength))
 		return ""
 	}
@@ -148,7 +148,7 @@
 		case isVariable && isRest && !last:
 			fault, fix = "{"+name+"...} is not at the end of the path", "move it to the end or remove the dots"
 		case isVariable && !validVariable(name):
-			fault, fix = fmt.Sprintf("%q is not the name of a path variable", shorten(name)), "use lower-case letters, digits and hyphens, starting with a letter"
+			fault, fix = fmt.Sprintf("%q is not a valid name of a path variable", shorten(name)), "use lower-case letters, digits and hyphens, starting with a letter"
 		case isVariable && slices.Contains(vars, name):
 			fault, fix = fmt.Sprintf("the path variable %q is used twice", shorten(name)), "rename one of the two"
 		case isVariable && len(vars) == maxVars:
