--- /dev/null
+++ b/cmd/buckthornctl/doc.go
@@ -0,0 +1,2 @@
+// Command buckthornctl is the operators' client of buckthornpitch.
+package main
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -26,7 +26,7 @@
 	// PathDump answers with Dump; parameter ParamSection, repeated or absent for all sections.
 	PathDump = "/v1/dump"
 
-	// ParamRevision is a revision number; absent or 0 is the revision in force.
+	// ParamRevision is a revision number; absent or 0 is the newest accepted one.
 	ParamRevision = "revision"
 	// ParamWait is how long the server may hold its answer until the revision is in force everywhere,
 	// as a Go duration of at most MaxWait.
@@ -112,12 +112,14 @@
 	// InForce reports how far a revision has reached.
 	InForce struct {
 		Revision uint64            `json:"revision"`
-		Accepted bool              `json:"accepted"` // committed by a majority
-		InForce  bool              `json:"in-force"` // on every daemon with a live lease
-		Newest   uint64            `json:"newest"`   // newest accepted revision
-		Daemons  int               `json:"daemons"`  // with a live lease
-		Behind   int               `json:"behind"`   // of them, with an older revision
-		List     []DaemonRevision  `json:"list"`     // those behind first, at most MaxDaemons
+		Author   string            `json:"author,omitempty"` // of the accepted text
+		Hash     string            `json:"hash,omitempty"`   // of the accepted text, as in Revision
+		Accepted bool              `json:"accepted"`         // committed by a majority
+		InForce  bool              `json:"in-force"`         // on every daemon with a live lease
+		Newest   uint64            `json:"newest"`           // newest accepted revision
+		Daemons  int               `json:"daemons"`          // with a live lease
+		Behind   int               `json:"behind"`           // of them, with an older revision
+		List     []DaemonRevision  `json:"list"`             // those behind first, at most MaxDaemons
 		Refusals []ProposalRefusal `json:"refusals,omitempty"`
 	}
 
@@ -132,6 +134,7 @@
 	// ProposalRefusal is a recent proposal with the asked revision number that was not accepted.
 	ProposalRefusal struct {
 		Author string    `json:"author"`
+		Hash   string    `json:"hash"` // of the proposed text, as in Revision
 		Time   time.Time `json:"time"`
 		Cause  string    `json:"cause"`
 	}
