--- a/pkg/rules/file_test.go
+++ b/pkg/rules/file_test.go
@@ -117,3 +117,25 @@
 	_, ok = set.Find("route/GET/work")
 	assert.Assert(t, !ok)
 }
+
+// Guards against words that the parser knows and the reference page does not describe.
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/rules.md")
+	assert.NilError(t, err)
+	documented := func(names []string) {
+		for _, name := range names {
+			assert.Assert(t, strings.Contains(string(page), "| `"+name+"=` |"), name)
+		}
+	}
+	documented(wordNames(serviceWords))
+	documented(wordNames(accountWords))
+	documented(wordNames(keyWords))
+	documented(wordNames(routeWords))
+}
+
+func wordNames[T any](words []attribute[T]) (names []string) {
+	for _, word := range words {
+		names = append(names, word.name)
+	}
+	return names
+}
