--- a/pkg/rules/enum.go
+++ b/pkg/rules/enum.go
@@ -115,13 +115,21 @@
 func parseHash(text string) (Hash, bool) {
 	var hash Hash
 	digits, found := strings.CutPrefix(text, hashPrefix)
-	if !found || len(digits) != 2*len(hash) || strings.ToLower(digits) != digits {
+	if !found || len(digits) != 2*len(hash) {
 		return hash, false
 	}
-	_, err := hex.Decode(hash[:], []byte(digits))
-	return hash, err == nil
+	for i := range hash {
+		high, low := unhex(digits[2*i]), unhex(digits[2*i+1])
+		if high < 0 || low < 0 || isUpper(digits[2*i]) || isUpper(digits[2*i+1]) {
+			return hash, false
+		}
+		hash[i] = byte(high<<4 | low)
+	}
+	return hash, true
 }
 
+func isUpper(c byte) bool { return 'A' <= c && c <= 'Z' }
+
 func enumName[E ~uint32](names []string, value E) string {
 	if int(value) < len(names) && names[value] != "" {
 		return names[value]
--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -36,7 +36,8 @@
 		words    []word // of the current line, before the requester
 		problems Problems
 
-		names map[string]int // key hashes and names, with the line that declared them
+		names  map[ruleKey]int // the line that declared each name
+		hashes map[Hash]int    // the line that listed each key
 	}
 
 	word struct {
@@ -47,7 +48,7 @@
 
 // Parse returns the set that text describes; the error is Problems and lists every error of the file.
 func Parse(name string, text []byte) (*Set, error) {
-	p := &parser{file: name, names: map[string]int{}, set: &Set{
+	p := &parser{file: name, names: map[ruleKey]int{}, hashes: map[Hash]int{}, set: &Set{
 		Services: map[string]*Service{},
 		Accounts: map[string]*Account{},
 		keys:     keyIndex{},
@@ -111,6 +112,9 @@
 // plainText reports whether the line is valid UTF-8 without control characters other than tabs.
 func (p *parser) plainText() bool {
 	for at, r := range p.line {
+		if r >= ' ' && r < 0x7f {
+			continue
+		}
 		switch {
 		case r == utf8.RuneError:
 			if _, size := utf8.DecodeRuneInString(p.line[at:]); size == 1 {
@@ -157,12 +161,11 @@
 			at++
 			continue
 		}
-		end := strings.IndexAny(body[at:], " \t")
-		if end < 0 {
-			end = len(body) - at
+		start := at
+		for at < len(body) && body[at] != ' ' && body[at] != '\t' {
+			at++
 		}
-		p.words = append(p.words, word{text: body[at : at+end], offset: at})
-		at += end
+		p.words = append(p.words, word{text: body[start:at], offset: start})
 	}
 }
 
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -140,12 +140,12 @@
 	key.Account, key.Hash = rule.Name, hash
 	rule.Name = KeyName(key.Account, hash)
 	key.Rule = rule
-	if line, found := p.names[value.text]; found {
+	if line, found := p.hashes[hash]; found {
 		p.fail(value.offset, fmt.Sprintf("the key is already listed on line %d", line), "remove one of the two lines")
 		return
 	}
-	p.names[value.text] = rule.Line
-	if line, found := p.names[string(KindKey)+"/"+rule.Name]; found {
+	p.hashes[hash] = rule.Line
+	if line, found := p.names[ruleKey{KindKey, rule.Name}]; found {
 		p.fail(value.offset, fmt.Sprintf("the first %d digits of the hash are those of the account's key on line %d", keyDigits, line),
 			"create another key")
 		return
@@ -260,7 +260,7 @@
 
 // declare records the name of a rule and reports whether it is the first of its kind with that name.
 func (p *parser) declare(rule Rule, count, limit int) bool {
-	name := string(rule.Kind) + "/" + rule.Name
+	name := ruleKey{rule.Kind, rule.Name}
 	if line, found := p.names[name]; found {
 		p.fail(p.words[1].offset, fmt.Sprintf("%s %q is already given on line %d", rule.Kind, rule.Name, line), "remove one of the two lines or rename one")
 		return false
