--- a/pkg/rules/property_test.go
+++ b/pkg/rules/property_test.go
@@ -167,6 +167,50 @@
 	return rank, len(parts) == len(segments)
 }
 
+// Guards against shadowed routes that are accepted, and reachable ones that are refused, compared with
+// sample paths for every pattern.
+func TestShadowedAgainstSearch(t *testing.T) {
+	endings := []string{"", "/", "/a", "/{rest...}"}
+	rapid.Check(t, func(t *rapid.T) {
+		text := strings.Split(example, "route")[0]
+		var patterns []string
+		for range rapid.IntRange(1, 7).Draw(t, "routes") {
+			pattern := strings.Repeat("/{v}", rapid.IntRange(0, 2).Draw(t, "depth")) + rapid.SampledFrom(endings).Draw(t, "ending")
+			if pattern = strings.Replace(pattern, "v", "w", 1); pattern != "" && !slices.Contains(patterns, pattern) {
+				patterns = append(patterns, pattern)
+				text += "route GET " + pattern + " service=reader access=open run=idempotent deadline=2s # requested by A\n"
+			}
+		}
+		shadowed := 0
+		for _, pattern := range patterns {
+			if !reachable(pattern, patterns) {
+				shadowed++
+			}
+		}
+		_, err := Parse("rules", []byte(text))
+		problems, _ := err.(Problems)
+		assert.Equal(t, len(problems), shadowed, "%s%v", text, err)
+	})
+}
+
+// reachable reports whether a path with up to four further segments matches the pattern before others.
+func reachable(pattern string, patterns []string) bool {
+	start, isRest := strings.CutSuffix(pattern, "{rest...}")
+	start = strings.NewReplacer("{v}", "z", "{w}", "z").Replace(start)
+	ends := []string{""}
+	if isRest {
+		ends = []string{"", "z", "z/", "z/z", "z/z/", "z/z/z", "z/z/z/z"}
+	}
+	return slices.ContainsFunc(ends, func(end string) bool {
+		segments := strings.Split((start + end)[1:], "/")
+		rank, _ := search(pattern, segments)
+		return !slices.ContainsFunc(patterns, func(other string) bool {
+			otherRank, fits := search(other, segments)
+			return fits && slices.Compare(otherRank, rank) < 0
+		})
+	})
+}
+
 // Guards against keyed routes that an encoded path evades, because the backend server reads it differently.
 func TestMatchRefusesAmbiguousPaths(t *testing.T) {
 	text := strings.Split(example, "route")[0] + `route GET /{rest...} service=reader access=open run=idempotent deadline=2s # requested by A
@@ -182,7 +226,7 @@
 		match, found := set.Match("GET", path)
 		assert.Assert(t, !found, "%q matches %v", path, match.Route)
 	}
-	for path, want := range map[string]string{"/": "{rest...}", "/x": "{rest...}", "/admin": "{rest...}", "/admin/%C3%A9%20": "admin/{id}", "/admin/1/": "{rest...}"} {
+	for path, want := range map[string]string{"/": "{rest...}", "/admin/": "{rest...}", "/x": "{rest...}", "/admin": "{rest...}", "/admin/%C3%A9%20": "admin/{id}", "/admin/1/": "{rest...}"} {
 		match, found := set.Match("HEAD", path)
 		assert.Assert(t, found && match.Route.Path == "/"+want, "%q", path)
 	}
