Prove the path with separate processes under kills, freezes and lost disks

Cause: the promises have to hold between processes, not only in one. Change: a small fleet of real processes on loopback and eight tests: path, killed leader, frozen leader, emptied disk and second loss, two operators, withdrawn key, shutdown during a download, restart.

--- /dev/null
+++ b/internal/daemon/process_test.go
@@ -0,0 +1,255 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+// Guards against a path that works inside one process only: callers, daemons and backend servers are
+// apart, and the call crosses from one daemon to another.
+func TestCallAcrossProcesses(t *testing.T) {
+	f := newFleet(t, 3, 2, testRules(1, "Ana", ""))
+	var seen http.Header
+	library := newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
+		seen = r.Header.Clone()
+		echo(w, r)
+	})
+	c := newCaller()
+	f.eventually("an answer through d1", func() bool {
+		return c.send(f.daemons["d1"], "GET", "/works/1", "", "").status == http.StatusOK
+	})
+	got := c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, `{"account":"reader","path":"/kudos/1"}`+"\n")
+	assert.Equal(t, library.count("POST", "/kudos/1"), 1)
+	for name, values := range seen {
+		assert.Assert(t, !strings.Contains(strings.Join(values, " "), "reader-key"), "key in header %s", name)
+	}
+	got = c.send(f.daemons["d1"], "POST", "/kudos/1", "other-key", "")
+	assert.Equal(t, got.status, http.StatusUnauthorized)
+	assert.Equal(t, got.outcome(), "not-run")
+	assert.Equal(t, library.count("POST", "/kudos/1"), 1)
+}
+
+// Guards against a request that runs twice, or an answer that is lost, when the leader is killed while
+// callers send and resend non-idempotent requests through every daemon.
+func TestKilledLeaderKeepsOncePromise(t *testing.T) {
+	f := newFleet(t, 3, 2, testRules(1, "Ana", ""))
+	library := newBackend(t, f.daemons["d1"], "library", echo)
+	first := newCaller()
+	f.eventually("the first record", func() bool {
+		return first.send(f.daemons["d1"], "POST", "/kudos/first", "reader-key", "first").status == http.StatusOK
+	})
+	var wg sync.WaitGroup
+	var sent atomic.Int64
+	const callers, each = 8, 20
+	for i := range callers {
+		wg.Go(func() {
+			c := newCaller()
+			for n := range each {
+				id := fmt.Sprintf("%d-%d", i, n)
+				sent.Add(1)
+				// A caller resends under the same key until it has an answer that is whole and final.
+				f.eventually("an answer for "+id, func() bool {
+					got := c.send(f.daemons[[]string{"d1", "d2"}[n%2]], "POST", "/kudos/"+id, "reader-key", id)
+					return got.err == nil && (got.status == http.StatusOK || got.reason() == "earlier-unknown")
+				})
+			}
+		})
+	}
+	f.eventually("traffic", func() bool { return sent.Load() > callers*each/4 })
+	f.leader().kill()
+	wg.Wait()
+	for i := range callers {
+		for n := range each {
+			id := fmt.Sprintf("/kudos/%d-%d", i, n)
+			assert.Assert(t, library.count("POST", id) <= 1, "%s ran %d times", id, library.count("POST", id))
+		}
+	}
+	got := first.send(f.daemons["d2"], "POST", "/kudos/first", "reader-key", "first")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.header.Get("Buckthorn-Replay"), "true")
+	assert.Equal(t, library.count("POST", "/kudos/first"), 1)
+}
+
+// Guards against a leader that was frozen for longer than its lease and then acts as if it still led.
+func TestFrozenLeaderDoesNotRevert(t *testing.T) {
+	f := newFleet(t, 3, 1, testRules(1, "Ana", ""))
+	old := f.leader()
+	old.signal(syscall.SIGSTOP)
+	editor := f.daemons["d1"]
+	editor.writeRules(testRules(2, "Lou", ""))
+	f.eventually("revision 2 with the old leader frozen", func() bool {
+		status := editor.status()
+		return status != nil && status.Revision == 2 && status.Fresh
+	})
+	old.signal(syscall.SIGCONT)
+	f.waitInForce(2)
+	assert.Assert(t, f.leader().status().Revision == 2)
+}
+
+// Guards against the loss of accepted state when a voter comes back with an emptied disk and a second
+// voter is lost right after that repair.
+func TestSecondLossAfterRepair(t *testing.T) {
+	f := newFleet(t, 3, 1, testRules(1, "Ana", ""))
+	library := newBackend(t, f.daemons["d1"], "library", echo)
+	c := newCaller()
+	f.eventually("a record", func() bool {
+		return c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "one").status == http.StatusOK
+	})
+	f.daemons["c1"].writeRules(testRules(2, "Lou", ""))
+	f.waitInForce(2)
+	emptied := f.daemons["c3"]
+	emptied.kill()
+	assert.NilError(t, os.RemoveAll(filepath.Join(emptied.folder, "data")))
+	emptied.start()
+	f.eventually("the emptied voter votes again", func() bool {
+		status := emptied.status()
+		return status != nil && status.Role != "learner" && len(status.Voters) == 3 && status.Fresh
+	})
+	f.daemons["c2"].kill()
+	f.leader()
+	f.daemons["c1"].writeRules(testRules(3, "Lou", ""))
+	f.waitInForce(3)
+	got := c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "one")
+	assert.Equal(t, got.header.Get("Buckthorn-Replay"), "true")
+	assert.Equal(t, library.count("POST", "/kudos/1"), 1)
+}
+
+// Guards against two accepted texts under one number, and against losing the text of the operator who
+// was second.
+func TestTwoOperatorsOneNumber(t *testing.T) {
+	f := newFleet(t, 3, 1, testRules(1, "Ana", ""))
+	texts := map[string]string{
+		"c1": testRules(2, "Ana", "# first\n"),
+		"d1": testRules(2, "Lou", "# second\n"),
+	}
+	for name, text := range texts {
+		f.daemons[name].writeRules(text)
+	}
+	f.eventually("both verdicts", func() bool {
+		return strings.Contains(f.daemons["c1"].verdict(), "revision 2") && strings.Contains(f.daemons["d1"].verdict(), "revision 2")
+	})
+	accepted, refused := "c1", "d1"
+	if !strings.HasPrefix(f.daemons["c1"].verdict(), "accepted") {
+		accepted, refused = refused, accepted
+	}
+	assert.Assert(t, strings.HasPrefix(f.daemons[accepted].verdict(), "accepted: revision 2"), f.daemons[accepted].verdict())
+	assert.Assert(t, strings.HasPrefix(f.daemons[refused].verdict(), "refused: revision 2"), f.daemons[refused].verdict())
+	winner := map[string]string{"c1": "Ana", "d1": "Lou"}[accepted]
+	assert.Assert(t, strings.Contains(f.daemons[refused].verdict(), "accepted from "+winner), f.daemons[refused].verdict())
+	for name, text := range texts {
+		kept, err := os.ReadFile(filepath.Join(f.daemons[name].folder, "rules"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(kept), text)
+	}
+	f.waitInForce(2)
+	// The second operator edits from the winner and is accepted; the first file put back is not.
+	f.daemons[refused].writeRules(testRules(3, "Lou", "# second again\n"))
+	f.waitInForce(3)
+	f.daemons[accepted].writeRules(texts[accepted] + "# put back\n")
+	f.eventually("the refusal of the older file", func() bool {
+		return strings.HasPrefix(f.daemons[accepted].verdict(), "refused: revision 2")
+	})
+	f.waitInForce(3)
+}
+
+// Guards against a withdrawn key that keeps working on a connection that stays open.
+func TestWithdrawnKeyOnOpenConnection(t *testing.T) {
+	f := newFleet(t, 1, 1, testRules(1, "Ana", ""))
+	library := newBackend(t, f.daemons["d1"], "library", echo)
+	c := newCaller()
+	f.eventually("an answer", func() bool {
+		return c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
+	})
+	withdrawn := strings.Replace(testRules(2, "Lou", ""), rules.HashKey("reader-key").String(), rules.HashKey("reader-key").String()+" state=withdrawn", 1)
+	f.daemons["c1"].writeRules(withdrawn)
+	f.eventually("the refusal", func() bool {
+		return c.send(f.daemons["d1"], "POST", "/kudos/2", "reader-key", "").reason() == "key-withdrawn"
+	})
+	before := library.count("POST", "/kudos/3")
+	assert.Equal(t, c.send(f.daemons["d1"], "POST", "/kudos/3", "reader-key", "").status, http.StatusUnauthorized)
+	assert.Equal(t, library.count("POST", "/kudos/3"), before)
+}
+
+// Guards against a shutdown that cuts a download in progress at the caller's daemon or at the daemon
+// beside the backend server.
+func TestGracefulShutdownKeepsDownloads(t *testing.T) {
+	f := newFleet(t, 1, 2, testRules(1, "Ana", ""))
+	const size = 8 << 20
+	proceed := make(chan struct{})
+	newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/masters/") {
+			echo(w, r)
+			return
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		half := make([]byte, size/2)
+		_, _ = w.Write(half)
+		<-proceed
+		_, _ = w.Write(half)
+	})
+	f.eventually("an answer", func() bool {
+		return newCaller().send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
+	})
+	request, err := http.NewRequest("GET", "http://"+f.daemons["d1"].ingress+"/masters/1", nil)
+	assert.NilError(t, err)
+	request.Header.Set("Buckthorn-Key", "reader-key")
+	response, err := newCaller().client.Do(request)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	head := make([]byte, size/4)
+	_, err = io.ReadFull(response.Body, head)
+	assert.NilError(t, err)
+	f.daemons["d1"].signal(syscall.SIGTERM)
+	f.daemons["d2"].signal(syscall.SIGTERM)
+	f.eventually("d1 refuses new connections", func() bool {
+		return newCaller().send(f.daemons["d1"], "GET", "/works/1", "", "").err != nil
+	})
+	close(proceed)
+	rest, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(head)+len(rest), size)
+	<-f.daemons["d1"].exited
+	<-f.daemons["d2"].exited
+	assert.Equal(t, f.daemons["d1"].command.ProcessState.ExitCode(), 0)
+	assert.Equal(t, f.daemons["d2"].command.ProcessState.ExitCode(), 0)
+}
+
+// Guards against a slow or wrong restart after many changes.
+func TestRestartAfterManyChanges(t *testing.T) {
+	f := newFleet(t, 1, 0, testRules(1, "Ana", ""))
+	const changes = 100
+	for n := uint64(2); n <= changes; n++ {
+		f.daemons["c1"].writeRules(testRules(n, "Ana", fmt.Sprintf("# change %d\n", n)))
+		f.waitInForce(n)
+	}
+	before, err := os.ReadFile(filepath.Join(f.daemons["c1"].folder, "rules"))
+	assert.NilError(t, err)
+	f.daemons["c1"].kill()
+	f.daemons["c1"].start()
+	f.waitInForce(changes)
+	client := f.daemons["c1"].client()
+	current, err := client.Rules(t.Context())
+	assert.NilError(t, err)
+	hash := sha256.Sum256(before)
+	assert.Equal(t, current.Hash, "sha256:"+hex.EncodeToString(hash[:]))
+	history, err := client.History(t.Context(), 1000)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Revisions), changes)
+}
