--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,87 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/config"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
+	"github.com/buckthornpitch/buckthornpitch/internal/root"
+)
+
+var inForceEvent = []byte(`"config-in-force"`)
+
+// eventLog is the log of a fleet; it notes when each revision came into force at the daemons.
+type eventLog struct {
+	mu      sync.Mutex
+	count   map[uint64]int
+	last    map[uint64]time.Time
+	changed chan struct{} // closed and replaced at each change
+}
+
+func newEventLog() *eventLog {
+	return &eventLog{count: map[uint64]int{}, last: map[uint64]time.Time{}, changed: make(chan struct{})}
+}
+
+// Write takes one log event as JSON.
+func (e *eventLog) Write(line []byte) (int, error) {
+	if bytes.Contains(line, inForceEvent) {
+		now := time.Now()
+		var event struct {
+			Revision uint64 `json:"revision"`
+		}
+		if err := json.Unmarshal(line, &event); err == nil {
+			e.mu.Lock()
+			e.count[event.Revision]++
+			e.last[event.Revision] = now
+			close(e.changed)
+			e.changed = make(chan struct{})
+			e.mu.Unlock()
+		}
+	}
+	return len(line), nil
+}
+
+// wait returns when the last of count daemons had the revision in force.
+func (e *eventLog) wait(ctx context.Context, revision uint64, count int) (time.Time, error) {
+	for {
+		e.mu.Lock()
+		reached, last, changed := e.count[revision], e.last[revision], e.changed
+		e.mu.Unlock()
+		if reached >= count {
+			return last, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return last, fmt.Errorf("revision %d is in force on %d of %d daemons: %w", revision, reached, count, ctx.Err())
+		}
+	}
+}
+
+// startFleet runs daemons in this process until it ends.
+func startFleet(settings []string) (*eventLog, error) {
+	events := newEventLog()
+	log := zerolog.New(events).Level(zerolog.InfoLevel)
+	klog.SetLogger(logs.Kratos(log))
+	for i, text := range settings {
+		parsed, err := config.Parse(fmt.Sprintf("daemon %d", i), []byte(text), nil)
+		if err != nil {
+			return nil, fmt.Errorf("settings: %w", err)
+		}
+		daemon, err := root.New(parsed, clock.Real{}, log)
+		if err != nil {
+			return nil, fmt.Errorf("start %s: %w", parsed.Name, err)
+		}
+		go func() { _ = daemon.Start(context.Background()) }()
+	}
+	return events, nil
+}
--- /dev/null
+++ b/internal/bench/main.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+)
+
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type (
+	arguments struct {
+		Added    *addedCommand    `arg:"subcommand:added" help:"time added to a call by one and by two daemons"`
+		Cores    *coresCommand    `arg:"subcommand:cores" help:"calls per second and core"`
+		Memory   *memoryCommand   `arg:"subcommand:memory" help:"memory per caller connection, daemon and peer session"`
+		Records  *recordsCommand  `arg:"subcommand:records" help:"idempotency records per second on this disk"`
+		Spread   *spreadCommand   `arg:"subcommand:spread" help:"time until an accepted change is in force on all daemons"`
+		Failover *failoverCommand `arg:"subcommand:failover" help:"time until daemons follow another leader"`
+		Recovery *recoveryCommand `arg:"subcommand:recovery" help:"time from a voter's restart until it leads"`
+		Control  *controlCommand  `arg:"subcommand:control" help:"control bytes and processor time for each daemon and the leader"`
+		Change   *changeCommand   `arg:"subcommand:change" help:"processor time, bytes and disk space of one change"`
+		Host     *hostCommand     `arg:"subcommand:host" help:"run daemons for another measurement; used by the command itself"`
+
+		Output string `arg:"--output" default:"text" help:"text or json"`
+		Folder string `arg:"--folder" placeholder:"DIR" help:"folder for the data folders; a temporary one by default"`
+	}
+
+	// command is one of the subcommands; each has its own file.
+	command interface{ command() }
+
+	// bench is what a measurement works with.
+	bench struct {
+		folder string
+		stderr io.Writer
+		ports  ports
+	}
+)
+
+func (*addedCommand) command()    {}
+func (*coresCommand) command()    {}
+func (*memoryCommand) command()   {}
+func (*recordsCommand) command()  {}
+func (*spreadCommand) command()   {}
+func (*failoverCommand) command() {}
+func (*recoveryCommand) command() {}
+func (*controlCommand) command()  {}
+func (*changeCommand) command()   {}
+func (*hostCommand) command()     {}
+
+// Main runs the measurement given by args and returns the exit status: 0 after a complete run, 1 after a
+// failure, 2 for wrong usage.
+func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	parsed := &arguments{}
+	parser, err := arg.NewParser(arg.Config{Program: "buckthornbench", Out: stderr}, parsed)
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return exitOK
+	case err != nil:
+		return fail(stderr, exitUsage, err)
+	case parser.Subcommand() == nil:
+		parser.WriteHelp(stderr)
+		return exitUsage
+	case parsed.Output != "text" && parsed.Output != "json":
+		return fail(stderr, exitUsage, fmt.Errorf("output is %q, want text or json", parsed.Output))
+	}
+	chosen, _ := parser.Subcommand().(command)
+	if host, ok := chosen.(*hostCommand); ok {
+		if err := host.run(stdin, stdout); err != nil {
+			return fail(stderr, exitFailed, err)
+		}
+		return exitOK
+	}
+	folder, err := os.MkdirTemp(parsed.Folder, "buckthorn-bench-")
+	if err != nil {
+		return fail(stderr, exitFailed, fmt.Errorf("create folder: %w", err))
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	b := &bench{folder: folder, stderr: stderr, ports: newPorts()}
+	report := newReport(args)
+	started := time.Now()
+	if err := b.measure(chosen, report); err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	report.finish(started)
+	if err := report.write(stdout, parsed.Output); err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	return exitOK
+}
+
+func (b *bench) measure(chosen command, report *Report) error {
+	switch chosen := chosen.(type) {
+	case *addedCommand:
+		return b.added(chosen, report)
+	case *coresCommand:
+		return b.cores(chosen, report)
+	case *memoryCommand:
+		return b.memory(chosen, report)
+	case *recordsCommand:
+		return b.records(chosen, report)
+	case *spreadCommand:
+		return b.spread(chosen, report)
+	case *failoverCommand:
+		return b.failover(chosen, report)
+	case *recoveryCommand:
+		return b.recovery(chosen, report)
+	case *controlCommand:
+		return b.control(chosen, report)
+	case *changeCommand:
+		return b.change(chosen, report)
+	}
+	return fmt.Errorf("measurement %T is unknown", chosen)
+}
+
+func fail(stderr io.Writer, status int, err error) int {
+	_, _ = fmt.Fprintf(stderr, "buckthornbench: %v\n", err)
+	return status
+}
