--- a/internal/bench/change.go
+++ b/internal/bench/change.go
@@ -70,7 +70,7 @@
 	sleep(ctx, time.Second)
 	watched := nodes[:min(10, len(nodes))]
 	read := func() (controlReading, time.Time, int64, error) {
-		reading, err := readControl(lead, h, watched)
+		reading, err := readControl(lead, h, watched, nil)
 		return reading, time.Now(), folderSize(control[0].Folder), err
 	}
 	start, startAt, _, err := read()
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -16,6 +16,7 @@
 	Rate     int           `arg:"--rate" default:"0" help:"keyed calls per second and daemon; 0 for idle daemons"`
 	Callees  int           `arg:"--callees" default:"4" help:"services that each daemon calls"`
 	For      time.Duration `arg:"--for" default:"8s" help:"time for each row"`
+	Relay    bool          `arg:"--relay" help:"count bytes on the connections, with the headers of yamux; the relay takes processor time from this process only"`
 	Profile  string        `arg:"--profile" placeholder:"PREFIX" help:"write profiles of the leader and of the daemons"`
 }
 
@@ -39,8 +40,8 @@
 	fill(&c.Routes, 40)
 	table := report.table(fmt.Sprintf("Control traffic, one voter, %d calls/s for each daemon", c.Rate),
 		"daemons", "services", "accounts", "routes", "calls/s", "failed",
-		"daemon sends B/s", "daemon receives B/s", "daemon % of a core", "leader % of a core", "daemon heap KiB", "leader heap KiB", "load")
-	table.note("bytes are control frames without the headers of yamux and TCP; with calls, a daemon's processor time includes the calls themselves")
+		"daemon sends B/s", "daemon receives B/s", "connection up B/s", "connection down B/s", "daemon % of a core", "leader % of a core", "daemon heap KiB", "leader heap KiB", "load")
+	table.note("bytes sent and received are control frames; bytes on the connection are counted with --relay and include the headers of yamux; with calls, a daemon's processor time includes the calls themselves")
 	var x, sent, received, daemon, lead, heap []float64
 	for _, daemons := range c.Daemons {
 		for _, services := range c.Services {
@@ -77,7 +78,7 @@
 	return nil
 }
 
-type controlCost struct{ sent, received, daemon, leader, heap float64 }
+type controlCost struct{ sent, received, wireUp, wireDown, daemon, leader, heap float64 }
 
 func (b *bench) controlPoint(c *controlCommand, p point, table *Table) (controlCost, error) {
 	var cost controlCost
@@ -99,7 +100,15 @@
 		return cost, err
 	}
 	defer lead.stop()
-	h, err := b.startHost(settingsOf(nodes, controls(control)), profile("daemons")...)
+	addresses := controls(control)
+	var counter *relay
+	if c.Relay {
+		if counter, err = startRelay(b.ports.take(1), control[0].Peer()); err != nil {
+			return cost, err
+		}
+		addresses = map[string]string{control[0].Name: counter.address}
+	}
+	h, err := b.startHost(settingsOf(nodes, addresses), profile("daemons")...)
 	if err != nil {
 		return cost, err
 	}
@@ -136,26 +145,38 @@
 	}
 	run(3 * time.Second) // connections, views and limits settle
 	watched := nodes[:min(10, len(nodes))]
-	before, err := readControl(lead, h, watched)
+	before, err := readControl(lead, h, watched, counter)
 	if err != nil {
 		return cost, err
 	}
 	started := time.Now()
 	calls, failed := run(c.For)
 	took := time.Since(started).Seconds()
-	after, err := readControl(lead, h, watched)
+	after, err := readControl(lead, h, watched, counter)
 	if err != nil {
 		return cost, err
 	}
+	var daemonHeap float64
 	perDaemon := took * float64(len(watched))
 	cost = controlCost{
 		sent: (after.sent - before.sent) / perDaemon, received: (after.received - before.received) / perDaemon,
+		wireUp: (after.wireUp - before.wireUp) / took / float64(p.daemons), wireDown: (after.wireDown - before.wireDown) / took / float64(p.daemons),
 		daemon: 100 * (after.daemons.Processor - before.daemons.Processor).Seconds() / took / float64(p.daemons),
 		leader: 100 * (after.leader.Processor - before.leader.Processor).Seconds() / took,
-		heap:   float64(after.leader.Heap+after.leader.Stack) / 1024,
+	}
+	for _, one := range []struct {
+		host *host
+		kib  *float64
+		each int
+	}{{lead, &cost.heap, 1}, {h, &daemonHeap, p.daemons}} {
+		usage, err := one.host.ask(Request{Collect: true})
+		if err != nil {
+			return cost, err
+		}
+		*one.kib = float64(usage.Heap+usage.Stack) / 1024 / float64(one.each)
 	}
 	table.row(p.daemons, p.scale.Services, p.scale.Accounts, p.scale.Routes, float64(calls)/took, failed, cost.sent, cost.received,
-		cost.daemon, cost.leader, float64(after.daemons.Heap+after.daemons.Stack)/1024/float64(p.daemons), cost.heap, loadAverage())
+		cost.wireUp, cost.wireDown, cost.daemon, cost.leader, daemonHeap, cost.heap, loadAverage())
 	return cost, nil
 }
 
@@ -188,11 +209,12 @@
 
 // controlReading is the state of all counters at one time.
 type controlReading struct {
-	leader, daemons Usage
-	sent, received  float64
+	leader, daemons  Usage
+	sent, received   float64
+	wireUp, wireDown float64
 }
 
-func readControl(lead, daemons *host, watched []*Node) (controlReading, error) {
+func readControl(lead, daemons *host, watched []*Node, counter *relay) (controlReading, error) {
 	var reading controlReading
 	for _, node := range watched {
 		sent, received, err := controlBytes(node)
@@ -202,10 +224,13 @@
 		reading.sent += sent
 		reading.received += received
 	}
+	if counter != nil {
+		reading.wireUp, reading.wireDown = float64(counter.up.Load()), float64(counter.down.Load())
+	}
 	var err error
-	if reading.leader, err = lead.ask(Request{Collect: true}); err != nil {
+	if reading.leader, err = lead.ask(Request{}); err != nil {
 		return reading, err
 	}
-	reading.daemons, err = daemons.ask(Request{Collect: true})
+	reading.daemons, err = daemons.ask(Request{})
 	return reading, err
 }
--- a/internal/bench/memory.go
+++ b/internal/bench/memory.go
@@ -84,23 +84,6 @@
 		before = after
 		return nil
 	}
-	callers := make([]*caller, 0, c.Connections)
-	for range c.Connections {
-		made := newCaller(1)
-		if err := made.send(&target); err != nil {
-			return err
-		}
-		callers = append(callers, made)
-	}
-	if err := step("idle caller connections after one call", c.Connections); err != nil {
-		return err
-	}
-	for _, made := range callers {
-		made.client.CloseIdleConnections()
-	}
-	if before, err = h.ask(Request{Collect: true}); err != nil {
-		return err
-	}
 	for i := range c.Sessions {
 		dialer := &link.Dialer{Name: fmt.Sprintf("peer-%d", i), Secret: []byte(benchSecret)}
 		stream, err := dialer.Open(ctx, daemon.Peer(), link.StreamCall)
@@ -110,7 +93,17 @@
 		_ = stream.Close()
 		defer dialer.Close()
 	}
-	return step("accepted peer sessions without streams", c.Sessions)
+	if err := step("accepted peer sessions without streams", c.Sessions); err != nil {
+		return err
+	}
+	for range c.Connections {
+		made := newCaller(1)
+		if err := made.send(&target); err != nil {
+			return err
+		}
+		defer made.client.CloseIdleConnections()
+	}
+	return step("idle caller connections after one call", c.Connections)
 }
 
 // idleDaemons returns the usage of a process with daemons that have a lease and no traffic.
