--- a/internal/bench/host.go
+++ b/internal/bench/host.go
@@ -41,6 +41,7 @@
 		Heap       uint64        // bytes of live and not yet collected objects
 		Stack      uint64        // bytes
 		Resident   uint64        // bytes
+		Peak       uint64        // highest resident bytes
 		Goroutines int
 	}
 
@@ -102,7 +103,7 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	u.Heap, u.Stack, u.Goroutines = memory.HeapAlloc, memory.StackInuse, runtime.NumGoroutine()
-	u.Processor, u.Resident = processorTime(), resident()
+	u.Processor, u.Resident, u.Peak = processorTime(), resident(), peak()
 }
 
 // processorTime returns the user and system time of this process.
@@ -127,6 +128,15 @@
 	return pages * uint64(os.Getpagesize())
 }
 
+// peak returns the highest resident size of this process.
+func peak() uint64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return uint64(usage.Maxrss) << 10
+}
+
 // startHost runs the daemons with these settings in a child process.
 func (b *bench) startHost(settings []string, args ...string) (*host, error) {
 	program, err := os.Executable()
--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -27,6 +27,7 @@
 		Recovery *recoveryCommand `arg:"subcommand:recovery" help:"time from a voter's restart until it leads"`
 		Control  *controlCommand  `arg:"subcommand:control" help:"control bytes and processor time for each daemon and the leader"`
 		Change   *changeCommand   `arg:"subcommand:change" help:"processor time, bytes and disk space of one change"`
+		Rejoin   *rejoinCommand   `arg:"subcommand:rejoin" help:"many daemons that start at once"`
 		Host     *hostCommand     `arg:"subcommand:host" help:"run daemons for another measurement; used by the command itself"`
 
 		Output string `arg:"--output" default:"text" help:"text or json"`
@@ -53,6 +54,7 @@
 func (*recoveryCommand) command() {}
 func (*controlCommand) command()  {}
 func (*changeCommand) command()   {}
+func (*rejoinCommand) command()   {}
 func (*hostCommand) command()     {}
 
 // Main runs the measurement given by args and returns the exit status: 0 after a complete run, 1 after a
@@ -121,6 +123,8 @@
 		return b.control(chosen, report)
 	case *changeCommand:
 		return b.change(chosen, report)
+	case *rejoinCommand:
+		return b.rejoin(chosen, report)
 	}
 	return fmt.Errorf("measurement %T is unknown", chosen)
 }
