Keep one retry at the first daemon in the replay as well

Cause: the replay used a budget that lends everything, unlike the call path. Change: requests of callers get the entry budget; the golden table follows.

--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -156,7 +156,7 @@
 	case !s.mechanism.NoAdmission && !d.throttle.Allow(s.now, a.route.Name, a.route.Importance):
 		a.finish(retry.Throttled{})
 	default:
-		c := &call{attempt: a, from: d, budget: retry.NewBudget(a.route.Retries)}
+		c := &call{attempt: a, from: d, budget: retry.NewEntryBudget(a.route.Retries)}
 		c.done = a.end
 		c.send()
 	}
