Share the command line of the daemon and of the measurements

Cause: both programs parsed subcommands, help and errors with the same code. Change: internal/cmds holds it once, with the exit statuses.

--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -1,20 +1,15 @@
 package bench
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
-	"github.com/alexflint/go-arg"
+	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
 )
 
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
+const program = "buckthornbench"
 
 type (
 	arguments struct {
@@ -61,46 +56,36 @@
 // failure, 2 for wrong usage.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	parsed := &arguments{}
-	parser, err := arg.NewParser(arg.Config{Program: "buckthornbench", Out: stderr}, parsed)
-	if err != nil {
-		return fail(stderr, exitFailed, err)
+	subcommand, status := cmds.Parse(program, parsed, args, stdout, stderr)
+	if subcommand == nil {
+		return status
 	}
-	err = parser.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		parser.WriteHelp(stdout)
-		return exitOK
-	case err != nil:
-		return fail(stderr, exitUsage, err)
-	case parser.Subcommand() == nil:
-		parser.WriteHelp(stderr)
-		return exitUsage
-	case parsed.Output != "text" && parsed.Output != "json":
-		return fail(stderr, exitUsage, fmt.Errorf("output is %q, want text or json", parsed.Output))
+	if parsed.Output != "text" && parsed.Output != "json" {
+		return fail(stderr, cmds.Usage, fmt.Errorf("output is %q, want text or json", parsed.Output))
 	}
-	chosen, _ := parser.Subcommand().(command)
+	chosen, _ := subcommand.(command)
 	if host, ok := chosen.(*hostCommand); ok {
 		if err := host.run(stdin, stdout); err != nil {
-			return fail(stderr, exitFailed, err)
+			return fail(stderr, cmds.Failed, err)
 		}
-		return exitOK
+		return cmds.OK
 	}
 	folder, err := os.MkdirTemp(parsed.Folder, "buckthorn-bench-")
 	if err != nil {
-		return fail(stderr, exitFailed, fmt.Errorf("create folder: %w", err))
+		return fail(stderr, cmds.Failed, fmt.Errorf("create folder: %w", err))
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	b := &bench{folder: folder, stderr: stderr, ports: newPorts()}
 	report := newReport(args)
 	started := time.Now()
 	if err := b.measure(chosen, report); err != nil {
-		return fail(stderr, exitFailed, err)
+		return fail(stderr, cmds.Failed, err)
 	}
 	report.finish(started)
 	if err := report.write(stdout, parsed.Output); err != nil {
-		return fail(stderr, exitFailed, err)
+		return fail(stderr, cmds.Failed, err)
 	}
-	return exitOK
+	return cmds.OK
 }
 
 func (b *bench) measure(chosen command, report *Report) error {
@@ -130,6 +115,5 @@
 }
 
 func fail(stderr io.Writer, status int, err error) int {
-	_, _ = fmt.Fprintf(stderr, "buckthornbench: %v\n", err)
-	return status
+	return cmds.Fail(stderr, program, status, err)
 }
--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds what the command lines of the programs with subcommands share.
+package cmds
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -1,19 +1,12 @@
 package daemon
 
 import (
-	"errors"
-	"fmt"
 	"io"
 
-	"github.com/alexflint/go-arg"
+	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
 )
 
-// Exit statuses of buckthornd.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
+const program = "buckthornd"
 
 type (
 	// arguments is the command line; exactly one command is given.
@@ -40,22 +33,11 @@
 // failure, 2 for wrong usage or settings.
 func Main(args []string, stdout, stderr io.Writer) int {
 	parsed := &arguments{}
-	parser, err := arg.NewParser(arg.Config{Program: "buckthornd", Out: stderr}, parsed)
-	if err != nil {
-		return fail(stderr, exitFailed, err)
-	}
-	err = parser.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		parser.WriteHelp(stdout)
-		return exitOK
-	case err != nil:
-		return fail(stderr, exitUsage, err)
-	case parser.Subcommand() == nil:
-		parser.WriteHelp(stderr)
-		return exitUsage
+	subcommand, status := cmds.Parse(program, parsed, args, stdout, stderr)
+	if subcommand == nil {
+		return status
 	}
-	chosen, _ := parser.Subcommand().(command)
+	chosen, _ := subcommand.(command)
 	switch chosen := chosen.(type) {
 	case *runCommand:
 		return run(chosen, stderr)
@@ -64,10 +46,9 @@
 	case *quickStartCommand:
 		return quickStart(chosen, stdout, stderr)
 	}
-	return exitUsage
+	return cmds.Usage
 }
 
 func fail(stderr io.Writer, status int, err error) int {
-	_, _ = fmt.Fprintf(stderr, "buckthornd: %v\n", err)
-	return status
+	return cmds.Fail(stderr, program, status, err)
 }
--- a/internal/daemon/quick.go
+++ b/internal/daemon/quick.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -45,25 +46,25 @@
 	if folder == "" {
 		created, err := os.MkdirTemp("", "buckthorn-quick-start-")
 		if err != nil {
-			return fail(stderr, exitFailed, fmt.Errorf("create folder: %w", err))
+			return fail(stderr, cmds.Failed, fmt.Errorf("create folder: %w", err))
 		}
 		defer func() { _ = os.RemoveAll(created) }()
 		folder = created
 	}
 	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return fail(stderr, exitFailed, fmt.Errorf("create folder: %w", err))
+		return fail(stderr, cmds.Failed, fmt.Errorf("create folder: %w", err))
 	}
 	settings, err := quickSettings(folder, command.Port)
 	if err != nil {
-		return fail(stderr, exitFailed, err)
+		return fail(stderr, cmds.Failed, err)
 	}
 	if err := writeQuickRules(settings.RulesFile); err != nil {
-		return fail(stderr, exitFailed, err)
+		return fail(stderr, cmds.Failed, err)
 	}
 	address := fmt.Sprintf("127.0.0.1:%d", command.Port+4)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return fail(stderr, exitFailed, fmt.Errorf("bind stand-in backend server: %w", err))
+		return fail(stderr, cmds.Failed, fmt.Errorf("bind stand-in backend server: %w", err))
 	}
 	server := &http.Server{Handler: http.HandlerFunc(standIn), ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/root"
@@ -31,7 +32,7 @@
 func run(command *runCommand, stderr io.Writer) int {
 	settings, err := config.Load(command.Settings)
 	if err != nil {
-		return fail(stderr, exitUsage, err)
+		return fail(stderr, cmds.Usage, err)
 	}
 	log := logs.New(stderr, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
 	return serve(settings, log, stderr)
@@ -42,7 +43,7 @@
 	klog.SetLogger(logs.Kratos(log))
 	daemon, err := root.New(settings, clock.Real{}, log)
 	if err != nil {
-		return fail(stderr, exitFailed, err)
+		return fail(stderr, cmds.Failed, err)
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -59,13 +60,13 @@
 		select {
 		case err := <-ended:
 			if err != nil {
-				return fail(stderr, exitFailed, err)
+				return fail(stderr, cmds.Failed, err)
 			}
-			return exitOK
+			return cmds.OK
 		case <-signals: // the application drains on the first one
 			if received > 1 {
 				log.Warn().Msg("second-signal")
-				return exitFailed
+				return cmds.Failed
 			}
 		}
 	}
@@ -74,8 +75,8 @@
 func printSettings(command *settingsCommand, stdout, stderr io.Writer) int {
 	settings, err := config.Load(command.Settings)
 	if err != nil {
-		return fail(stderr, exitUsage, err)
+		return fail(stderr, cmds.Usage, err)
 	}
 	_, _ = io.WriteString(stdout, settings.Text())
-	return exitOK
+	return cmds.OK
 }
