--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -372,3 +372,14 @@
 }
 
 func hashOf(key string) string { return rules.HashKey(key).String() }
+
+// holdGets answers posts at once and every other request after release is closed.
+func holdGets(entered chan<- struct{}, release <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			entered <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	}
+}
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -161,14 +161,7 @@
 	f := newFleet(t, 1, 3, testRules(1, "Ana", ""))
 	entered, release := make(chan struct{}, 10), make(chan struct{})
 	defer close(release)
-	newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost {
-			echo(w, r)
-			return
-		}
-		entered <- struct{}{}
-		<-release
-	})
+	newBackend(t, f.daemons["d2"], "library", holdGets(entered, release))
 	f.eventually("the first instance", func() bool {
 		return newCaller().send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
 	})
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -279,15 +279,7 @@
 func TestStatusCountsWhatIsInProgress(t *testing.T) {
 	f := newFleet(t, 1, 2, testRules(1, "Ana", ""))
 	entered, release := make(chan struct{}, 1), make(chan struct{})
-	newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
-		if r.Method == http.MethodPost {
-			echo(w, r)
-			return
-		}
-		entered <- struct{}{}
-		<-release
-		echo(w, r)
-	})
+	newBackend(t, f.daemons["d2"], "library", holdGets(entered, release))
 	c := newCaller()
 	f.eventually("an answer", func() bool {
 		return c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
