--- /dev/null
+++ b/internal/root/link/conn.go
@@ -0,0 +1,37 @@
+package link
+
+import "net"
+
+// yamuxHeaderSize is the size of the header that yamux writes separately from the body.
+const yamuxHeaderSize = 12
+
+// coalescedConn joins a yamux header and the body that follows into one write, because two small
+// writes cost a second system call and a second packet for each frame. Only yamux's single send
+// goroutine calls Write, so pending needs no lock.
+type coalescedConn struct {
+	net.Conn
+	pending []byte
+}
+
+func coalesce(conn net.Conn) net.Conn { return &coalescedConn{Conn: conn} }
+
+// Write holds back a data header until its body arrives.
+func (c *coalescedConn) Write(p []byte) (int, error) {
+	if len(c.pending) == 0 {
+		if !isDataHeader(p) {
+			return c.Conn.Write(p)
+		}
+		c.pending = append(c.pending, p...)
+		return len(p), nil
+	}
+	buffers := net.Buffers{c.pending, p}
+	n, err := buffers.WriteTo(c.Conn)
+	written := max(int(n)-yamuxHeaderSize, 0)
+	c.pending = c.pending[:0]
+	return written, err
+}
+
+// isDataHeader reports whether p is a yamux data header that announces a body.
+func isDataHeader(p []byte) bool {
+	return len(p) == yamuxHeaderSize && p[1] == 0 && (p[8]|p[9]|p[10]|p[11]) != 0
+}
--- /dev/null
+++ b/internal/root/link/server.go
@@ -0,0 +1,114 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+type (
+	// Handler serves one accepted stream and closes it.
+	Handler func(ctx context.Context, stream *Stream)
+
+	// Server accepts connections of other daemons and hands each stream to the handler of its type.
+	Server struct {
+		Listener net.Listener
+		Name     string
+		Secret   []byte
+		Log      zerolog.Logger
+		// Handlers is set before Run and not changed afterwards.
+		Handlers map[StreamType]Handler
+		// MaxConnections bounds the accepted connections, authenticated or not.
+		MaxConnections int
+	}
+)
+
+// Run accepts connections until ctx ends, then closes them once their streams have ended.
+func (s *Server) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = s.Listener.Close() })
+	defer stop()
+	slots := make(chan struct{}, s.MaxConnections)
+	for {
+		conn, err := s.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept peer connection: %w", err)
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Msg("peer-connection-limit")
+			_ = conn.Close()
+			continue
+		}
+		group.Go(func() {
+			defer func() { <-slots }()
+			s.serveConn(ctx, conn)
+		})
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	peer, err := authenticate(conn, s.Secret, s.Name, false)
+	if err != nil {
+		s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("peer-refused")
+		return
+	}
+	session, err := yamux.Server(coalesce(conn), sessionConfig())
+	if err != nil {
+		s.Log.Error().Str("peer", peer).Err(err).Msg("peer-session-failed")
+		return
+	}
+	var streams sync.WaitGroup
+	for {
+		raw, err := session.AcceptStreamWithContext(ctx)
+		if err != nil {
+			if ctx.Err() != nil {
+				_ = session.GoAway()
+				streams.Wait()
+			}
+			_ = session.Close()
+			if !errors.Is(err, yamux.ErrSessionShutdown) && ctx.Err() == nil {
+				s.Log.Debug().Str("peer", peer).Err(err).Msg("peer-session-ended")
+			}
+			streams.Wait()
+			return
+		}
+		streams.Go(func() { s.serveStream(ctx, &Stream{Conn: raw, Peer: peer}) })
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *Stream) {
+	frame, err := wire.ReadFrame(stream, maxOpen)
+	if err == nil && frame.Kind != kindOpen {
+		err = fmt.Errorf("%w: first frame has kind %d", wire.ErrDecode, frame.Kind)
+	}
+	var open *Open
+	if err == nil {
+		open, err = wire.Decode[Open](frame.Body)
+	}
+	if err != nil {
+		s.Log.Warn().Str("peer", stream.Peer).Err(err).Msg("peer-stream-refused")
+		_ = stream.Close()
+		return
+	}
+	handler, ok := s.Handlers[open.Type]
+	if !ok {
+		s.Log.Warn().Str("peer", stream.Peer).Uint32("type", uint32(open.Type)).Msg("peer-stream-not-served")
+		_ = stream.Close()
+		return
+	}
+	handler(ctx, stream)
+}
