--- /dev/null
+++ b/internal/root/call/retry/failure.go
@@ -0,0 +1,248 @@
+package retry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// NotRun says that the backend server has not executed the request.
+	NotRun Outcome = "not-run"
+	// Ran says that the backend server has executed the request.
+	Ran Outcome = "ran"
+	// Unknown says that the backend server may have executed the request.
+	Unknown Outcome = "unknown"
+)
+
+const (
+	// Never forbids another send: it could not succeed, or the caller has to decide.
+	Never Resend = iota
+	// IfIdempotent allows another send of an idempotent request.
+	IfIdempotent
+	// Always allows another send because the request has not run.
+	Always
+)
+
+// overloadPause is the advice in Retry-After; it is the shortest that the header can express.
+const overloadPause = time.Second
+
+// ErrReason reports a pair of reason and outcome that no failure has.
+var ErrReason = errors.New("unknown reason")
+
+type (
+	// Reason is the value of Buckthorn-Reason.
+	Reason string
+
+	// Outcome is the value of Buckthorn-Outcome.
+	Outcome string
+
+	// Resend says under which condition a request may be sent again after a failure.
+	Resend uint8
+
+	// Failure is a point at which a request can fail; each has its own type.
+	Failure interface{ failure() }
+
+	// Row describes a failure to the caller and to the retry decision.
+	Row struct {
+		Reason  Reason
+		Status  int
+		Outcome Outcome
+		Resend  Resend
+		After   time.Duration // advice for Retry-After, zero for none
+	}
+
+	// NoRoute is a request that matches no route.
+	NoRoute struct{}
+	// BadRequest is a request that cannot be understood.
+	BadRequest struct{}
+	// KeyMissing is a request without a key on a keyed route.
+	KeyMissing struct{}
+	// KeyUnknown is a request with a key that was never issued.
+	KeyUnknown struct{}
+	// KeyWithdrawn is a request with a revoked key.
+	KeyWithdrawn struct{}
+	// AccountNotAllowed is a request of a client account that the route does not list.
+	AccountNotAllowed struct{}
+	// Rate is a request above the rate of its client account.
+	Rate struct{}
+	// Quarantined is a request whose fingerprint has crashed backend servers.
+	Quarantined struct{}
+	// StaleConfig is a request to a daemon without a live lease.
+	StaleConfig struct{}
+	// Throttled is a request refused at its first daemon because the service refuses much of its route.
+	Throttled struct{}
+	// Overload is a request refused or shed by an instance that has no room for it.
+	Overload struct{}
+	// QueueFull is a request that found the queue full or was evicted from it.
+	QueueFull struct{}
+	// QueueTimeout is a request whose time in the queue ran out.
+	QueueTimeout struct{}
+	// NoBackend is a request to a service without instances.
+	NoBackend struct{}
+	// Unreached is a request whose instance refused the connection before the first byte.
+	Unreached struct{}
+	// RecordUnavailable is a request whose idempotency record could not be made durable.
+	RecordUnavailable struct{}
+	// InProgress is a resend of a request that is still running.
+	InProgress struct{}
+	// KeyReuse is a different request under an Idempotency-Key already used.
+	KeyReuse struct{}
+	// EarlierUnknown is a resend of a request whose first run has an unknown outcome.
+	EarlierUnknown struct{}
+	// DeadlineBefore is a request whose deadline passed before its first byte was sent.
+	DeadlineBefore struct{}
+	// DeadlineAfter is a request whose deadline passed after its first byte was sent.
+	DeadlineAfter struct{}
+	// BackendLost is a request whose connection broke after its first byte was sent.
+	BackendLost struct{}
+	// Draining is a request to a daemon or backend server that is leaving.
+	Draining struct{}
+	// BodyTooLarge is a request whose body exceeds its limit.
+	BodyTooLarge struct{ Dispatched bool }
+	// HeaderTooLarge is a request whose header exceeds its limit.
+	HeaderTooLarge struct{}
+)
+
+func (NoRoute) failure()           {}
+func (BadRequest) failure()        {}
+func (KeyMissing) failure()        {}
+func (KeyUnknown) failure()        {}
+func (KeyWithdrawn) failure()      {}
+func (AccountNotAllowed) failure() {}
+func (Rate) failure()              {}
+func (Quarantined) failure()       {}
+func (StaleConfig) failure()       {}
+func (Throttled) failure()         {}
+func (Overload) failure()          {}
+func (QueueFull) failure()         {}
+func (QueueTimeout) failure()      {}
+func (NoBackend) failure()         {}
+func (Unreached) failure()         {}
+func (RecordUnavailable) failure() {}
+func (InProgress) failure()        {}
+func (KeyReuse) failure()          {}
+func (EarlierUnknown) failure()    {}
+func (DeadlineBefore) failure()    {}
+func (DeadlineAfter) failure()     {}
+func (BackendLost) failure()       {}
+func (Draining) failure()          {}
+func (BodyTooLarge) failure()      {}
+func (HeaderTooLarge) failure()    {}
+
+// Describe returns the row of f in the table of outcomes.
+func Describe(f Failure) Row {
+	switch f := f.(type) {
+	case NoRoute:
+		return Row{Reason: "no-route", Status: http.StatusNotFound, Outcome: NotRun}
+	case BadRequest:
+		return Row{Reason: "bad-request", Status: http.StatusBadRequest, Outcome: NotRun}
+	case KeyMissing:
+		return Row{Reason: "key-missing", Status: http.StatusUnauthorized, Outcome: NotRun}
+	case KeyUnknown:
+		return Row{Reason: "key-unknown", Status: http.StatusUnauthorized, Outcome: NotRun}
+	case KeyWithdrawn:
+		return Row{Reason: "key-withdrawn", Status: http.StatusUnauthorized, Outcome: NotRun}
+	case AccountNotAllowed:
+		return Row{Reason: "account-not-allowed", Status: http.StatusForbidden, Outcome: NotRun}
+	case Rate:
+		return Row{Reason: "rate", Status: http.StatusTooManyRequests, Outcome: NotRun, After: overloadPause}
+	case Quarantined:
+		return Row{Reason: "quarantined", Status: http.StatusUnprocessableEntity, Outcome: NotRun}
+	case StaleConfig:
+		return Row{Reason: "stale-config", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause}
+	case Throttled:
+		return Row{Reason: "throttled", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause}
+	case Overload:
+		return Row{Reason: "overload", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case QueueFull:
+		return Row{Reason: "queue-full", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case QueueTimeout:
+		return Row{Reason: "queue-timeout", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case NoBackend:
+		return Row{Reason: "no-backend", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause}
+	case Unreached:
+		return Row{Reason: "no-backend", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case RecordUnavailable:
+		return Row{Reason: "record-unavailable", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause}
+	case InProgress:
+		return Row{Reason: "in-progress", Status: http.StatusConflict, Outcome: Unknown, After: overloadPause}
+	case KeyReuse:
+		return Row{Reason: "key-reuse", Status: http.StatusUnprocessableEntity, Outcome: NotRun}
+	case EarlierUnknown:
+		return Row{Reason: "earlier-unknown", Status: http.StatusConflict, Outcome: Unknown}
+	case DeadlineBefore:
+		return Row{Reason: "deadline", Status: http.StatusGatewayTimeout, Outcome: NotRun}
+	case DeadlineAfter:
+		return Row{Reason: "deadline", Status: http.StatusGatewayTimeout, Outcome: Unknown}
+	case BackendLost:
+		return Row{Reason: "backend-lost", Status: http.StatusBadGateway, Outcome: Unknown, Resend: IfIdempotent}
+	case Draining:
+		return Row{Reason: "draining", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case BodyTooLarge:
+		row := Row{Reason: "body-too-large", Status: http.StatusRequestEntityTooLarge, Outcome: NotRun}
+		if f.Dispatched {
+			row.Outcome = Unknown
+		}
+		return row
+	case HeaderTooLarge:
+		return Row{Reason: "header-too-large", Status: http.StatusRequestHeaderFieldsTooLarge, Outcome: NotRun}
+	}
+	// A failure without a row must not claim that the request has not run.
+	return Row{Reason: "internal", Status: http.StatusInternalServerError, Outcome: Unknown}
+}
+
+// MayResend reports whether a request that failed with f may be sent to an instance again.
+func MayResend(f Failure, idempotent bool) bool {
+	switch Describe(f).Resend {
+	case Always:
+		return true
+	case IfIdempotent:
+		return idempotent
+	}
+	return false
+}
+
+// All returns one failure of each row of the table.
+func All() []Failure {
+	return []Failure{
+		NoRoute{},
+		BadRequest{},
+		KeyMissing{},
+		KeyUnknown{},
+		KeyWithdrawn{},
+		AccountNotAllowed{},
+		Rate{},
+		Quarantined{},
+		StaleConfig{},
+		Throttled{},
+		Overload{},
+		QueueFull{},
+		QueueTimeout{},
+		Unreached{},
+		NoBackend{},
+		RecordUnavailable{},
+		InProgress{},
+		KeyReuse{},
+		EarlierUnknown{},
+		DeadlineBefore{},
+		DeadlineAfter{},
+		BackendLost{},
+		Draining{},
+		BodyTooLarge{},
+		BodyTooLarge{Dispatched: true},
+		HeaderTooLarge{},
+	}
+}
+
+// Parse returns the failure that another daemon reported; errors wrap ErrReason. The reason
+// no-backend becomes Unreached, which may be sent again.
+func Parse(reason Reason, outcome Outcome) (Failure, error) {
+	for _, f := range All() {
+		if row := Describe(f); row.Reason == reason && row.Outcome == outcome {
+			return f, nil
+		}
+	}
+	return nil, fmt.Errorf("%w %q with outcome %q", ErrReason, reason, outcome)
+}
