--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter holds the Prometheus metrics of the daemon; every label has a bounded set of values.
+package meter
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,98 @@
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "buckthorn"
+
+// latencyBuckets cover an added latency of 1.9 ms as well as calls of several seconds, in seconds.
+var latencyBuckets = []float64{.0001, .00025, .0005, .001, .0019, .003, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
+
+// Meter is the set of metrics of one daemon.
+type Meter struct {
+	Registry *prometheus.Registry
+
+	calls       *prometheus.CounterVec
+	duration    *prometheus.HistogramVec
+	refusals    *prometheus.CounterVec
+	sheds       *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	queueWait   prometheus.Histogram
+	backendLost *prometheus.CounterVec
+	replays     prometheus.Counter
+	resumes     prometheus.Counter
+	cutShort    prometheus.Counter
+}
+
+// New returns a meter with its own registry.
+func New() *Meter {
+	m := &Meter{
+		Registry: prometheus.NewRegistry(),
+		calls: counters("calls_total", "Calls that ended, by service, client account and result.",
+			"service", "account", "result"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "call_duration_seconds", Buckets: latencyBuckets,
+			Help: "Time from the call's arrival to the end of its answer.",
+		}, []string{"service"}),
+		refusals: counters("refusals_total", "Calls refused at this daemon, by reason and client account.",
+			"reason", "account"),
+		sheds: counters("sheds_total", "Calls refused by admission control, by importance and reason.",
+			"importance", "reason"),
+		retries: counters("retries_total", "Calls sent again, by service.", "service"),
+		queueWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "queue_wait_seconds", Buckets: latencyBuckets,
+			Help: "Time that queued calls waited for a slot.",
+		}),
+		backendLost: counters("backend_lost_total", "Connections to backend servers lost with a request in flight.",
+			"service"),
+		replays:  counter("replays_total", "Answers given from an idempotency record."),
+		resumes:  counter("resumes_total", "Downloads resumed from another instance."),
+		cutShort: counter("answers_cut_short_total", "Answers that could not be completed."),
+	}
+	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+		m.backendLost, m.replays, m.resumes, m.cutShort,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// Call counts a call that ended with the given result.
+func (m *Meter) Call(service, account, result string, took time.Duration) {
+	m.calls.WithLabelValues(service, account, result).Inc()
+	m.duration.WithLabelValues(service).Observe(took.Seconds())
+}
+
+// Refused counts a call that this daemon refused.
+func (m *Meter) Refused(reason, account string) { m.refusals.WithLabelValues(reason, account).Inc() }
+
+// Shed counts a call that admission control refused.
+func (m *Meter) Shed(importance, reason string) { m.sheds.WithLabelValues(importance, reason).Inc() }
+
+// Retry counts a call that is sent again.
+func (m *Meter) Retry(service string) { m.retries.WithLabelValues(service).Inc() }
+
+// QueueWait counts the wait of a queued call.
+func (m *Meter) QueueWait(wait time.Duration) { m.queueWait.Observe(wait.Seconds()) }
+
+// BackendLost counts a connection that broke with a request in flight.
+func (m *Meter) BackendLost(service string) { m.backendLost.WithLabelValues(service).Inc() }
+
+// Replay counts an answer given from an idempotency record.
+func (m *Meter) Replay() { m.replays.Inc() }
+
+// Resume counts a download resumed from another instance.
+func (m *Meter) Resume() { m.resumes.Inc() }
+
+// CutShort counts an answer that could not be completed.
+func (m *Meter) CutShort() { m.cutShort.Inc() }
--- /dev/null
+++ b/internal/root/call/backend.go
@@ -0,0 +1,153 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+const (
+	// idleConnTimeout is below the idle timeout of common servers, because a request on a connection that
+	// its server is closing has an unknown outcome.
+	idleConnTimeout = 4 * time.Second
+
+	backendDialTimeout = time.Second
+	probeTimeout       = 100 * time.Millisecond
+
+	// lostHold keeps a request whose connection broke among the suspects until the new incarnation of a
+	// restarted backend server has announced itself.
+	lostHold = 5 * time.Second
+)
+
+var errBackendUnknown = errors.New("backend server is not registered at this daemon")
+
+type (
+	// backend is one incarnation of the backend server beside this daemon.
+	backend struct {
+		endpoint  snap.Endpoint
+		limiter   *admit.Limiter
+		transport *http.Transport
+		leaving   atomic.Bool
+		died      atomic.Bool
+		inFlight  sync.WaitGroup
+	}
+
+	// backends holds the backend servers beside this daemon by instance id.
+	backends struct {
+		clock    clock.Clock
+		control  Control
+		suspects *crash.Suspects
+
+		mu   sync.RWMutex
+		byID map[string]*backend
+	}
+)
+
+// register adds an endpoint that the control loop has accepted; the limits of an incarnation that is
+// already known are kept.
+func (b *backends) register(endpoint snap.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byID == nil {
+		b.byID = make(map[string]*backend)
+	}
+	current := b.byID[endpoint.ID]
+	if current != nil && current.endpoint.Incarnation == endpoint.Incarnation {
+		current.leaving.Store(endpoint.Leaving)
+		return
+	}
+	now := b.clock.Now()
+	if current != nil {
+		go b.declareDead(current)
+		current.transport.CloseIdleConnections()
+	}
+	b.byID[endpoint.ID] = &backend{
+		endpoint:  endpoint,
+		limiter:   admit.NewLimiter(now, int(endpoint.Slots)),
+		transport: newTransport(endpoint),
+	}
+}
+
+func newTransport(endpoint snap.Endpoint) *http.Transport {
+	dialer := &net.Dialer{Timeout: backendDialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     int(endpoint.Connections),
+		MaxIdleConnsPerHost: int(endpoint.Connections),
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true, // answers pass unchanged
+	}
+}
+
+func (b *backends) find(id string, incarnation uint64) (*backend, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	found := b.byID[id]
+	if found == nil || found.endpoint.Incarnation != incarnation {
+		return nil, errBackendUnknown
+	}
+	return found, nil
+}
+
+// leave refuses new work for the backend server at address.
+func (b *backends) leave(address string) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, known := range b.byID {
+		if known.endpoint.Address == address {
+			known.leaving.Store(true)
+		}
+	}
+}
+
+func (b *backends) all() []*backend {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	out := make([]*backend, 0, len(b.byID))
+	for _, known := range b.byID {
+		out = append(out, known)
+	}
+	return out
+}
+
+// lost handles a connection that broke with a request in flight and reports whether the backend server
+// has died.
+func (b *backends) lost(target *backend, fingerprint string) bool {
+	conn, err := net.DialTimeout("tcp", target.endpoint.Address, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	if err != nil || target.died.Load() {
+		b.declareDead(target)
+		return true
+	}
+	go func() {
+		timer := b.clock.NewTimer(lostHold)
+		<-timer.C()
+		b.suspects.End(b.clock.Now(), target.endpoint.Incarnation, fingerprint, false)
+	}()
+	return false
+}
+
+// declareDead reports, once for each incarnation, the requests that were in flight in it.
+func (b *backends) declareDead(target *backend) {
+	if target.died.Swap(true) {
+		return
+	}
+	fingerprints := b.suspects.Died(b.clock.Now(), target.endpoint.Incarnation)
+	if len(fingerprints) > 0 {
+		b.control.ReportCrash(target.endpoint.Incarnation, fingerprints)
+	}
+}
+
+// canceled reports whether a request ended because its own context did.
+func canceled(ctx context.Context) bool { return ctx.Err() != nil }
--- /dev/null
+++ b/internal/root/call/ingress.go
@@ -0,0 +1,219 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const (
+	// tokenWait bounds the wait for a rate token when this daemon has none.
+	tokenWait = time.Second
+
+	// onceWait bounds the wait until an idempotency record is durable.
+	onceWait = 2 * time.Second
+
+	// bodyStall ends a request whose body makes no progress for this long.
+	bodyStall = 30 * time.Second
+
+	maxIdempotencyKey = 256 // bytes
+)
+
+type (
+	// Handler serves the ingress address and the local address.
+	Handler struct {
+		Clock     clock.Clock
+		Control   Control
+		Forwarder *Forwarder
+		Meter     *meter.Meter
+		Log       zerolog.Logger
+		MaxBody   int64 // bytes of a request body
+		MaxCalls  int64 // calls in progress at the ingress address
+
+		backends *backends
+		outer    *outerCalls
+		active   atomic.Int64
+	}
+
+	// caller is what ingress has established about a request: its key's account, or why it is refused.
+	caller struct {
+		account string
+		key     string
+		failure retry.Failure
+		rule    *rules.Rule
+	}
+)
+
+// ServeIngress handles a request of a caller.
+func (h *Handler) ServeIngress(w http.ResponseWriter, r *http.Request) {
+	started := h.Clock.Now()
+	id := newToken()
+	defer h.active.Add(-1)
+	if h.active.Add(1) > h.MaxCalls {
+		h.refuse(w, id, "", retry.Overload{}, nil)
+		return
+	}
+	snapshot := h.Control.Snapshot()
+	if snapshot.Rules == nil {
+		h.refuse(w, id, "", retry.StaleConfig{}, nil)
+		return
+	}
+	match, ok := snapshot.Rules.Match(r.Method, r.URL.EscapedPath())
+	if !ok || match.Route.Nested {
+		h.refuse(w, id, "", retry.NoRoute{}, nil)
+		return
+	}
+	route := match.Route
+	if !snapshot.Fresh(started) && !route.Offline {
+		h.refuse(w, id, "", retry.StaleConfig{}, &route.Rule)
+		return
+	}
+	who := identify(snapshot.Rules, route, r)
+	if who.failure != nil {
+		h.refuse(w, id, who.account, who.failure, who.rule)
+		return
+	}
+	request := newRequest(r, snapshot.Rules, route, id)
+	request.Account = who.account
+	request.Header = forwardHeader(r.Header, who.key)
+	request.Header.Add("X-Forwarded-For", callerAddress(r.RemoteAddr))
+	request.Importance = importanceOf(route.Importance)
+	request.Deadline = started.Add(route.Deadline)
+	request.Budget = retry.NewBudget(uint32(route.Retries))
+	if failure, rule := h.takeToken(r.Context(), request, snapshot); failure != nil {
+		h.refuse(w, id, who.account, failure, rule)
+		return
+	}
+	outcome := h.run(r.Context(), w, request, started)
+	h.count(request, outcome, started)
+}
+
+// identify finds the client account of the key that came with the request.
+func identify(set *rules.Set, route *rules.Route, r *http.Request) caller {
+	if route.Access == rules.AccessOpen {
+		return caller{key: presentedKey(r.Header)}
+	}
+	key := presentedKey(r.Header)
+	if key == "" {
+		return caller{failure: retry.KeyMissing{}, rule: &route.Rule}
+	}
+	found, active := set.KeyFor(key)
+	switch {
+	case found == nil:
+		return caller{failure: retry.KeyUnknown{}, rule: &route.Rule}
+	case !active:
+		return caller{account: found.Account, failure: retry.KeyWithdrawn{}, rule: &found.Rule}
+	case !route.AllowsAccount(found.Account):
+		return caller{account: found.Account, failure: retry.AccountNotAllowed{}, rule: &route.Rule}
+	case strings.Contains(r.RequestURI, key):
+		// A key in the request line would reach the backend server.
+		return caller{account: found.Account, failure: retry.BadRequest{}, rule: &found.Rule}
+	}
+	return caller{account: found.Account, key: key}
+}
+
+func newRequest(r *http.Request, set *rules.Set, route *rules.Route, id string) *Request {
+	return &Request{
+		ID:            id,
+		Rules:         set,
+		Route:         route,
+		Method:        r.Method,
+		Target:        r.URL.RequestURI(),
+		Host:          r.Host,
+		ContentLength: r.ContentLength,
+		body:          r.Body,
+	}
+}
+
+// takeToken charges the client account's rate.
+func (h *Handler) takeToken(ctx context.Context, request *Request, snapshot *snap.Snapshot) (retry.Failure, *rules.Rule) {
+	if request.Account == "" {
+		return nil, nil
+	}
+	account := snapshot.Rules.Accounts[request.Account]
+	waiting, cancel := context.WithTimeout(ctx, min(tokenWait, request.Route.Deadline))
+	defer cancel()
+	switch h.Control.TakeToken(waiting, request.Account).(type) {
+	case TokenRefused:
+		return retry.Rate{}, &account.Rule
+	case TokenUnavailable:
+		return retry.StaleConfig{}, &account.Rule
+	}
+	return nil, nil
+}
+
+// run reads the start of the body, checks the quarantine, and forwards the request, once only where its
+// route says so.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, request *Request, started time.Time) result {
+	body := &limitedBody{body: &steadyBody{body: request.body, control: http.NewResponseController(w)}, left: h.MaxBody}
+	if request.ContentLength > h.MaxBody {
+		return h.finish(w, request, failed{Failure: retry.BodyTooLarge{}, Final: true})
+	}
+	if err := request.readPrefix(body); err != nil {
+		failure := retry.Failure(retry.BadRequest{})
+		if errors.Is(err, errBodyTooLarge) {
+			failure = retry.BodyTooLarge{}
+		}
+		return h.finish(w, request, failed{Failure: failure, Final: true})
+	}
+	if until, ok := h.Control.Snapshot().Quarantine[request.Fingerprint]; ok && started.UnixNano() < int64(until) {
+		return h.finish(w, request, failed{Failure: retry.Quarantined{}, Final: true})
+	}
+	key := request.Header.Get(HeaderIdempotencyKey)
+	if request.idempotent() || key == "" {
+		return h.finish(w, request, h.Forwarder.Forward(ctx, request, newStream(w)))
+	}
+	if len(key) > maxIdempotencyKey {
+		return h.finish(w, request, failed{Failure: retry.BadRequest{}, Final: true})
+	}
+	return h.runOnce(ctx, w, request, key)
+}
+
+// finish answers a request that failed; an answer that broke off must not look complete.
+func (h *Handler) finish(w http.ResponseWriter, request *Request, outcome result) result {
+	switch outcome := outcome.(type) {
+	case failed:
+		h.refuse(w, request.ID, request.Account, outcome.Failure, &request.Route.Rule)
+	case broken:
+		h.Meter.CutShort()
+		// Aborting closes the connection, so that the caller sees an error instead of a short answer.
+		panic(http.ErrAbortHandler)
+	}
+	return outcome
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, id, account string, failure retry.Failure, rule *rules.Rule) {
+	reason := string(retry.Describe(failure).Reason)
+	h.Meter.Refused(reason, account)
+	event := h.Log.Debug().Str("request", id).Str("reason", reason).Str("account", account)
+	if rule != nil {
+		event = event.Str("rule", rule.Identity())
+	}
+	event.Msg("call-refused")
+	refuseCall(w, id, failure, rule)
+}
+
+func (h *Handler) count(request *Request, outcome result, started time.Time) {
+	name := "broken"
+	switch outcome := outcome.(type) {
+	case delivered:
+		name = "answered"
+		if outcome.Status >= http.StatusInternalServerError {
+			name = "error"
+		}
+	case failed:
+		name = "refused"
+	}
+	h.Meter.Call(request.Route.Service, request.Account, name, h.Clock.Now().Sub(started))
+}
--- /dev/null
+++ b/internal/root/call/local.go
@@ -0,0 +1,172 @@
+package call
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const (
+	pathAnnounce = "/buckthorn/announce"
+	pathLeave    = "/buckthorn/leave"
+
+	maxAnnouncement = 4 << 10
+)
+
+var errAnnouncement = errors.New("invalid announcement")
+
+// ServeLocal handles requests of the backend server beside this daemon: announcements and nested calls.
+func (h *Handler) ServeLocal(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == pathAnnounce && r.Method == http.MethodPost:
+		h.announce(w, r)
+	case r.URL.Path == pathLeave && r.Method == http.MethodPost:
+		h.leave(w, r)
+	default:
+		h.nested(w, r)
+	}
+}
+
+func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
+	announcement, err := readAnnouncement(r.Body)
+	if err == nil {
+		err = announcement.Check()
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	endpoint, err := h.Control.Announce(r.Context(), *announcement)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	h.backends.register(endpoint)
+	writeJSON(w, map[string]any{"instance": endpoint.ID, "incarnation": endpoint.Incarnation})
+}
+
+func (h *Handler) leave(w http.ResponseWriter, r *http.Request) {
+	announcement, err := readAnnouncement(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.backends.leave(announcement.Address)
+	if err := h.Control.Leave(r.Context(), announcement.Address); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func readAnnouncement(body io.Reader) (*Announcement, error) {
+	decoder := json.NewDecoder(io.LimitReader(body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	announcement := &Announcement{}
+	if err := decoder.Decode(announcement); err != nil {
+		return nil, fmt.Errorf("%w: %w", errAnnouncement, err)
+	}
+	return announcement, nil
+}
+
+// Check reports the first field that is missing or not valid.
+func (a *Announcement) Check() error {
+	address, err := netip.ParseAddrPort(a.Address)
+	switch {
+	case a.Service == "":
+		return fmt.Errorf("%w: service is missing", errAnnouncement)
+	case err != nil || address.Port() == 0:
+		return fmt.Errorf("%w: address %q is not an IP number and port", errAnnouncement, a.Address)
+	case a.Slots == 0:
+		return fmt.Errorf("%w: slots must be at least 1", errAnnouncement)
+	case a.Connections == 0:
+		return fmt.Errorf("%w: connections must be at least 1", errAnnouncement)
+	case a.Start == "":
+		return fmt.Errorf("%w: start is missing; it must differ for each start of the backend server", errAnnouncement)
+	}
+	return nil
+}
+
+// nested handles a call that the backend server makes while it handles another.
+func (h *Handler) nested(w http.ResponseWriter, r *http.Request) {
+	started := h.Clock.Now()
+	id := newToken()
+	outer, ok := h.outer.find(r.Header.Get(HeaderCall))
+	if !ok {
+		refuseCall(w, id, retry.KeyUnknown{}, nil)
+		return
+	}
+	snapshot := h.Control.Snapshot()
+	if snapshot.Rules == nil {
+		refuseCall(w, id, retry.StaleConfig{}, nil)
+		return
+	}
+	match, ok := snapshot.Rules.Match(r.Method, r.URL.EscapedPath())
+	switch {
+	case !ok:
+		refuseCall(w, id, retry.NoRoute{}, nil)
+		return
+	case len(outer.chain) >= maxDepth:
+		refuseCall(w, id, retry.BadRequest{}, &match.Route.Rule)
+		return
+	case match.Route.Access == rules.AccessKeyed && (outer.account == "" || !match.Route.AllowsAccount(outer.account)):
+		refuseCall(w, id, retry.AccountNotAllowed{}, &match.Route.Rule)
+		return
+	}
+	request := newRequest(r, snapshot.Rules, match.Route, id)
+	request.ID = outer.id
+	request.Account = outer.account
+	request.Header = forwardHeader(r.Header, "")
+	request.Importance = max(outer.importance, importanceOf(match.Route.Importance))
+	request.Deadline = earlier(outer.deadline, started.Add(match.Route.Deadline))
+	request.Budget = outer.budget
+	request.Chain = outer.chain
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	stop := context.AfterFunc(outer.ctx, cancel)
+	defer stop()
+	outer.beginNested(started)
+	defer func() { outer.endNested(h.Clock.Now()) }()
+	outcome := h.run(ctx, w, request, started)
+	h.noteOuter(outer, outcome)
+}
+
+// noteOuter carries a failure of a nested call to the report of the outer call.
+func (h *Handler) noteOuter(outer *outerCall, outcome result) {
+	if overloadedResult(outcome) {
+		outer.overloaded.Store(true)
+	}
+	if end, ok := outcome.(failed); ok && end.Final {
+		outer.budget.MarkFinal()
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// callerAddress returns the IP number of the caller without its port.
+func callerAddress(remote string) string {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return remote
+	}
+	return host
+}
--- /dev/null
+++ b/internal/root/call/message.go
@@ -0,0 +1,159 @@
+package call
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+// Frames of a call stream. The sender's side carries a Head, data and a data end; the answering side
+// carries Refused, or Admitted, an Answer, data and an End.
+const (
+	kindHead     wire.Kind = 16
+	kindData     wire.Kind = 17
+	kindDataEnd  wire.Kind = 18
+	kindAdmitted wire.Kind = 19
+	kindRefused  wire.Kind = 20
+	kindAnswer   wire.Kind = 21
+	kindEnd      wire.Kind = 22
+)
+
+const (
+	maxFrame   = 512 << 10
+	dataSize   = 32 << 10 // bytes of a body in one frame
+	maxDepth   = 32       // ends call loops; call graphs are up to 10 deep
+	maxHeaders = 512
+)
+
+type (
+	// Field is one header field.
+	Field struct {
+		Name  string `protobuf:"bytes,1,opt,name=name,proto3"`
+		Value string `protobuf:"bytes,2,opt,name=value,proto3"`
+	}
+
+	// Head starts a call on a stream.
+	Head struct {
+		RequestID     string           `protobuf:"bytes,1,opt,name=request_id,proto3"`
+		Instance      string           `protobuf:"bytes,2,opt,name=instance,proto3"`
+		Incarnation   uint64           `protobuf:"varint,3,opt,name=incarnation,proto3"`
+		Route         string           `protobuf:"bytes,4,opt,name=route,proto3"` // name of the route's rule
+		Rule          string           `protobuf:"bytes,5,opt,name=rule,proto3"`  // identity of the route's rule
+		Account       string           `protobuf:"bytes,6,opt,name=account,proto3"`
+		Importance    admit.Importance `protobuf:"varint,7,opt,name=importance,proto3"`
+		Once          bool             `protobuf:"varint,8,opt,name=once,proto3"`
+		Method        string           `protobuf:"bytes,9,opt,name=method,proto3"`
+		Target        string           `protobuf:"bytes,10,opt,name=target,proto3"` // path and query
+		Host          string           `protobuf:"bytes,11,opt,name=host,proto3"`
+		Header        []Field          `protobuf:"bytes,12,rep,name=header,proto3"`
+		ContentLength int64            `protobuf:"varint,13,opt,name=content_length,proto3"` // -1 if unknown
+		Timeout       time.Duration    `protobuf:"varint,14,opt,name=timeout,proto3"`
+		Retries       uint32           `protobuf:"varint,15,opt,name=retries,proto3"` // lent to this call
+		Chain         []string         `protobuf:"bytes,16,rep,name=chain,proto3"`    // services that the request runs in, outermost first
+		Fingerprint   string           `protobuf:"bytes,17,opt,name=fingerprint,proto3"`
+		WaitAdmitted  bool             `protobuf:"varint,18,opt,name=wait_admitted,proto3"` // the body follows only after Admitted
+	}
+
+	// Report is what every answering message tells about the call besides its content.
+	Report struct {
+		Unspent    uint32  `protobuf:"varint,1,opt,name=unspent,proto3"`    // retries to give back
+		Final      bool    `protobuf:"varint,2,opt,name=final,proto3"`      // a lower layer decided about retries
+		Overloaded bool    `protobuf:"varint,3,opt,name=overloaded,proto3"` // a refusal for overload lies behind the failure
+		Load       float64 `protobuf:"fixed64,4,opt,name=load,proto3"`      // part of the instance's limit in use
+	}
+
+	// RefusedCall says that the daemon beside the backend server ended the call itself.
+	RefusedCall struct {
+		Reason  retry.Reason  `protobuf:"bytes,1,opt,name=reason,proto3"`
+		Outcome retry.Outcome `protobuf:"bytes,2,opt,name=outcome,proto3"`
+		Report  Report        `protobuf:"bytes,3,opt,name=report,proto3"`
+		Crashed bool          `protobuf:"varint,4,opt,name=crashed,proto3"` // the backend server died with the request in flight
+	}
+
+	// Answer is the head of the backend server's response.
+	Answer struct {
+		Status        int32   `protobuf:"varint,1,opt,name=status,proto3"`
+		Header        []Field `protobuf:"bytes,2,rep,name=header,proto3"`
+		ContentLength int64   `protobuf:"varint,3,opt,name=content_length,proto3"`
+		Report        Report  `protobuf:"bytes,4,opt,name=report,proto3"`
+	}
+
+	// End follows the last byte of a whole response.
+	End struct {
+		Report Report `protobuf:"bytes,1,opt,name=report,proto3"`
+	}
+)
+
+// Check reports the first field that makes the call impossible to serve.
+func (h *Head) Check() error {
+	switch {
+	case h.RequestID == "" || len(h.RequestID) > 64:
+		return fmt.Errorf("request id has %d bytes, expected 1 to 64", len(h.RequestID))
+	case h.Instance == "":
+		return errors.New("instance is missing")
+	case h.Method == "" || h.Target == "" || h.Target[0] != '/':
+		return fmt.Errorf("request line %q %q is not valid", h.Method, h.Target)
+	case h.Timeout <= 0:
+		return fmt.Errorf("timeout %s is not positive", h.Timeout)
+	case h.Importance > admit.Bulk:
+		return fmt.Errorf("importance %d is unknown", h.Importance)
+	case h.ContentLength < -1:
+		return fmt.Errorf("content length %d is not valid", h.ContentLength)
+	case len(h.Chain) > maxDepth:
+		return fmt.Errorf("call chain has %d services, limit %d", len(h.Chain), maxDepth)
+	}
+	return checkFields(h.Header)
+}
+
+// Check reports a pair of reason and outcome that no failure has.
+func (r *RefusedCall) Check() error {
+	_, err := retry.Parse(r.Reason, r.Outcome)
+	return err
+}
+
+// Check reports a status or header that HTTP does not allow.
+func (a *Answer) Check() error {
+	if a.Status < 200 || a.Status > 999 {
+		return fmt.Errorf("status %d is not a final status", a.Status)
+	}
+	if a.ContentLength < -1 {
+		return fmt.Errorf("content length %d is not valid", a.ContentLength)
+	}
+	return checkFields(a.Header)
+}
+
+// Check accepts every end.
+func (*End) Check() error { return nil }
+
+func checkFields(fields []Field) error {
+	if len(fields) > maxHeaders {
+		return fmt.Errorf("%d header fields, limit %d", len(fields), maxHeaders)
+	}
+	for _, field := range fields {
+		if field.Name == "" {
+			return errors.New("header field without a name")
+		}
+	}
+	return nil
+}
+
+func fieldsOf(header http.Header) []Field {
+	fields := make([]Field, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+func addFields(header http.Header, fields []Field) {
+	for _, field := range fields {
+		header.Add(field.Name, field.Value)
+	}
+}
--- /dev/null
+++ b/internal/root/call/respond.go
@@ -0,0 +1,192 @@
+package call
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const (
+	// writeStall ends an answer whose caller accepts no byte for this long.
+	writeStall = 30 * time.Second
+
+	// flushBelow is the content length up to which an answer is written without intermediate flushes.
+	flushBelow = 64 << 10
+
+	// maxStoredBody is the largest answer body that an idempotency record keeps, in bytes.
+	maxStoredBody = 64 << 10
+)
+
+var errCallerGone = errors.New("caller has gone")
+
+type (
+	// sink receives one answer: *stream passes it on at once, *holder keeps it until the record of the
+	// request is durable.
+	sink interface{ sink() }
+
+	// stream writes an answer to the caller as it arrives.
+	stream struct {
+		writer   http.ResponseWriter
+		control  *http.ResponseController
+		started  bool
+		flush    bool
+		deadline time.Time // when the present write deadline passes
+	}
+
+	// holder keeps an answer up to maxStoredBody; a longer one is passed on to next after store has been
+	// called.
+	holder struct {
+		next   *stream
+		store  func(answer *StoredAnswer) error
+		answer *Answer
+		body   bytes.Buffer
+		stored bool
+	}
+)
+
+func (*stream) sink() {}
+func (*holder) sink() {}
+
+func newStream(w http.ResponseWriter) *stream {
+	return &stream{writer: w, control: http.NewResponseController(w)}
+}
+
+// writeAnswer starts the answer.
+func writeAnswer(to sink, answer *Answer) error {
+	switch to := to.(type) {
+	case *stream:
+		return to.start(answer)
+	case *holder:
+		to.answer = answer
+	}
+	return nil
+}
+
+// writeData passes on a part of the body.
+func writeData(to sink, part []byte) error {
+	switch to := to.(type) {
+	case *stream:
+		return to.write(part)
+	case *holder:
+		return to.write(part)
+	}
+	return nil
+}
+
+// writeEnd completes the answer.
+func writeEnd(to sink) error {
+	if to, ok := to.(*holder); ok && !to.stored {
+		return to.release(false)
+	}
+	return nil
+}
+
+func (s *stream) start(answer *Answer) error {
+	s.started = true
+	header := s.writer.Header()
+	addFields(header, answer.Header)
+	if answer.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
+	}
+	s.flush = answer.ContentLength < 0 || answer.ContentLength > flushBelow
+	s.writer.WriteHeader(int(answer.Status))
+	return nil
+}
+
+func (s *stream) write(part []byte) error {
+	// Slow readers are bounded by progress, not by the length of a download. The deadline is on the
+	// machine's clock because it bounds real I/O, and moves in steps to save system calls.
+	if now := time.Now(); s.deadline.Sub(now) < writeStall/2 {
+		s.deadline = now.Add(writeStall)
+		_ = s.control.SetWriteDeadline(s.deadline)
+	}
+	if _, err := s.writer.Write(part); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	if s.flush {
+		if err := s.control.Flush(); err != nil {
+			return fmt.Errorf("%w: %w", errCallerGone, err)
+		}
+	}
+	return nil
+}
+
+func (h *holder) write(part []byte) error {
+	if h.stored {
+		return h.next.write(part)
+	}
+	h.body.Write(part)
+	if h.body.Len() > maxStoredBody {
+		return h.release(true)
+	}
+	return nil
+}
+
+// release stores the answer and passes on what was held.
+func (h *holder) release(truncated bool) error {
+	stored := &StoredAnswer{Status: h.answer.Status, Header: h.answer.Header, Truncated: truncated}
+	if !truncated {
+		stored.Body = h.body.Bytes()
+	}
+	h.stored = true
+	// The caller gets the answer even when it could not be stored; a resend then finds the outcome unknown.
+	_ = h.store(stored)
+	if err := h.next.start(h.answer); err != nil {
+		return err
+	}
+	if h.body.Len() == 0 {
+		return nil
+	}
+	return h.next.write(h.body.Bytes())
+}
+
+// discard drops a held answer so that another attempt can start; it reports false once bytes have been
+// passed to the caller.
+func discard(to sink) bool {
+	switch to := to.(type) {
+	case *stream:
+		return !to.started
+	case *holder:
+		if to.stored {
+			return false
+		}
+		to.answer = nil
+		to.body.Reset()
+	}
+	return true
+}
+
+// refuseCall writes an answer that the daemon makes itself.
+func refuseCall(w http.ResponseWriter, requestID string, failure retry.Failure, rule *rules.Rule) {
+	row := retry.Describe(failure)
+	header := w.Header()
+	header.Set(HeaderOutcome, string(row.Outcome))
+	header.Set(HeaderReason, string(row.Reason))
+	header.Set(HeaderRequest, requestID)
+	if rule != nil {
+		header.Set(HeaderRule, rule.Identity())
+	}
+	if row.After > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(row.After.Seconds())))
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := fmt.Sprintf("%s: %s (request %s)\n", row.Reason, row.Outcome, requestID)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(row.Status)
+	_, _ = w.Write([]byte(body))
+}
+
+// replay writes the kept answer of an earlier run.
+func replay(w http.ResponseWriter, answer *StoredAnswer) {
+	addFields(w.Header(), answer.Header)
+	w.Header().Set(HeaderReplay, "true")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(int(answer.Status))
+	_, _ = w.Write(answer.Body)
+}
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -89,6 +89,8 @@
 	InProgress struct{}
 	// KeyReuse is a different request under an Idempotency-Key already used.
 	KeyReuse struct{}
+	// AnswerNotKept is a resend of a request that has run and whose answer was too large to keep.
+	AnswerNotKept struct{}
 	// EarlierUnknown is a resend of a request whose first run has an unknown outcome.
 	EarlierUnknown struct{}
 	// DeadlineBefore is a request whose deadline passed before its first byte was sent.
@@ -123,6 +125,7 @@
 func (RecordUnavailable) failure() {}
 func (InProgress) failure()        {}
 func (KeyReuse) failure()          {}
+func (AnswerNotKept) failure()     {}
 func (EarlierUnknown) failure()    {}
 func (DeadlineBefore) failure()    {}
 func (DeadlineAfter) failure()     {}
@@ -170,6 +173,8 @@
 		return Row{Reason: "in-progress", Status: http.StatusConflict, Outcome: Unknown, After: overloadPause}
 	case KeyReuse:
 		return Row{Reason: "key-reuse", Status: http.StatusUnprocessableEntity, Outcome: NotRun}
+	case AnswerNotKept:
+		return Row{Reason: "answer-not-kept", Status: http.StatusConflict, Outcome: Ran}
 	case EarlierUnknown:
 		return Row{Reason: "earlier-unknown", Status: http.StatusConflict, Outcome: Unknown}
 	case DeadlineBefore:
@@ -225,6 +230,7 @@
 		RecordUnavailable{},
 		InProgress{},
 		KeyReuse{},
+		AnswerNotKept{},
 		EarlierUnknown{},
 		DeadlineBefore{},
 		DeadlineAfter{},
--- /dev/null
+++ b/internal/root/call/serve.go
@@ -0,0 +1,378 @@
+package call
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+type (
+	// Server runs calls in the backend server beside this daemon.
+	Server struct {
+		Clock clock.Clock
+		Meter *meter.Meter
+
+		backends *backends
+		suspects *crash.Suspects
+		outer    *outerCalls
+		running  sync.WaitGroup
+	}
+
+	// served is one call in progress at the daemon beside the backend server.
+	served struct {
+		server  *Server
+		head    *Head
+		writer  *bufio.Writer
+		backend *backend
+		ticket  *admit.Ticket
+		outer   *outerCall
+		body    *io.PipeReader
+		reached bool // a byte may have reached the backend server
+	}
+)
+
+// ServeStream serves one call stream and closes it.
+func (s *Server) ServeStream(ctx context.Context, stream *link.Stream) {
+	s.running.Add(1)
+	defer s.running.Done()
+	defer func() { _ = stream.Close() }()
+	reader := bufio.NewReaderSize(stream, 4<<10)
+	head, err := readHead(reader)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
+	defer cancel()
+	body, feed := io.Pipe()
+	defer func() { _ = body.Close() }()
+	go receiveBody(reader, feed, cancel)
+	c := &served{
+		server: s,
+		head:   head,
+		writer: bufio.NewWriterSize(stream, wire.HeaderSize+dataSize),
+		body:   body,
+		outer: &outerCall{
+			ctx:        ctx,
+			id:         head.RequestID,
+			account:    head.Account,
+			importance: head.Importance,
+			budget:     retry.NewBudget(head.Retries),
+			chain:      append(head.Chain[:len(head.Chain):len(head.Chain)], ""),
+		},
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.outer.deadline = deadline
+	}
+	c.serve(ctx)
+	_ = c.writer.Flush()
+}
+
+// waitIdle returns once no call is in progress.
+func (s *Server) waitIdle() { s.running.Wait() }
+
+func readHead(reader io.Reader) (*Head, error) {
+	frame, err := wire.ReadFrame(reader, maxFrame)
+	if err != nil {
+		return nil, fmt.Errorf("read call head: %w", err)
+	}
+	if frame.Kind != kindHead {
+		return nil, fmt.Errorf("read call head: frame kind %d", frame.Kind)
+	}
+	return wire.Decode[Head](frame.Body)
+}
+
+// receiveBody feeds the request body and cancels the call when the stream ends, which means that the
+// caller has gone or has received the whole answer.
+func receiveBody(reader io.Reader, feed *io.PipeWriter, cancel context.CancelFunc) {
+	defer cancel()
+	buf := make([]byte, dataSize)
+	for {
+		frame, err := wire.ReadFrameInto(reader, buf, maxFrame)
+		if err != nil {
+			_ = feed.CloseWithError(fmt.Errorf("receive request body: %w", io.ErrUnexpectedEOF))
+			return
+		}
+		switch frame.Kind {
+		case kindData:
+			// A write fails once the backend server needs no more of the body; the rest is discarded.
+			_, _ = feed.Write(frame.Body)
+		case kindDataEnd:
+			_ = feed.Close()
+		default:
+			_ = feed.CloseWithError(fmt.Errorf("receive request body: frame kind %d", frame.Kind))
+			return
+		}
+	}
+}
+
+func (c *served) serve(ctx context.Context) {
+	target, err := c.server.backends.find(c.head.Instance, c.head.Incarnation)
+	if err != nil {
+		c.refuse(retry.Unreached{})
+		return
+	}
+	c.backend = target
+	c.outer.chain[len(c.outer.chain)-1] = target.endpoint.Service
+	if target.leaving.Load() {
+		c.refuse(retry.Draining{})
+		return
+	}
+	if failure := c.admit(ctx); failure != nil {
+		c.server.Meter.Shed(importanceName(c.head.Importance), string(retry.Describe(failure).Reason))
+		c.refuse(failure)
+		return
+	}
+	started := c.server.Clock.Now()
+	result := c.run(ctx, started)
+	c.backend.limiter.Done(c.server.Clock.Now(), c.ticket, result)
+}
+
+// admit waits for a slot; it returns nil once the call has one.
+func (c *served) admit(ctx context.Context) retry.Failure {
+	now := c.server.Clock.Now()
+	c.ticket = &admit.Ticket{
+		Account:    c.head.Account,
+		Route:      c.head.Route,
+		Importance: c.head.Importance,
+		Held:       held(c.head.Chain, c.backend.endpoint.Service),
+		Deadline:   c.outer.deadline,
+	}
+	limiter := c.backend.limiter
+	switch decision := limiter.Offer(now, c.ticket).(type) {
+	case admit.Refused:
+		return decision.Failure
+	case admit.Queued:
+		timer := c.server.Clock.NewTimer(decision.Until.Sub(now))
+		defer timer.Stop()
+		var verdict admit.Decision
+		select {
+		case verdict = <-decision.Verdict:
+		case <-timer.C():
+			verdict = limiter.Expire(c.server.Clock.Now(), c.ticket)
+		case <-ctx.Done():
+			limiter.Cancel(c.server.Clock.Now(), c.ticket)
+			return retry.DeadlineBefore{}
+		}
+		c.server.Meter.QueueWait(c.server.Clock.Now().Sub(now))
+		if refusal, ok := verdict.(admit.Refused); ok {
+			return refusal.Failure
+		}
+	}
+	return nil
+}
+
+// held counts the slots of the service that the request's call chain already holds.
+func held(chain []string, service string) uint8 {
+	var n uint8
+	for _, name := range chain {
+		if name == service {
+			n++
+		}
+	}
+	return n
+}
+
+// run sends the request to the backend server and streams its answer back.
+func (c *served) run(ctx context.Context, started time.Time) admit.Result {
+	if c.head.WaitAdmitted {
+		if wire.WriteFrame(c.writer, kindAdmitted, nil) != nil || c.writer.Flush() != nil {
+			return admit.Canceled{}
+		}
+	}
+	incarnation := c.backend.endpoint.Incarnation
+	token := c.server.outer.add(c.outer)
+	defer c.server.outer.remove(token)
+	c.server.suspects.Begin(incarnation, c.head.Fingerprint)
+	request, err := c.request(ctx, token)
+	if err != nil {
+		c.endSuspect(false)
+		c.refuse(retry.BadRequest{})
+		return admit.Canceled{}
+	}
+	response, err := c.backend.transport.RoundTrip(request)
+	if err != nil {
+		return c.roundTripFailed(ctx, started)
+	}
+	defer func() { _ = response.Body.Close() }()
+	now := c.server.Clock.Now()
+	latency := c.outer.ownTime(now, now.Sub(started))
+	shed := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	if shed && response.Header.Get(HeaderOutcome) == string(retry.NotRun) {
+		c.endSuspect(true)
+		c.refuse(retry.Overload{})
+		return admit.Shed{}
+	}
+	c.backend.limiter.Responded(now, c.ticket, latency)
+	if err := c.relay(response); err != nil {
+		return c.bodyFailed(ctx, err)
+	}
+	c.endSuspect(true)
+	if shed {
+		return admit.Shed{}
+	}
+	return admit.Completed{}
+}
+
+func (c *served) request(ctx context.Context, token string) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached = true }}
+	var body io.Reader = c.body
+	if c.head.ContentLength == 0 {
+		body = http.NoBody
+	}
+	url := "http://" + c.backend.endpoint.Address + c.head.Target
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.head.Method, url, body)
+	if err != nil {
+		return nil, fmt.Errorf("build backend request: %w", err)
+	}
+	addFields(request.Header, c.head.Header)
+	request.ContentLength = c.head.ContentLength
+	request.Host = c.head.Host
+	// The transport would resend a request with this header on a broken connection; it looks the name up
+	// in canonical form only, so the lower-case name passes unseen.
+	if values := request.Header.Values(HeaderIdempotencyKey); len(values) > 0 {
+		request.Header["idempotency-key"] = values
+		request.Header.Del(HeaderIdempotencyKey)
+	}
+	if _, ok := request.Header["User-Agent"]; !ok {
+		request.Header["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	request.Header.Set(HeaderCall, token)
+	request.Header.Set(HeaderRequest, c.head.RequestID)
+	request.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(c.outer.deadline).Milliseconds(), 10))
+	if c.head.Account != "" {
+		request.Header.Set(HeaderAccount, c.head.Account)
+	}
+	return request, nil
+}
+
+// relay streams a whole response; errors wrap errCutShort when the backend server ended it early.
+func (c *served) relay(response *http.Response) error {
+	failed := response.StatusCode >= http.StatusInternalServerError
+	answer := &Answer{
+		Status:        int32(response.StatusCode),
+		Header:        fieldsOf(answerHeader(response.Header)),
+		ContentLength: response.ContentLength,
+		Report:        c.report(failed),
+	}
+	if err := wire.WriteMessage(c.writer, kindAnswer, answer); err != nil {
+		return fmt.Errorf("send answer: %w", err)
+	}
+	buf := make([]byte, wire.HeaderSize+dataSize)
+	for {
+		n, err := response.Body.Read(buf[wire.HeaderSize:])
+		if n > 0 {
+			wire.PutHeader(buf, kindData, n)
+			if _, werr := c.writer.Write(buf[:wire.HeaderSize+n]); werr != nil {
+				return fmt.Errorf("send answer body: %w", werr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			_ = c.writer.Flush()
+			return fmt.Errorf("%w: %w", errCutShort, err)
+		}
+		if err := c.writer.Flush(); err != nil {
+			return fmt.Errorf("send answer body: %w", err)
+		}
+	}
+	return wire.WriteMessage(c.writer, kindEnd, &End{Report: c.report(failed)})
+}
+
+func (c *served) roundTripFailed(ctx context.Context, started time.Time) admit.Result {
+	now := c.server.Clock.Now()
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		c.endSuspect(false)
+		c.refuse(c.deadlineFailure())
+		return admit.Expired{Latency: c.outer.ownTime(now, now.Sub(started))}
+	case canceled(ctx):
+		c.endSuspect(false)
+		return admit.Canceled{}
+	case !c.reached:
+		c.endSuspect(false)
+		c.refuse(retry.Unreached{})
+		return admit.Lost{}
+	}
+	crashed := c.server.backends.lost(c.backend, c.head.Fingerprint)
+	c.server.Meter.BackendLost(c.backend.endpoint.Service)
+	c.refuseWith(&RefusedCall{Crashed: crashed}, retry.BackendLost{})
+	return admit.Lost{}
+}
+
+func (c *served) deadlineFailure() retry.Failure {
+	if c.reached {
+		return retry.DeadlineAfter{}
+	}
+	return retry.DeadlineBefore{}
+}
+
+// bodyFailed ends a call whose answer has begun; closing the stream without an end tells the caller.
+func (c *served) bodyFailed(ctx context.Context, err error) admit.Result {
+	if canceled(ctx) || !errors.Is(err, errCutShort) {
+		c.endSuspect(false)
+		return admit.Canceled{}
+	}
+	c.server.backends.lost(c.backend, c.head.Fingerprint)
+	c.server.Meter.BackendLost(c.backend.endpoint.Service)
+	return admit.Lost{}
+}
+
+// endSuspect ends the request's time in flight.
+func (c *served) endSuspect(complete bool) {
+	incarnation := c.backend.endpoint.Incarnation
+	if c.server.suspects.End(c.server.Clock.Now(), incarnation, c.head.Fingerprint, complete) {
+		c.server.backends.control.ClearSuspect(c.head.Fingerprint)
+	}
+}
+
+func (c *served) refuse(failure retry.Failure) { c.refuseWith(&RefusedCall{}, failure) }
+
+func (c *served) refuseWith(message *RefusedCall, failure retry.Failure) {
+	row := retry.Describe(failure)
+	message.Reason, message.Outcome = row.Reason, row.Outcome
+	message.Report = c.report(true)
+	// A failed write means that the caller has gone.
+	_ = wire.WriteMessage(c.writer, kindRefused, message)
+}
+
+func (c *served) report(failed bool) Report {
+	report := Report{
+		Unspent:    c.outer.budget.Left(),
+		Final:      failed && c.outer.budget.Final(),
+		Overloaded: failed && c.outer.overloaded.Load(),
+	}
+	if c.backend != nil {
+		load := c.backend.limiter.Load()
+		if load.Limit > 0 {
+			report.Load = float64(load.InFlight+load.Waiting) / float64(load.Limit)
+		}
+	}
+	return report
+}
+
+func importanceName(i admit.Importance) string {
+	switch i {
+	case admit.Critical:
+		return "critical"
+	case admit.Bulk:
+		return "bulk"
+	}
+	return "normal"
+}
--- /dev/null
+++ b/internal/root/call/traffic.go
@@ -0,0 +1,149 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+
+	// leaveDelay is how long a leaving daemon keeps accepting calls, so that other daemons and callers
+	// learn that it leaves before its listeners close.
+	leaveDelay = 3 * time.Second
+)
+
+type (
+	// Options are the settings of the traffic part.
+	Options struct {
+		Name           string
+		Zone           string
+		PeerAddress    string // as other daemons know it
+		Ingress        net.Listener
+		Local          net.Listener
+		MaxBody        int64 // bytes
+		MaxHeader      int   // bytes
+		MaxCalls       int64
+		MaxConnections int
+		Seed           uint64
+		LeaveDelay     time.Duration // zero for the default
+	}
+
+	// Traffic is the supervisor of the traffic servers.
+	Traffic struct {
+		Options
+		Clock   clock.Clock
+		Control Control
+		Meter   *meter.Meter
+		Log     zerolog.Logger
+
+		server    *Server
+		handler   *Handler
+		forwarder *Forwarder
+	}
+)
+
+// New wires the traffic part; nothing runs until its group is served.
+func New(options Options, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log zerolog.Logger) *Traffic {
+	if options.LeaveDelay == 0 {
+		options.LeaveDelay = leaveDelay
+	}
+	suspects := crash.NewSuspects()
+	servers := &backends{clock: clk, control: control, suspects: suspects}
+	outer := &outerCalls{}
+	server := &Server{Clock: clk, Meter: m, backends: servers, suspects: suspects, outer: outer}
+	forwarder := &Forwarder{
+		Clock:    clk,
+		Control:  control,
+		Sender:   &Sender{Dialer: dialer, Own: options.PeerAddress, Local: server.ServeStream, Name: options.Name},
+		Meter:    m,
+		Planner:  retry.NewPlanner(options.Seed),
+		Throttle: admit.NewThrottle(options.Seed),
+		Suspects: suspects,
+		Zone:     options.Zone,
+		Seed:     options.Seed,
+	}
+	handler := &Handler{
+		Clock: clk, Control: control, Forwarder: forwarder, Meter: m, Log: log,
+		MaxBody: options.MaxBody, MaxCalls: options.MaxCalls, backends: servers, outer: outer,
+	}
+	return &Traffic{
+		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
+		server: server, handler: handler, forwarder: forwarder,
+	}
+}
+
+// ServeStream serves a call stream of another daemon.
+func (t *Traffic) ServeStream(ctx context.Context, stream *link.Stream) {
+	t.server.ServeStream(ctx, stream)
+}
+
+// Group returns the run group of the traffic servers; ingress stops first, because its calls need the rest.
+func (t *Traffic) Group() *super.Group {
+	return &super.Group{Name: "call", Log: t.Log, Children: []super.Child{
+		{Name: "ingress", Run: t.serveHTTP("ingress", t.Ingress, t.handler.ServeIngress)},
+		{Name: "drain", Run: t.drain},
+		{Name: "local", Run: t.serveHTTP("local", t.Local, t.handler.ServeLocal)},
+	}}
+}
+
+// serveHTTP runs one kratos HTTP server; on stop it accepts calls for the leave delay and then waits
+// until the last answer is whole.
+func (t *Traffic) serveHTTP(name string, listener net.Listener, handle http.HandlerFunc) func(context.Context) error {
+	return func(ctx context.Context) error {
+		server := khttp.NewServer(
+			khttp.Listener(boundListener(listener, t.MaxConnections)),
+			khttp.Timeout(0), // the default of one second would cut downloads
+			khttp.Filter(func(http.Handler) http.Handler { return handle }),
+		)
+		server.ReadHeaderTimeout = readHeaderTimeout
+		server.IdleTimeout = idleTimeout
+		server.MaxHeaderBytes = t.MaxHeader
+		ended := make(chan error, 1)
+		go func() { ended <- server.Start(context.WithoutCancel(ctx)) }()
+		select {
+		case err := <-ended:
+			return fmt.Errorf("%s server: %w", name, err)
+		case <-ctx.Done():
+		}
+		server.SetKeepAlivesEnabled(false)
+		if name == "ingress" {
+			t.wait(t.LeaveDelay)
+		}
+		t.Log.Info().Str("server", name).Msg("server-draining")
+		if err := server.Stop(context.WithoutCancel(ctx)); err != nil {
+			t.Log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
+		}
+		return nil
+	}
+}
+
+// drain waits, on stop, until the calls of other daemons have ended, because their backend server still
+// needs the local address for nested calls.
+func (t *Traffic) drain(ctx context.Context) error {
+	<-ctx.Done()
+	t.server.waitIdle()
+	t.Log.Info().Msg("calls-drained")
+	return nil
+}
+
+func (t *Traffic) wait(d time.Duration) {
+	timer := t.Clock.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C()
+}
--- a/internal/snap/doc.go
+++ b/internal/snap/doc.go
@@ -1,2 +1,2 @@
-// Package snap holds the immutable data that the control loop publishes to traffic goroutines.
+// Package snap holds the immutable view of control state that the control loop publishes to traffic.
 package snap
--- /dev/null
+++ b/internal/snap/snapshot.go
@@ -0,0 +1,29 @@
+package snap
+
+import (
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+// Snapshot is the control state that traffic sees; the control loop publishes a new one for each change
+// and never changes one that it has published.
+type Snapshot struct {
+	Rules      *rules.Set                  // nil until the first configuration has arrived
+	FreshUntil time.Time                   // the lease of this daemon ends then
+	Endpoints  map[string]*Endpoints       // by service, only the services that this daemon calls
+	Quarantine map[string]QuarantinedUntil // by fingerprint
+	Draining   bool                        // this daemon is leaving
+}
+
+// Endpoints is the list of instances of one service at one version.
+type Endpoints struct {
+	Version   uint64
+	Instances []Endpoint
+}
+
+// QuarantinedUntil is the end of a quarantine.
+type QuarantinedUntil = UnixNano
+
+// Fresh reports whether the daemon's lease holds at now.
+func (s *Snapshot) Fresh(now time.Time) bool { return now.Before(s.FreshUntil) }
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -14,7 +14,8 @@
 	// MaxFrame is the largest frame body in bytes; larger frames are refused before allocation.
 	MaxFrame = 4 << 20
 
-	frameHeaderSize = 5
+	// HeaderSize is the size of a frame's header in bytes.
+	HeaderSize = 5
 )
 
 // ErrFrameTooLarge reports a frame whose announced size exceeds the reader's limit.
@@ -36,21 +37,29 @@
 	if len(body) > MaxFrame {
 		return fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, len(body), MaxFrame)
 	}
-	buf := make([]byte, frameHeaderSize+len(body))
-	buf[0] = byte(kind)
-	binary.BigEndian.PutUint32(buf[1:frameHeaderSize], uint32(len(body)))
-	copy(buf[frameHeaderSize:], body)
+	buf := make([]byte, HeaderSize+len(body))
+	PutHeader(buf, kind, len(body))
+	copy(buf[HeaderSize:], body)
 	if _, err := w.Write(buf); err != nil {
 		return fmt.Errorf("write frame: %w", err)
 	}
 	return nil
 }
 
+// PutHeader writes the header of a frame with a body of size bytes to the first HeaderSize bytes of buf.
+func PutHeader(buf []byte, kind Kind, size int) {
+	buf[0] = byte(kind)
+	binary.BigEndian.PutUint32(buf[1:HeaderSize], uint32(size))
+}
+
 // ReadFrame reads one frame whose body holds at most limit bytes; it returns io.EOF only between frames.
-func ReadFrame(r io.Reader, limit int) (Frame, error) {
-	var header [frameHeaderSize]byte
+func ReadFrame(r io.Reader, limit int) (Frame, error) { return ReadFrameInto(r, nil, limit) }
+
+// ReadFrameInto is ReadFrame that uses buf for the body when it is large enough.
+func ReadFrameInto(r io.Reader, buf []byte, limit int) (Frame, error) {
+	var header [HeaderSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return Frame{}, io.EOF
 		}
 		return Frame{}, fmt.Errorf("read frame header: %w", err)
@@ -59,7 +68,11 @@
 	if uint64(size) > uint64(limit) {
 		return Frame{}, fmt.Errorf("%w: %d bytes, limit %d", ErrFrameTooLarge, size, limit)
 	}
-	body := make([]byte, size)
+	body := buf
+	if uint32(cap(body)) < size {
+		body = make([]byte, size)
+	}
+	body = body[:size]
 	if _, err := io.ReadFull(r, body); err != nil {
 		return Frame{}, fmt.Errorf("read frame body: %w", err)
 	}
