--- /dev/null
+++ b/internal/root/ctrl/raft/message.go
@@ -0,0 +1,167 @@
+package raft
+
+import "fmt"
+
+type (
+	// Message is what members send to each other: a pointer to one of the types of this file.
+	Message interface {
+		// Check returns an error that names the first invalid field.
+		Check() error
+		head() *Header
+	}
+
+	// Header is the first field of each message.
+	Header struct {
+		From Voter `protobuf:"bytes,1,opt,name=from"`
+		// Boot and Start identify the start of the sender's disk.
+		Boot  uint64 `protobuf:"varint,2,opt,name=boot"`
+		Start uint64 `protobuf:"fixed64,3,opt,name=start"`
+		// To is the disk that the message is for; empty in Hello.
+		To string `protobuf:"bytes,4,opt,name=to"`
+		// Group is empty while the sender belongs to none.
+		Group string `protobuf:"bytes,5,opt,name=group"`
+		Term  uint64 `protobuf:"varint,6,opt,name=term"`
+	}
+
+	// Hello presents a start of the sender's disk.
+	Hello struct {
+		Header Header `protobuf:"bytes,1,opt,name=header"`
+		// Lineage holds the Start values of the previous starts, 8 bytes each, little endian, the latest last.
+		Lineage []byte `protobuf:"bytes,2,opt,name=lineage"`
+	}
+
+	// HelloReply answers Hello after the boot number is synced.
+	HelloReply struct {
+		Header Header `protobuf:"bytes,1,opt,name=header"`
+		// Boot and Start are those of the Hello.
+		Boot     uint64 `protobuf:"varint,2,opt,name=boot"`
+		Start    uint64 `protobuf:"fixed64,3,opt,name=start"`
+		Accepted bool   `protobuf:"varint,4,opt,name=accepted"`
+		// Reason is set when the disk is refused for good.
+		Reason string `protobuf:"bytes,5,opt,name=reason"`
+		// Membership is the answering member's; nil while it belongs to no group.
+		Membership *Membership `protobuf:"bytes,6,opt,name=membership"`
+	}
+
+	// VoteRequest asks for a vote in the header's term, or with Pre whether the vote would be given.
+	VoteRequest struct {
+		Header    Header `protobuf:"bytes,1,opt,name=header"`
+		Pre       bool   `protobuf:"varint,2,opt,name=pre"`
+		LastIndex uint64 `protobuf:"varint,3,opt,name=last-index"`
+		LastTerm  uint64 `protobuf:"varint,4,opt,name=last-term"`
+	}
+
+	// VoteReply answers VoteRequest; For is the term that was asked for.
+	VoteReply struct {
+		Header  Header `protobuf:"bytes,1,opt,name=header"`
+		Pre     bool   `protobuf:"varint,2,opt,name=pre"`
+		For     uint64 `protobuf:"varint,3,opt,name=for"`
+		Granted bool   `protobuf:"varint,4,opt,name=granted"`
+	}
+
+	// Append carries entries after the entry at Prev; without entries it is a heartbeat.
+	Append struct {
+		Header   Header  `protobuf:"bytes,1,opt,name=header"`
+		Prev     uint64  `protobuf:"varint,2,opt,name=prev"`
+		PrevTerm uint64  `protobuf:"varint,3,opt,name=prev-term"`
+		Commit   uint64  `protobuf:"varint,4,opt,name=commit"`
+		Entries  []Entry `protobuf:"bytes,5,rep,name=entries"`
+		// Sent is the sending time in nanoseconds since the leader's election; the reply repeats it.
+		Sent int64 `protobuf:"varint,6,opt,name=sent"`
+	}
+
+	// AppendReply answers Append and InstallSnapshot.
+	AppendReply struct {
+		Header Header `protobuf:"bytes,1,opt,name=header"`
+		Sent   int64  `protobuf:"varint,2,opt,name=sent"`
+		// Match is the last entry that is synced and known to equal the leader's.
+		Match uint64 `protobuf:"varint,3,opt,name=match"`
+		// Rejected tells that the entry at Prev is missing or differs; Hint is an index at or before the difference.
+		Rejected bool   `protobuf:"varint,4,opt,name=rejected"`
+		Prev     uint64 `protobuf:"varint,5,opt,name=prev"`
+		Hint     uint64 `protobuf:"varint,6,opt,name=hint"`
+		// Snapshot and Offset tell how much of the snapshot at that index has arrived.
+		Snapshot uint64 `protobuf:"varint,7,opt,name=snapshot"`
+		Offset   uint64 `protobuf:"varint,8,opt,name=offset"`
+	}
+
+	// InstallSnapshot carries one chunk of a snapshot to a follower that needs compacted entries.
+	InstallSnapshot struct {
+		Header       Header      `protobuf:"bytes,1,opt,name=header"`
+		Index        uint64      `protobuf:"varint,2,opt,name=index"`
+		SnapshotTerm uint64      `protobuf:"varint,3,opt,name=snapshot-term"`
+		Membership   *Membership `protobuf:"bytes,4,opt,name=membership"`
+		Offset       uint64      `protobuf:"varint,5,opt,name=offset"`
+		Total        uint64      `protobuf:"varint,6,opt,name=total"`
+		Data         []byte      `protobuf:"bytes,7,opt,name=data"`
+		Sent         int64       `protobuf:"varint,8,opt,name=sent"`
+	}
+)
+
+func (m *Hello) head() *Header           { return &m.Header }
+func (m *HelloReply) head() *Header      { return &m.Header }
+func (m *VoteRequest) head() *Header     { return &m.Header }
+func (m *VoteReply) head() *Header       { return &m.Header }
+func (m *Append) head() *Header          { return &m.Header }
+func (m *AppendReply) head() *Header     { return &m.Header }
+func (m *InstallSnapshot) head() *Header { return &m.Header }
+
+// Check returns an error that names the first invalid field.
+func (h *Header) Check() error {
+	if err := h.From.Check(); err != nil {
+		return fmt.Errorf("sender: %w", err)
+	}
+	if h.Boot == 0 || h.Start == 0 || len(h.To) > MaxName || len(h.Group) > MaxName {
+		return fmt.Errorf("%w: header of %s, boot %d", ErrInvalid, h.From.Name, h.Boot)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (m *Hello) Check() error {
+	if len(m.Lineage)%8 != 0 || len(m.Lineage) > 8*MaxLineage {
+		return fmt.Errorf("%w: lineage of %d bytes", ErrInvalid, len(m.Lineage))
+	}
+	return m.Header.Check()
+}
+
+// Check returns an error that names the first invalid field.
+func (m *HelloReply) Check() error {
+	if m.Membership != nil {
+		if err := m.Membership.Check(); err != nil {
+			return err
+		}
+	}
+	return m.Header.Check()
+}
+
+// Check returns an error that names the first invalid field.
+func (m *VoteRequest) Check() error { return m.Header.Check() }
+
+// Check returns an error that names the first invalid field.
+func (m *VoteReply) Check() error { return m.Header.Check() }
+
+// Check returns an error that names the first invalid field.
+func (m *Append) Check() error {
+	if err := checkEntries(m.Prev, m.PrevTerm, m.Entries); err != nil {
+		return err
+	}
+	return m.Header.Check()
+}
+
+// Check returns an error that names the first invalid field.
+func (m *AppendReply) Check() error { return m.Header.Check() }
+
+// Check returns an error that names the first invalid field.
+func (m *InstallSnapshot) Check() error {
+	if m.Index == 0 || m.SnapshotTerm == 0 || m.Membership == nil {
+		return fmt.Errorf("%w: snapshot at index %d of term %d", ErrInvalid, m.Index, m.SnapshotTerm)
+	}
+	if m.Total > MaxSnapshot || len(m.Data) > MaxChunk || m.Offset > m.Total || uint64(len(m.Data)) > m.Total-m.Offset {
+		return fmt.Errorf("%w: snapshot chunk of %d bytes at %d of %d", ErrInvalid, len(m.Data), m.Offset, m.Total)
+	}
+	if err := m.Membership.Check(); err != nil {
+		return err
+	}
+	return m.Header.Check()
+}
--- /dev/null
+++ b/internal/root/ctrl/raft/types.go
@@ -0,0 +1,313 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Limits of one group; decoded values beyond them are refused.
+const (
+	// MaxName is the longest member name in bytes.
+	MaxName = 128
+	// MaxPeers is the largest number of members: five voters, one of them being replaced, and learners.
+	MaxPeers = 16
+	// MaxData is the largest proposal in bytes.
+	MaxData = 1 << 20
+	// MaxAppend bounds the entry bytes of one message, except that one entry is always sent. An entry of
+	// MaxData on top of it stays below wire.MaxFrame.
+	MaxAppend = 1 << 20
+	// MaxEntries is the largest number of entries in one message or batch.
+	MaxEntries = 1024
+	// MaxChunk is the largest piece of a snapshot in one message.
+	MaxChunk = 1 << 20
+	// MaxSnapshot is the largest snapshot in bytes.
+	MaxSnapshot = 1 << 30
+	// MaxLineage is the number of past starts that a member can prove to its peers.
+	MaxLineage = 1024
+	// MaxRemoved is the number of removed disks that a group remembers.
+	MaxRemoved = 64
+	// MaxBoots is the number of disks whose starts a member remembers.
+	MaxBoots = 64
+)
+
+// Kinds of log entries.
+const (
+	// EntryNormal holds a proposal.
+	EntryNormal EntryKind = 0
+	// EntryEmpty is the first entry of a leader's term.
+	EntryEmpty EntryKind = 1
+	// EntryMembership holds the voters from this entry on.
+	EntryMembership EntryKind = 2
+)
+
+// Roles of a member.
+const (
+	// Follower accepts entries from a leader; a learner is a follower that is no voter.
+	Follower Role = iota
+	// PreCandidate asks whether it could win an election.
+	PreCandidate
+	// Candidate asks for votes.
+	Candidate
+	// Leader orders the entries of its term.
+	Leader
+)
+
+// ErrInvalid reports a value that breaks a limit or a rule of this package.
+var ErrInvalid = errors.New("invalid consensus value")
+
+type (
+	// EntryKind tells what an entry holds.
+	EntryKind uint8
+
+	// Role is what a member does in its term.
+	Role uint8
+
+	// Config holds the settings of one member; zero durations and sizes take the defaults of the design page.
+	Config struct {
+		// Name is this member's name; Peers lists the names of all members, this one included.
+		Name  string
+		Peers []string
+
+		Heartbeat   time.Duration
+		ElectionMin time.Duration
+		ElectionMax time.Duration
+		Lease       time.Duration
+
+		// SnapshotEvery is the number of applied entries after which a snapshot is asked for.
+		SnapshotEvery uint64
+		// KeepEntries is the number of entries kept behind a snapshot for slow followers.
+		KeepEntries uint64
+		// MaxUncommitted is the number of entries that a leader holds before it refuses proposals.
+		MaxUncommitted uint64
+		// MaxOutstanding is the number of batches with entries that wait for the disk at the same time.
+		MaxOutstanding int
+		// MaxInflight is the number of messages with entries that wait for an answer of one follower.
+		MaxInflight int
+
+		// Seed feeds the random election timeouts.
+		Seed uint64
+	}
+
+	// Voter identifies a voter: a name on a given disk.
+	Voter struct {
+		Name string `protobuf:"bytes,1,opt,name=name"`
+		Disk string `protobuf:"bytes,2,opt,name=disk"`
+	}
+
+	// Membership is the set of voters from one entry on.
+	Membership struct {
+		// Group identifies the group: the disk id of the member that formed it.
+		Group string `protobuf:"bytes,1,opt,name=group"`
+		// Index is the entry that set this membership.
+		Index  uint64  `protobuf:"varint,2,opt,name=index"`
+		Voters []Voter `protobuf:"bytes,3,rep,name=voters"`
+		// Leaving is the disk of the voter that is removed next, empty outside a replacement.
+		Leaving string `protobuf:"bytes,4,opt,name=leaving"`
+		// Removed lists disks that may not return, the latest last.
+		Removed []string `protobuf:"bytes,5,rep,name=removed"`
+	}
+
+	// Entry is one entry of the replicated log.
+	Entry struct {
+		Index uint64    `protobuf:"varint,1,opt,name=index"`
+		Term  uint64    `protobuf:"varint,2,opt,name=term"`
+		Kind  EntryKind `protobuf:"varint,3,opt,name=kind"`
+		Data  []byte    `protobuf:"bytes,4,opt,name=data"`
+		// Membership is set in entries of kind EntryMembership.
+		Membership *Membership `protobuf:"bytes,5,opt,name=membership"`
+	}
+
+	// Boot is one start of a disk as its peers remember it.
+	Boot struct {
+		Name string `protobuf:"bytes,1,opt,name=name"`
+		Disk string `protobuf:"bytes,2,opt,name=disk"`
+		// Number increases by one at each start; Start is a random value drawn at that start.
+		Number uint64 `protobuf:"varint,3,opt,name=number"`
+		Start  uint64 `protobuf:"fixed64,4,opt,name=start"`
+	}
+
+	// HardState is what a member must not forget besides its entries.
+	HardState struct {
+		Term uint64 `protobuf:"varint,1,opt,name=term"`
+		// Vote is the disk that got this member's vote in Term.
+		Vote string `protobuf:"bytes,2,opt,name=vote"`
+		// Boots holds the latest accepted start of each peer's disk, the latest accepted last.
+		Boots []Boot `protobuf:"bytes,3,rep,name=boots"`
+		// Fenced is set once a peer has refused this disk; it never votes again.
+		Fenced bool `protobuf:"varint,4,opt,name=fenced"`
+	}
+
+	// Snapshot is the state of the replicated state machine after the entry at Index.
+	Snapshot struct {
+		Index      uint64
+		Term       uint64
+		Membership Membership
+		Data       []byte
+	}
+
+	// Batch is written with one write and one sync; batches are written in order of Seq.
+	Batch struct {
+		Seq uint64
+		// Hard replaces the stored hard state unless it is nil.
+		Hard *HardState
+		// Install replaces all state and all entries before Entries unless it is nil.
+		Install *Snapshot
+		// Entries replace the stored entries from Entries[0].Index on.
+		Entries []Entry
+	}
+
+	// Restored is what the disk holds at a start.
+	Restored struct {
+		Disk string
+		// Boot is the number of this start, already durable; Start is the random value drawn for it.
+		Boot  uint64
+		Start uint64
+		// Lineage holds the Start values of the starts before this one, the latest last.
+		Lineage  []uint64
+		Hard     HardState
+		Snapshot *Snapshot
+		Entries  []Entry
+	}
+
+	// Status describes a member for operators and for the control loop.
+	Status struct {
+		Role     Role
+		Term     uint64
+		Leader   string // name, empty if unknown
+		Voters   []Voter
+		Learners []Voter // as the leader sees them
+		Commit   uint64
+		Applied  uint64
+		Last     uint64
+		Snapshot uint64
+		// LeaseHeld is true on a leader that heard from a majority within the lease and has applied an
+		// entry of its own term; it is valid for the time of the last Step. LeaseUntil is its end.
+		LeaseHeld  bool
+		LeaseUntil time.Time
+		Boot       uint64
+		// Admitted is true once a majority of the voters has accepted this member's boot number.
+		Admitted bool
+		// Fenced is true once a peer has refused this disk; Failed holds the disk error that stopped the member.
+		Fenced bool
+		Failed string
+	}
+)
+
+func (c Config) withDefaults() Config {
+	c.Heartbeat = orDefault(c.Heartbeat, 100*time.Millisecond)
+	c.ElectionMin = orDefault(c.ElectionMin, 400*time.Millisecond)
+	c.ElectionMax = orDefault(c.ElectionMax, 800*time.Millisecond)
+	c.Lease = orDefault(c.Lease, 350*time.Millisecond)
+	c.SnapshotEvery = orDefault(c.SnapshotEvery, 4096)
+	c.KeepEntries = orDefault(c.KeepEntries, 4096)
+	c.MaxUncommitted = orDefault(c.MaxUncommitted, 4096)
+	c.MaxOutstanding = orDefault(c.MaxOutstanding, 2)
+	c.MaxInflight = orDefault(c.MaxInflight, 8)
+	return c
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// String returns the role in lower case.
+func (r Role) String() string {
+	switch r {
+	case Follower:
+		return "follower"
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	}
+	return "unknown"
+}
+
+// Has reports whether the disk is a voter.
+func (m *Membership) Has(disk string) bool {
+	for _, v := range m.Voters {
+		if v.Disk == disk {
+			return true
+		}
+	}
+	return false
+}
+
+// Check returns an error that names the first invalid field.
+func (v *Voter) Check() error {
+	if v.Name == "" || len(v.Name) > MaxName {
+		return fmt.Errorf("%w: member name of %d bytes", ErrInvalid, len(v.Name))
+	}
+	if v.Disk == "" || len(v.Disk) > MaxName {
+		return fmt.Errorf("%w: disk id of %d bytes", ErrInvalid, len(v.Disk))
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (m *Membership) Check() error {
+	if len(m.Voters) == 0 || len(m.Voters) > MaxPeers || len(m.Removed) > MaxRemoved {
+		return fmt.Errorf("%w: membership with %d voters and %d removed disks", ErrInvalid, len(m.Voters), len(m.Removed))
+	}
+	if m.Group == "" || len(m.Group) > MaxName || m.Index == 0 || len(m.Leaving) > MaxName {
+		return fmt.Errorf("%w: membership of group %q at index %d", ErrInvalid, m.Group, m.Index)
+	}
+	for i := range m.Voters {
+		if err := m.Voters[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (e *Entry) Check() error {
+	if e.Index == 0 || e.Term == 0 {
+		return fmt.Errorf("%w: entry at index %d of term %d", ErrInvalid, e.Index, e.Term)
+	}
+	if len(e.Data) > MaxData {
+		return fmt.Errorf("%w: entry %d of %d bytes, limit %d", ErrInvalid, e.Index, len(e.Data), MaxData)
+	}
+	switch {
+	case e.Kind > EntryMembership:
+		return fmt.Errorf("%w: entry %d has unknown kind %d", ErrInvalid, e.Index, e.Kind)
+	case e.Kind != EntryMembership && e.Membership != nil, e.Kind == EntryMembership && e.Membership == nil:
+		return fmt.Errorf("%w: entry %d of kind %d does not match its membership", ErrInvalid, e.Index, e.Kind)
+	case e.Membership != nil:
+		return e.Membership.Check()
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (h *HardState) Check() error {
+	if len(h.Vote) > MaxName || len(h.Boots) > MaxBoots {
+		return fmt.Errorf("%w: hard state with %d boots", ErrInvalid, len(h.Boots))
+	}
+	return nil
+}
+
+// checkEntries verifies that entries follow prev without a gap, with terms that never decrease.
+func checkEntries(prev, prevTerm uint64, entries []Entry) error {
+	if len(entries) > MaxEntries {
+		return fmt.Errorf("%w: %d entries, limit %d", ErrInvalid, len(entries), MaxEntries)
+	}
+	for i := range entries {
+		e := &entries[i]
+		if err := e.Check(); err != nil {
+			return err
+		}
+		if e.Index != prev+1 || e.Term < prevTerm {
+			return fmt.Errorf("%w: entry %d of term %d follows entry %d of term %d", ErrInvalid, e.Index, e.Term, prev, prevTerm)
+		}
+		prev, prevTerm = e.Index, e.Term
+	}
+	return nil
+}
