--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -1,23 +1,366 @@
 package raft
 
-import "time"
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// quietStep bounds how much one step counts towards silence of the leader: a clock that jumps forward
+	// or a pause then costs at most this much of the 50 ms between the lease and the shortest election
+	// timeout.
+	quietStep = 50 * time.Millisecond
+
+	// clockTolerance is the difference between wall and monotonic time in one step that ends a leadership:
+	// the monotonic clock stands still while a machine is suspended.
+	clockTolerance = 25 * time.Millisecond
+
+	idleDeadline = time.Hour
+)
 
 type (
 	// Node is one member; the control loop owns it.
-	Node struct{}
+	Node struct {
+		cfg     Config
+		self    Voter
+		boot    uint64
+		start   uint64
+		lineage []byte
+		random  *rand.Rand
+
+		now       time.Time
+		quiet     time.Duration // counted since a leader was heard or the start
+		elapsed   time.Duration // counted since the election timer was reset
+		timeout   time.Duration // election timer
+		nextHello time.Time
+
+		role   Role
+		leader Voter
+		hard   HardState
+		votes  map[string]bool // by disk
+		lead   *leadership     // set exactly while role is Leader
+
+		log      entryLog
+		members  []Membership // ascending; the last is in force, the first is committed
+		commit   uint64
+		applied  uint64 // at most commit
+		verified uint64 // last entry known to equal the entry of the leader of this term
+		sent     int64  // of the latest message of the leader of this term, -1 if none
+		incoming *incoming
+
+		snapshot *Snapshot // latest synced or installed
+		taken    *Snapshot // handed to the disk, not yet synced
+		taking   bool      // a snapshot was asked for and is not yet synced
+
+		writes   writes
+		held     []heldSend
+		accepted map[string]string // disk of each peer, by name, that accepted this start
+		unformed map[string]Voter  // peers, by name, that belonged to no group when last heard
+
+		out    []Action
+		failed string
+	}
+
+	heldSend struct {
+		seq  uint64 // 0 until the writes of this step have a number
+		send Send
+	}
 )
 
-// New returns a member with the state that its disk held; cfg.Name must be in cfg.Peers.
-func New(cfg Config, restored Restored, now time.Time) *Node { panic("not implemented") }
+// New returns a member with the state that its disk held; cfg.Name must be in cfg.Peers. The first Step
+// returns Restore if there is a snapshot.
+func New(cfg Config, restored Restored, now time.Time) *Node {
+	n := &Node{
+		cfg:      cfg.withDefaults(),
+		self:     Voter{Name: cfg.Name, Disk: restored.Disk},
+		boot:     restored.Boot,
+		start:    restored.Start,
+		random:   rand.New(rand.NewPCG(cfg.Seed, restored.Start)),
+		now:      now,
+		hard:     restored.Hard,
+		sent:     -1,
+		accepted: map[string]string{},
+		unformed: map[string]Voter{},
+	}
+	n.nextHello = now
+	lineage := restored.Lineage
+	if len(lineage) > MaxLineage {
+		lineage = lineage[len(lineage)-MaxLineage:]
+	}
+	for _, start := range lineage {
+		n.lineage = binary.LittleEndian.AppendUint64(n.lineage, start)
+	}
+	n.resetElection()
+	n.log.restore(restored.Snapshot, restored.Entries)
+	if restored.Snapshot != nil {
+		n.snapshot = restored.Snapshot
+		n.members = []Membership{restored.Snapshot.Membership}
+		n.commit, n.applied = n.snapshot.Index, n.snapshot.Index
+		n.out = append(n.out, Restore{Snapshot: *n.snapshot})
+	}
+	for i := range restored.Entries {
+		if e := &restored.Entries[i]; e.Kind == EntryMembership && e.Index > n.commit {
+			n.members = append(n.members, *e.Membership)
+		}
+	}
+	if n.snapshot == nil && len(n.members) > 0 {
+		n.commit = n.members[0].Index // the entry that formed the group is committed by definition
+	}
+	n.writes.saved, n.writes.durable = n.log.last(), n.log.last()
+	if n.hard.Fenced {
+		n.out = append(n.out, Fenced{Reason: "refused at an earlier start"})
+	}
+	return n
+}
 
 // Step handles one event and returns the actions to execute in order.
-func (n *Node) Step(now time.Time, ev Event) []Action { panic("not implemented") }
+func (n *Node) Step(now time.Time, ev Event) []Action {
+	if n.failed != "" {
+		return nil
+	}
+	if failed, ok := ev.(PersistFailed); ok {
+		n.stop(failed.Err)
+	} else {
+		n.advance(now)
+		if persisted, ok := ev.(Persisted); ok {
+			n.onPersisted(persisted.Seq)
+		} else if !n.hard.Fenced {
+			n.handle(ev)
+		}
+		n.settle()
+	}
+	out := n.out
+	n.out = nil
+	return out
+}
 
-// Status returns a copy of the member's state as of the last Step.
-func (n *Node) Status() Status { panic("not implemented") }
+func (n *Node) handle(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+	case Received:
+		n.receive(ev.Message)
+	case Propose:
+		n.propose(ev)
+	case SnapshotTaken:
+		n.onSnapshotTaken(ev)
+	case SnapshotPersisted:
+		n.onSnapshotPersisted(ev.Index)
+	case ReplaceVoter:
+		if n.role == Leader {
+			n.lead.replace = ev
+		}
+	}
+}
+
+func (n *Node) receive(m Message) {
+	switch m := m.(type) {
+	case *Hello:
+		n.onHello(m)
+		return
+	case *HelloReply:
+		n.onHelloReply(m)
+		return
+	}
+	if !n.admits(m.head()) {
+		return
+	}
+	switch m := m.(type) {
+	case *VoteRequest:
+		n.onVoteRequest(m)
+	case *VoteReply:
+		n.onVoteReply(m)
+	case *Append:
+		n.onAppend(m)
+	case *AppendReply:
+		n.onAppendReply(m)
+	case *InstallSnapshot:
+		n.onInstallSnapshot(m)
+	}
+}
+
+// settle does what an event made due: timers, commitment, application, replication and writes.
+func (n *Node) settle() {
+	if !n.hard.Fenced {
+		n.form()
+		n.runTimers()
+		if n.role == Leader {
+			n.advanceCommit()
+		}
+		n.apply()
+		if n.role == Leader {
+			n.changeMembership()
+			n.replicateAll()
+		}
+	}
+	n.flush()
+	n.release()
+}
 
-// LeaseHeld reports whether this member leads and its lease covers now.
-func (n *Node) LeaseHeld(now time.Time) bool { panic("not implemented") }
+// advance moves the time. Silence of the leader is counted conservatively, so that a clock step makes
+// this member vote later and lead shorter, never the other way round.
+func (n *Node) advance(now time.Time) {
+	gap := now.Sub(n.now)
+	skew := now.Round(0).Sub(n.now.Round(0)) - gap
+	n.now = now
+	if gap < 0 {
+		gap = 0
+		n.nextHello = now
+		n.stepDown()
+	}
+	if skew > clockTolerance || skew < -clockTolerance {
+		n.stepDown()
+	}
+	n.quiet += min(gap, quietStep)
+	n.elapsed += min(gap, quietStep)
+}
+
+func (n *Node) runTimers() {
+	if n.role == Leader {
+		n.updateLease()
+		if !n.now.Before(n.leadershipEnd()) {
+			n.stepDown()
+		}
+	}
+	if n.role != Leader && n.mayVote() {
+		if n.sole() {
+			if n.role == Follower {
+				n.campaign()
+			}
+		} else if n.elapsed >= n.timeout {
+			n.preCampaign()
+		}
+	}
+	if !n.now.Before(n.nextHello) && n.needsHello() {
+		n.nextHello = n.now.Add(n.cfg.Heartbeat)
+		n.sendHellos()
+	}
+}
 
 // Deadline returns when the next Tick is due.
-func (n *Node) Deadline() time.Time { panic("not implemented") }
+func (n *Node) Deadline() time.Time {
+	if n.failed != "" || n.hard.Fenced {
+		return n.now.Add(idleDeadline)
+	}
+	var due time.Time
+	if n.role == Leader {
+		due = n.lead.heartbeat
+		if end := n.leadershipEnd(); end.Before(due) {
+			due = end
+		}
+	} else {
+		due = n.now.Add(min(quietStep, max(n.timeout-n.elapsed, 0)))
+		if !n.mayVote() || n.sole() {
+			due = n.now.Add(quietStep)
+		}
+	}
+	if n.needsHello() && n.nextHello.Before(due) {
+		due = n.nextHello
+	}
+	return due
+}
+
+// Status returns a copy of the member's state as of the last Step.
+func (n *Node) Status() Status {
+	s := Status{
+		Role: n.role, Term: n.hard.Term, Leader: n.leader.Name, Commit: n.commit, Applied: n.applied, Last: n.log.last(),
+		Boot: n.boot, Admitted: n.isAdmitted(), Fenced: n.hard.Fenced, Failed: n.failed, LeaseHeld: n.LeaseHeld(n.now),
+	}
+	if n.snapshot != nil {
+		s.Snapshot = n.snapshot.Index
+	}
+	if m := n.membership(); m != nil {
+		s.Voters = slices.Clone(m.Voters)
+	}
+	if n.role == Leader {
+		s.LeaseUntil = n.lead.leaseEnd
+		for _, p := range n.lead.progress {
+			if !n.membership().Has(p.peer.Disk) {
+				s.Learners = append(s.Learners, p.peer)
+			}
+		}
+	}
+	return s
+}
+
+// LeaseHeld reports whether this member leads, has applied an entry of its own term, and its lease covers now.
+func (n *Node) LeaseHeld(now time.Time) bool {
+	return n.role == Leader && n.lead.ready && !now.Before(n.now) && now.Before(n.lead.leaseEnd)
+}
+
+// stop ends all activity after a failed write: what the disk holds is no longer known.
+func (n *Node) stop(err error) {
+	n.stepDown()
+	n.failed = err.Error()
+	n.held = nil
+	n.out = append(n.out, Stopped{Err: err})
+}
+
+func (n *Node) membership() *Membership {
+	if len(n.members) == 0 {
+		return nil
+	}
+	return &n.members[len(n.members)-1]
+}
+
+// committedMembership returns the latest membership that cannot change any more, or nil.
+func (n *Node) committedMembership() *Membership {
+	for i := len(n.members) - 1; i >= 0; i-- {
+		if n.members[i].Index <= n.commit {
+			return &n.members[i]
+		}
+	}
+	return nil
+}
+
+func (n *Node) group() string {
+	if m := n.membership(); m != nil {
+		return m.Group
+	}
+	return ""
+}
+
+// sole reports whether this member is the only voter.
+func (n *Node) sole() bool {
+	m := n.membership()
+	return m != nil && len(m.Voters) == 1 && m.Voters[0] == n.self
+}
+
+// majority reports whether the voters for which has returns true are a majority.
+func (n *Node) majority(has func(Voter) bool) bool {
+	m := n.membership()
+	if m == nil {
+		return false
+	}
+	count := 0
+	for _, v := range m.Voters {
+		if has(v) {
+			count++
+		}
+	}
+	return count > len(m.Voters)/2
+}
+
+func (n *Node) header(to Voter) Header {
+	return Header{From: n.self, Boot: n.boot, Start: n.start, To: to.Disk, Group: n.group(), Term: n.hard.Term}
+}
+
+func (n *Node) send(to Voter, m Message) { n.out = append(n.out, Send{To: to.Name, Message: m}) }
+
+// sendAfterHard sends m once the hard state is synced; entries may still be unsynced.
+func (n *Node) sendAfterHard(to Voter, m Message) {
+	switch {
+	case n.writes.hardDirty:
+		n.sendHeld(to, m)
+	case n.writes.hardSeq <= n.writes.synced:
+		n.send(to, m)
+	default:
+		n.held = append(n.held, heldSend{seq: n.writes.hardSeq, send: Send{To: to.Name, Message: m}})
+	}
+}
+
+// sendHeld sends m once all writes up to the end of this step are synced.
+func (n *Node) sendHeld(to Voter, m Message) {
+	n.held = append(n.held, heldSend{send: Send{To: to.Name, Message: m}})
+}
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -104,6 +104,8 @@
 		Voters []Voter `protobuf:"bytes,3,rep,name=voters"`
 		// Leaving is the disk of the voter that is removed next, empty outside a replacement.
 		Leaving string `protobuf:"bytes,4,opt,name=leaving"`
+		// Joining is the name of the member that is added next, empty outside a replacement.
+		Joining string `protobuf:"bytes,6,opt,name=joining"`
 		// Removed lists disks that may not return, the latest last.
 		Removed []string `protobuf:"bytes,5,rep,name=removed"`
 	}
@@ -256,7 +258,7 @@
 	if len(m.Voters) == 0 || len(m.Voters) > MaxPeers || len(m.Removed) > MaxRemoved {
 		return fmt.Errorf("%w: membership with %d voters and %d removed disks", ErrInvalid, len(m.Voters), len(m.Removed))
 	}
-	if m.Group == "" || len(m.Group) > MaxName || m.Index == 0 || len(m.Leaving) > MaxName {
+	if m.Group == "" || len(m.Group) > MaxName || m.Index == 0 || len(m.Leaving) > MaxName || len(m.Joining) > MaxName {
 		return fmt.Errorf("%w: membership of group %q at index %d", ErrInvalid, m.Group, m.Index)
 	}
 	for i := range m.Voters {
