--- /dev/null
+++ b/internal/root/ctrl/limit/message.go
@@ -0,0 +1,136 @@
+package limit
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+const (
+	// MaxRate is the largest rate in tokens per second and the largest burst in tokens.
+	MaxRate = 10_000_000
+
+	maxAccount = 128
+	maxReports = 64
+	// maxWanted bounds the tokens of one ask; it is far above the use of one holder in a second.
+	maxWanted = 1 << 20
+)
+
+// ErrMessage reports a message with an invalid field.
+var ErrMessage = errors.New("invalid token message")
+
+type (
+	// Limit is the rate and burst of one client account.
+	Limit struct {
+		Account string
+		// Rate is in tokens per second.
+		Rate uint32
+		// Burst is in tokens.
+		Burst uint32
+	}
+
+	// LotReport tells the owner how much of a lot is spent in total. When Closed, the rest is returned
+	// and nothing more will be spent from the lot.
+	LotReport struct {
+		Lot    uint64 `protobuf:"varint,1,opt,name=lot"`
+		Spent  uint32 `protobuf:"varint,2,opt,name=spent"`
+		Closed bool   `protobuf:"varint,3,opt,name=closed"`
+	}
+
+	// TokenAsk goes from a holder to the owner. With neither Need nor Demand it only reports.
+	TokenAsk struct {
+		Account string `protobuf:"bytes,1,opt,name=account"`
+		// Boot differs for each start of the holder.
+		Boot uint64 `protobuf:"fixed64,2,opt,name=boot"`
+		// Seq increases with each ask of one start of the holder, from 1.
+		Seq uint64 `protobuf:"varint,3,opt,name=seq"`
+		// Need is the number of requests that wait for a token.
+		Need uint32 `protobuf:"varint,4,opt,name=need"`
+		// Demand is the number of tokens wanted in stock, beyond Need.
+		Demand uint32 `protobuf:"varint,5,opt,name=demand"`
+		// Epoch is that of the owner that granted the lots in Reports.
+		Epoch   uint64      `protobuf:"varint,6,opt,name=epoch"`
+		Reports []LotReport `protobuf:"bytes,7,rep,name=reports"`
+	}
+
+	// Grant answers a TokenAsk; a parked ask is answered by several grants.
+	Grant struct {
+		Account string `protobuf:"bytes,1,opt,name=account"`
+		// Boot and Seq repeat those of the ask.
+		Boot  uint64 `protobuf:"fixed64,2,opt,name=boot"`
+		Seq   uint64 `protobuf:"varint,3,opt,name=seq"`
+		Epoch uint64 `protobuf:"varint,4,opt,name=epoch"`
+		// Lot is unique within the epoch; zero when no tokens are granted.
+		Lot    uint64 `protobuf:"varint,5,opt,name=lot"`
+		Tokens uint32 `protobuf:"varint,6,opt,name=tokens"`
+		// Parked is the part of Need for which the owner still holds the ask.
+		Parked uint32 `protobuf:"varint,7,opt,name=parked"`
+		// RetryAfter tells the holder to refuse locally for this long what it cannot serve.
+		RetryAfter time.Duration `protobuf:"varint,8,opt,name=retry_after"`
+	}
+
+	// Recall asks a holder to return what it has not spent.
+	Recall struct {
+		Account string `protobuf:"bytes,1,opt,name=account"`
+		Epoch   uint64 `protobuf:"varint,2,opt,name=epoch"`
+	}
+)
+
+// Check returns an error that names the first invalid field.
+func (l *Limit) Check() error {
+	if err := checkAccount(l.Account); err != nil {
+		return err
+	}
+	if l.Rate == 0 || l.Rate > MaxRate || l.Burst == 0 || l.Burst > MaxRate {
+		return fmt.Errorf("%w: rate %d and burst %d, want 1 to %d", ErrMessage, l.Rate, l.Burst, MaxRate)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (a *TokenAsk) Check() error {
+	switch {
+	case a.Boot == 0 || a.Seq == 0:
+		return fmt.Errorf("%w: ask without boot or seq", ErrMessage)
+	case a.Need > maxWanted || a.Demand > maxWanted:
+		return fmt.Errorf("%w: need %d and demand %d, limit %d", ErrMessage, a.Need, a.Demand, maxWanted)
+	case len(a.Reports) > maxReports:
+		return fmt.Errorf("%w: %d reports, limit %d", ErrMessage, len(a.Reports), maxReports)
+	}
+	for _, r := range a.Reports {
+		if r.Lot == 0 {
+			return fmt.Errorf("%w: report without lot", ErrMessage)
+		}
+	}
+	return checkAccount(a.Account)
+}
+
+// Check returns an error that names the first invalid field.
+func (g *Grant) Check() error {
+	switch {
+	case g.Boot == 0 || g.Seq == 0 || g.Epoch == 0:
+		return fmt.Errorf("%w: grant without boot, seq or epoch", ErrMessage)
+	case (g.Lot == 0) != (g.Tokens == 0):
+		return fmt.Errorf("%w: lot %d of %d tokens", ErrMessage, g.Lot, g.Tokens)
+	case g.Tokens > 2*maxWanted:
+		return fmt.Errorf("%w: %d tokens, limit %d", ErrMessage, g.Tokens, 2*maxWanted)
+	case g.RetryAfter < 0 || g.RetryAfter > maxRetryAfter:
+		return fmt.Errorf("%w: retry after %v, limit %v", ErrMessage, g.RetryAfter, maxRetryAfter)
+	}
+	return checkAccount(g.Account)
+}
+
+// Check returns an error that names the first invalid field.
+func (r *Recall) Check() error {
+	if r.Epoch == 0 {
+		return fmt.Errorf("%w: recall without epoch", ErrMessage)
+	}
+	return checkAccount(r.Account)
+}
+
+func checkAccount(name string) error {
+	if name == "" || len(name) > maxAccount {
+		return fmt.Errorf("%w: account of %d bytes, want 1 to %d", ErrMessage, len(name), maxAccount)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/root/ctrl/member/message.go
@@ -0,0 +1,165 @@
+package member
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+const (
+	// MaxView is the largest number of instances of one service in a view.
+	MaxView = 24
+
+	maxName     = 64
+	maxID       = 2*maxName + 1
+	maxStart    = 128
+	maxServices = 512
+	maxCapacity = 1 << 20
+)
+
+// ErrMessage reports a message with an invalid field.
+var ErrMessage = errors.New("invalid member message")
+
+type (
+	// Announcement is what a backend server posts to the daemon beside it.
+	Announcement struct {
+		Service     string `json:"service"`
+		Address     string `json:"address"`
+		Slots       uint32 `json:"slots"`
+		Connections uint32 `json:"connections"`
+		// Start differs for each start of the backend server.
+		Start string `json:"start"`
+	}
+
+	// Announce goes from a daemon to the leader for a new or changed instance.
+	Announce struct {
+		Instance snap.Endpoint `protobuf:"bytes,1,opt,name=instance"`
+		// Seq increases with each Announce and Leave of one start of the daemon, from 1.
+		Seq uint64 `protobuf:"varint,2,opt,name=seq"`
+	}
+
+	// Leave goes from a daemon to the leader when an instance leaves or its lease ends.
+	Leave struct {
+		ID  string `protobuf:"bytes,1,opt,name=id"`
+		Seq uint64 `protobuf:"varint,2,opt,name=seq"`
+	}
+
+	// Beat goes from a daemon to the leader every second.
+	Beat struct {
+		Seq uint64 `protobuf:"varint,1,opt,name=seq"`
+		// Revision is the configuration in force at the daemon.
+		Revision uint64 `protobuf:"varint,2,opt,name=revision"`
+	}
+
+	// Lease answers a Beat.
+	Lease struct {
+		// Seq is that of the beat.
+		Seq uint64 `protobuf:"varint,1,opt,name=seq"`
+		// Revision is the configuration in force; the loop fills it in.
+		Revision uint64 `protobuf:"varint,2,opt,name=revision"`
+	}
+
+	// Want lists all services that a daemon calls; the answer is a full view of each.
+	Want struct {
+		Services []string `protobuf:"bytes,1,rep,name=services"`
+	}
+
+	// Change brings a daemon's view of one service up to date.
+	Change struct {
+		Service string `protobuf:"bytes,1,opt,name=service"`
+		// Base is the version of the view to which the change applies; zero replaces the view.
+		Base    uint64 `protobuf:"varint,2,opt,name=base"`
+		Version uint64 `protobuf:"varint,3,opt,name=version"`
+		// Set holds the instances that are new or changed.
+		Set []snap.Endpoint `protobuf:"bytes,4,rep,name=set"`
+		// Removed holds the ids of instances that left the view.
+		Removed []string `protobuf:"bytes,5,rep,name=removed"`
+	}
+)
+
+// Check returns an error that names the first invalid field.
+func (a *Announcement) Check() error {
+	switch {
+	case a.Service == "" || len(a.Service) > maxName:
+		return fmt.Errorf("%w: service of %d bytes, want 1 to %d", ErrMessage, len(a.Service), maxName)
+	case a.Address == "" || len(a.Address) > maxName:
+		return fmt.Errorf("%w: address of %d bytes, want 1 to %d", ErrMessage, len(a.Address), maxName)
+	case a.Slots == 0 || a.Slots > maxCapacity || a.Connections > maxCapacity:
+		return fmt.Errorf("%w: %d slots and %d connections, limit %d", ErrMessage, a.Slots, a.Connections, maxCapacity)
+	case len(a.Start) > maxStart:
+		return fmt.Errorf("%w: start of %d bytes, limit %d", ErrMessage, len(a.Start), maxStart)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (a *Announce) Check() error {
+	if a.Seq == 0 {
+		return fmt.Errorf("%w: announce without seq", ErrMessage)
+	}
+	if err := a.Instance.Check(); err != nil {
+		return fmt.Errorf("%w: %w", ErrMessage, err)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (l *Leave) Check() error {
+	if l.Seq == 0 || l.ID == "" || len(l.ID) > maxID {
+		return fmt.Errorf("%w: leave %d with id of %d bytes", ErrMessage, l.Seq, len(l.ID))
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (b *Beat) Check() error {
+	if b.Seq == 0 {
+		return fmt.Errorf("%w: beat without seq", ErrMessage)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (l *Lease) Check() error {
+	if l.Seq == 0 {
+		return fmt.Errorf("%w: lease without seq", ErrMessage)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (w *Want) Check() error {
+	if len(w.Services) > maxServices {
+		return fmt.Errorf("%w: %d services, limit %d", ErrMessage, len(w.Services), maxServices)
+	}
+	for _, s := range w.Services {
+		if s == "" || len(s) > maxName {
+			return fmt.Errorf("%w: service of %d bytes, want 1 to %d", ErrMessage, len(s), maxName)
+		}
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (c *Change) Check() error {
+	switch {
+	case c.Service == "" || len(c.Service) > maxName:
+		return fmt.Errorf("%w: service of %d bytes, want 1 to %d", ErrMessage, len(c.Service), maxName)
+	case c.Version <= c.Base:
+		return fmt.Errorf("%w: version %d follows %d", ErrMessage, c.Version, c.Base)
+	case len(c.Set) > MaxView || len(c.Removed) > MaxView:
+		return fmt.Errorf("%w: %d set and %d removed, limit %d", ErrMessage, len(c.Set), len(c.Removed), MaxView)
+	}
+	for i := range c.Set {
+		if err := c.Set[i].Check(); err != nil {
+			return fmt.Errorf("%w: %w", ErrMessage, err)
+		}
+	}
+	for _, id := range c.Removed {
+		if id == "" || len(id) > maxID {
+			return fmt.Errorf("%w: id of %d bytes, want 1 to %d", ErrMessage, len(id), maxID)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/root/ctrl/state/command.go
@@ -0,0 +1,331 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+const (
+	// MaxText is the largest rules text in bytes; an encoded proposal fits into one frame.
+	MaxText = 2 << 20
+	// MaxBody is the largest stored response body in bytes.
+	MaxBody = 64 << 10
+	// MaxQuarantine is the longest time for which one command quarantines a fingerprint.
+	MaxQuarantine = 24 * time.Hour
+
+	hashSize       = 32
+	maxName        = 128
+	maxRoute       = 512
+	maxKey         = 256
+	maxFingerprint = 64
+	maxHeaders     = 64
+	maxHeaderName  = 256
+	maxHeaderValue = 8 << 10
+	maxHeaderBytes = 16 << 10
+)
+
+// Outcomes that a daemon reports for a request it began.
+const (
+	// Answered means that the request ran and its response is attached.
+	Answered Outcome = iota + 1
+	// NotRun means that the request provably did not run, so that a resend may run.
+	NotRun
+	// Unknown means that the request may have run.
+	Unknown
+)
+
+// ErrCommand reports a command with an invalid field.
+var ErrCommand = errors.New("invalid command")
+
+type (
+	// Command is a change of the replicated state.
+	Command interface{ command() }
+
+	// Outcome says what became of a request.
+	Outcome uint32
+
+	// ProposeConfig proposes Text as revision Number.
+	ProposeConfig struct {
+		Number uint64 `protobuf:"varint,1,opt,name=number"`
+		Text   []byte `protobuf:"bytes,2,opt,name=text"`
+		Author string `protobuf:"bytes,3,opt,name=author"`
+		// Origin is the daemon that proposed.
+		Origin string `protobuf:"bytes,4,opt,name=origin"`
+		// Hash is the SHA-256 of Text.
+		Hash []byte     `protobuf:"bytes,5,opt,name=hash"`
+		At   wire.Stamp `protobuf:"varint,6,opt,name=at"`
+	}
+
+	// OnceScope identifies an idempotency record.
+	OnceScope struct {
+		Account string `protobuf:"bytes,1,opt,name=account"`
+		Route   string `protobuf:"bytes,2,opt,name=route"`
+		Key     string `protobuf:"bytes,3,opt,name=key"`
+	}
+
+	// Attempt identifies one run of a request. A daemon that sends an OnceBegin again after a lost
+	// answer repeats the Attempt; a resend by the caller is a new one.
+	Attempt struct {
+		// Daemon is the peer address of the daemon that runs the request.
+		Daemon string `protobuf:"bytes,1,opt,name=daemon"`
+		// Boot differs for each start of that daemon.
+		Boot uint64 `protobuf:"fixed64,2,opt,name=boot"`
+		// Number increases with each attempt of that start of the daemon, from 1.
+		Number uint64 `protobuf:"varint,3,opt,name=number"`
+	}
+
+	// OnceBegin asks to run a request; it must be committed before dispatch.
+	OnceBegin struct {
+		Scope       OnceScope `protobuf:"bytes,1,opt,name=scope"`
+		Attempt     Attempt   `protobuf:"bytes,2,opt,name=attempt"`
+		RequestHash []byte    `protobuf:"bytes,3,opt,name=request_hash"`
+		// At is set by the leader when it proposes the command.
+		At wire.Stamp `protobuf:"varint,4,opt,name=at"`
+	}
+
+	// Header is one header field of a stored response.
+	Header struct {
+		Name  string `protobuf:"bytes,1,opt,name=name"`
+		Value string `protobuf:"bytes,2,opt,name=value"`
+	}
+
+	// Answer is a stored response; it is immutable once a command carries it.
+	Answer struct {
+		Status  uint32   `protobuf:"varint,1,opt,name=status"`
+		Headers []Header `protobuf:"bytes,2,rep,name=headers"`
+		Body    []byte   `protobuf:"bytes,3,opt,name=body"`
+	}
+
+	// OnceFinish reports the outcome of an attempt; it must be committed before the response is delivered.
+	OnceFinish struct {
+		Scope   OnceScope `protobuf:"bytes,1,opt,name=scope"`
+		Attempt Attempt   `protobuf:"bytes,2,opt,name=attempt"`
+		Outcome Outcome   `protobuf:"varint,3,opt,name=outcome"`
+		// Answer is present exactly when Outcome is Answered.
+		Answer *Answer `protobuf:"bytes,4,opt,name=answer"`
+		// At is set by the leader when it proposes the command.
+		At wire.Stamp `protobuf:"varint,5,opt,name=at"`
+	}
+
+	// DaemonGone says that a start of a daemon has been gone for 10 s, or that a later start replaced it.
+	DaemonGone struct {
+		Daemon string `protobuf:"bytes,1,opt,name=daemon"`
+		// Boot is the start that is gone; zero means every start.
+		Boot uint64     `protobuf:"fixed64,2,opt,name=boot"`
+		At   wire.Stamp `protobuf:"varint,3,opt,name=at"`
+	}
+
+	// QuarantineAdd refuses a request fingerprint fleet-wide until For has passed.
+	QuarantineAdd struct {
+		Fingerprint string        `protobuf:"bytes,1,opt,name=fingerprint"`
+		For         time.Duration `protobuf:"varint,2,opt,name=for"`
+		At          wire.Stamp    `protobuf:"varint,3,opt,name=at"`
+	}
+
+	// Tick only carries the time, so that entries expire while nothing else is proposed.
+	Tick struct {
+		At wire.Stamp `protobuf:"varint,1,opt,name=at"`
+	}
+
+	// Envelope carries one command; exactly one field is set.
+	Envelope struct {
+		ProposeConfig *ProposeConfig `protobuf:"bytes,1,opt,name=propose_config"`
+		OnceBegin     *OnceBegin     `protobuf:"bytes,2,opt,name=once_begin"`
+		OnceFinish    *OnceFinish    `protobuf:"bytes,3,opt,name=once_finish"`
+		DaemonGone    *DaemonGone    `protobuf:"bytes,4,opt,name=daemon_gone"`
+		QuarantineAdd *QuarantineAdd `protobuf:"bytes,5,opt,name=quarantine_add"`
+		Tick          *Tick          `protobuf:"bytes,6,opt,name=tick"`
+	}
+)
+
+func (*ProposeConfig) command() {}
+func (*OnceBegin) command()     {}
+func (*OnceFinish) command()    {}
+func (*DaemonGone) command()    {}
+func (*QuarantineAdd) command() {}
+func (*Tick) command()          {}
+
+// EncodeCommand returns the bytes of c for the log; a command that fails its check is an error.
+func EncodeCommand(c Command) ([]byte, error) {
+	var e Envelope
+	switch c := c.(type) {
+	case *ProposeConfig:
+		e.ProposeConfig = c
+	case *OnceBegin:
+		e.OnceBegin = c
+	case *OnceFinish:
+		e.OnceFinish = c
+	case *DaemonGone:
+		e.DaemonGone = c
+	case *QuarantineAdd:
+		e.QuarantineAdd = c
+	case *Tick:
+		e.Tick = c
+	}
+	if err := e.Check(); err != nil {
+		return nil, err
+	}
+	return wire.Encode(&e)
+}
+
+// DecodeCommand returns the command in body; errors wrap wire.ErrDecode.
+func DecodeCommand(body []byte) (Command, error) {
+	e, err := wire.Decode[Envelope](body)
+	if err != nil {
+		return nil, err
+	}
+	return e.Command(), nil
+}
+
+// Command returns the command that the envelope carries, or nil.
+func (e *Envelope) Command() Command {
+	switch {
+	case e.ProposeConfig != nil:
+		return e.ProposeConfig
+	case e.OnceBegin != nil:
+		return e.OnceBegin
+	case e.OnceFinish != nil:
+		return e.OnceFinish
+	case e.DaemonGone != nil:
+		return e.DaemonGone
+	case e.QuarantineAdd != nil:
+		return e.QuarantineAdd
+	case e.Tick != nil:
+		return e.Tick
+	}
+	return nil
+}
+
+// Check returns an error unless exactly one valid command is set.
+func (e *Envelope) Check() error {
+	count := 0
+	for _, set := range []bool{
+		e.ProposeConfig != nil, e.OnceBegin != nil, e.OnceFinish != nil,
+		e.DaemonGone != nil, e.QuarantineAdd != nil, e.Tick != nil,
+	} {
+		if set {
+			count++
+		}
+	}
+	if count != 1 {
+		return fmt.Errorf("%w: %d commands in one envelope", ErrCommand, count)
+	}
+	return e.Command().(interface{ Check() error }).Check()
+}
+
+// Check returns an error that names the first invalid field.
+func (c *ProposeConfig) Check() error {
+	switch {
+	case c.Number == 0:
+		return fmt.Errorf("%w: revision 0", ErrCommand)
+	case len(c.Text) == 0 || len(c.Text) > MaxText:
+		return fmt.Errorf("%w: text of %d bytes, want 1 to %d", ErrCommand, len(c.Text), MaxText)
+	case len(c.Hash) != hashSize:
+		return fmt.Errorf("%w: hash of %d bytes, want %d", ErrCommand, len(c.Hash), hashSize)
+	}
+	return first(size("author", c.Author, 0, maxName), size("origin", c.Origin, 0, maxName), stamp(c.At))
+}
+
+// Check returns an error that names the first invalid field.
+func (s *OnceScope) Check() error {
+	return first(size("account", s.Account, 0, maxName), size("route", s.Route, 1, maxRoute), size("key", s.Key, 1, maxKey))
+}
+
+// Check returns an error that names the first invalid field.
+func (a *Attempt) Check() error {
+	if a.Boot == 0 || a.Number == 0 {
+		return fmt.Errorf("%w: attempt without boot or number", ErrCommand)
+	}
+	return size("daemon", a.Daemon, 1, maxName)
+}
+
+// Check returns an error that names the first invalid field.
+func (c *OnceBegin) Check() error {
+	if len(c.RequestHash) != hashSize {
+		return fmt.Errorf("%w: request hash of %d bytes, want %d", ErrCommand, len(c.RequestHash), hashSize)
+	}
+	return first(c.Scope.Check(), c.Attempt.Check(), stamp(c.At))
+}
+
+// Check returns an error that names the first invalid field.
+func (a *Answer) Check() error {
+	if a.Status < 100 || a.Status > 999 {
+		return fmt.Errorf("%w: status %d", ErrCommand, a.Status)
+	}
+	if len(a.Body) > MaxBody {
+		return fmt.Errorf("%w: body of %d bytes, limit %d", ErrCommand, len(a.Body), MaxBody)
+	}
+	if len(a.Headers) > maxHeaders {
+		return fmt.Errorf("%w: %d headers, limit %d", ErrCommand, len(a.Headers), maxHeaders)
+	}
+	total := 0
+	for _, h := range a.Headers {
+		if err := first(size("header name", h.Name, 1, maxHeaderName), size("header value", h.Value, 0, maxHeaderValue)); err != nil {
+			return err
+		}
+		total += len(h.Name) + len(h.Value)
+	}
+	if total > maxHeaderBytes {
+		return fmt.Errorf("%w: headers of %d bytes, limit %d", ErrCommand, total, maxHeaderBytes)
+	}
+	return nil
+}
+
+// Check returns an error that names the first invalid field.
+func (c *OnceFinish) Check() error {
+	if c.Outcome < Answered || c.Outcome > Unknown {
+		return fmt.Errorf("%w: outcome %d", ErrCommand, c.Outcome)
+	}
+	if (c.Answer != nil) != (c.Outcome == Answered) {
+		return fmt.Errorf("%w: answer does not fit outcome %d", ErrCommand, c.Outcome)
+	}
+	if c.Answer != nil {
+		if err := c.Answer.Check(); err != nil {
+			return err
+		}
+	}
+	return first(c.Scope.Check(), c.Attempt.Check(), stamp(c.At))
+}
+
+// Check returns an error that names the first invalid field.
+func (c *DaemonGone) Check() error {
+	return first(size("daemon", c.Daemon, 1, maxName), stamp(c.At))
+}
+
+// Check returns an error that names the first invalid field.
+func (c *QuarantineAdd) Check() error {
+	if c.For <= 0 || c.For > MaxQuarantine {
+		return fmt.Errorf("%w: quarantine for %v, want up to %v", ErrCommand, c.For, MaxQuarantine)
+	}
+	return first(size("fingerprint", c.Fingerprint, 1, maxFingerprint), stamp(c.At))
+}
+
+// Check returns an error that names the first invalid field.
+func (c *Tick) Check() error { return stamp(c.At) }
+
+func size(field, value string, least, most int) error {
+	if len(value) < least || len(value) > most {
+		return fmt.Errorf("%w: %s of %d bytes, want %d to %d", ErrCommand, field, len(value), least, most)
+	}
+	return nil
+}
+
+// stamp rejects a time that is not set. A daemon's OnceBegin carries its own time until the leader sets it.
+func stamp(at wire.Stamp) error {
+	if at <= 0 {
+		return fmt.Errorf("%w: no time", ErrCommand)
+	}
+	return nil
+}
+
+func first(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/snap/doc.go
@@ -0,0 +1,2 @@
+// Package snap holds the immutable data that traffic goroutines read without a lock.
+package snap
