--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -38,7 +38,6 @@
 		transport *http.Transport
 		leaving   atomic.Bool
 		died      atomic.Bool
-		inFlight  sync.WaitGroup
 	}
 
 	// backends holds the backend servers beside this daemon by instance id.
@@ -109,16 +108,6 @@
 	}
 }
 
-func (b *backends) all() []*backend {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	out := make([]*backend, 0, len(b.byID))
-	for _, known := range b.byID {
-		out = append(out, known)
-	}
-	return out
-}
-
 // lost handles a connection that broke with a request in flight and reports whether the backend server
 // has died.
 func (b *backends) lost(target *backend, fingerprint string) bool {
@@ -126,6 +115,9 @@
 	if err == nil {
 		_ = conn.Close()
 	}
+	if err != nil {
+		b.control.Refused(target.endpoint.Address)
+	}
 	if err != nil || target.died.Load() {
 		b.declareDead(target)
 		return true
--- a/internal/root/call/crash/docket.go
+++ b/internal/root/call/crash/docket.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 type (
@@ -12,8 +12,8 @@
 
 	// Quarantine refuses a fingerprint fleet-wide until a time.
 	Quarantine struct {
-		Fingerprint string        `protobuf:"bytes,1,opt,name=fingerprint"`
-		Until       snap.UnixNano `protobuf:"varint,2,opt,name=until"`
+		Fingerprint string     `protobuf:"bytes,1,opt,name=fingerprint"`
+		Until       wire.Stamp `protobuf:"varint,2,opt,name=until"`
 	}
 )
 
@@ -27,7 +27,7 @@
 		return Quarantine{}, false
 	}
 	delete(d.reports.entries, fingerprint)
-	return Quarantine{Fingerprint: fingerprint, Until: snap.UnixNano(now.Add(quarantine).UnixNano())}, true
+	return Quarantine{Fingerprint: fingerprint, Until: wire.StampOf(now.Add(quarantine))}, true
 }
 
 // Clear drops the reports about a fingerprint that has completed normally.
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -320,7 +320,7 @@
 
 // deliver passes on an answer, resuming a download from another instance when it breaks.
 func (f *Forwarder) deliver(ctx context.Context, r *Request, to sink, got attempt, endpoint *snap.Endpoint, instances *picker.Picker) result {
-	var ended picker.Result = got.pick
+	ended := got.pick
 	resume := newResumption(r, got.answer)
 	outcome := f.relay(ctx, r, to, got, resume)
 	if _, cut := outcome.(broken); cut && ctx.Err() == nil {
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -148,7 +148,7 @@
 	case TokenRefused:
 		return retry.Rate{}, &account.Rule
 	case TokenUnavailable:
-		return retry.StaleConfig{}, &account.Rule
+		return retry.RateUnavailable{}, &account.Rule
 	}
 	return nil, nil
 }
--- a/internal/root/call/outer.go
+++ b/internal/root/call/outer.go
@@ -71,12 +71,6 @@
 	return c, ok
 }
 
-func (o *outerCalls) count() int {
-	o.mu.RLock()
-	defer o.mu.RUnlock()
-	return len(o.byToken)
-}
-
 func (c *outerCall) beginNested(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/root/call/respond.go
+++ b/internal/root/call/respond.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -18,9 +19,6 @@
 
 	// flushBelow is the content length up to which an answer is written without intermediate flushes.
 	flushBelow = 64 << 10
-
-	// maxStoredBody is the largest answer body that an idempotency record keeps, in bytes.
-	maxStoredBody = 64 << 10
 )
 
 var errCallerGone = errors.New("caller has gone")
@@ -39,11 +37,11 @@
 		deadline time.Time // when the present write deadline passes
 	}
 
-	// holder keeps an answer up to maxStoredBody; a longer one is passed on to next after store has been
+	// holder keeps an answer up to state.MaxBody; a longer one is passed on to next after store has been
 	// called.
 	holder struct {
 		next   *stream
-		store  func(answer *StoredAnswer) error
+		store  func(answer *state.Answer)
 		answer *Answer
 		body   bytes.Buffer
 		stored bool
@@ -122,7 +120,7 @@
 		return h.next.write(part)
 	}
 	h.body.Write(part)
-	if h.body.Len() > maxStoredBody {
+	if h.body.Len() > state.MaxBody {
 		return h.release(true)
 	}
 	return nil
@@ -130,13 +128,8 @@
 
 // release stores the answer and passes on what was held.
 func (h *holder) release(truncated bool) error {
-	stored := &StoredAnswer{Status: h.answer.Status, Header: h.answer.Header, Truncated: truncated}
-	if !truncated {
-		stored.Body = h.body.Bytes()
-	}
 	h.stored = true
-	// The caller gets the answer even when it could not be stored; a resend then finds the outcome unknown.
-	_ = h.store(stored)
+	h.store(storedAnswer(h.answer, h.body.Bytes(), !truncated))
 	if err := h.next.start(h.answer); err != nil {
 		return err
 	}
@@ -181,12 +174,3 @@
 	w.WriteHeader(row.Status)
 	_, _ = w.Write([]byte(body))
 }
-
-// replay writes the kept answer of an earlier run.
-func replay(w http.ResponseWriter, answer *StoredAnswer) {
-	addFields(w.Header(), answer.Header)
-	w.Header().Set(HeaderReplay, "true")
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	w.WriteHeader(int(answer.Status))
-	_, _ = w.Write(answer.Body)
-}
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -67,6 +67,8 @@
 	AccountNotAllowed struct{}
 	// Rate is a request above the rate of its client account.
 	Rate struct{}
+	// RateUnavailable is a request for which the owner of the rate tokens did not answer in time.
+	RateUnavailable struct{}
 	// Quarantined is a request whose fingerprint has crashed backend servers.
 	Quarantined struct{}
 	// StaleConfig is a request to a daemon without a live lease.
@@ -89,8 +91,6 @@
 	InProgress struct{}
 	// KeyReuse is a different request under an Idempotency-Key already used.
 	KeyReuse struct{}
-	// AnswerNotKept is a resend of a request that has run and whose answer was too large to keep.
-	AnswerNotKept struct{}
 	// EarlierUnknown is a resend of a request whose first run has an unknown outcome.
 	EarlierUnknown struct{}
 	// DeadlineBefore is a request whose deadline passed before its first byte was sent.
@@ -114,6 +114,7 @@
 func (KeyWithdrawn) failure()      {}
 func (AccountNotAllowed) failure() {}
 func (Rate) failure()              {}
+func (RateUnavailable) failure()   {}
 func (Quarantined) failure()       {}
 func (StaleConfig) failure()       {}
 func (Throttled) failure()         {}
@@ -125,7 +126,6 @@
 func (RecordUnavailable) failure() {}
 func (InProgress) failure()        {}
 func (KeyReuse) failure()          {}
-func (AnswerNotKept) failure()     {}
 func (EarlierUnknown) failure()    {}
 func (DeadlineBefore) failure()    {}
 func (DeadlineAfter) failure()     {}
@@ -151,6 +151,8 @@
 		return Row{Reason: "account-not-allowed", Status: http.StatusForbidden, Outcome: NotRun}
 	case Rate:
 		return Row{Reason: "rate", Status: http.StatusTooManyRequests, Outcome: NotRun, After: overloadPause}
+	case RateUnavailable:
+		return Row{Reason: "rate-unavailable", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause}
 	case Quarantined:
 		return Row{Reason: "quarantined", Status: http.StatusUnprocessableEntity, Outcome: NotRun}
 	case StaleConfig:
@@ -173,8 +175,6 @@
 		return Row{Reason: "in-progress", Status: http.StatusConflict, Outcome: Unknown, After: overloadPause}
 	case KeyReuse:
 		return Row{Reason: "key-reuse", Status: http.StatusUnprocessableEntity, Outcome: NotRun}
-	case AnswerNotKept:
-		return Row{Reason: "answer-not-kept", Status: http.StatusConflict, Outcome: Ran}
 	case EarlierUnknown:
 		return Row{Reason: "earlier-unknown", Status: http.StatusConflict, Outcome: Unknown}
 	case DeadlineBefore:
@@ -219,6 +219,7 @@
 		KeyWithdrawn{},
 		AccountNotAllowed{},
 		Rate{},
+		RateUnavailable{},
 		Quarantined{},
 		StaleConfig{},
 		Throttled{},
@@ -230,7 +231,6 @@
 		RecordUnavailable{},
 		InProgress{},
 		KeyReuse{},
-		AnswerNotKept{},
 		EarlierUnknown{},
 		DeadlineBefore{},
 		DeadlineAfter{},
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
@@ -30,7 +30,8 @@
 		backends *backends
 		suspects *crash.Suspects
 		outer    *outerCalls
-		running  sync.WaitGroup
+		running  activity
+		leaving  atomic.Bool // new calls are refused
 	}
 
 	// served is one call in progress at the daemon beside the backend server.
@@ -48,8 +49,8 @@
 
 // ServeStream serves one call stream and closes it.
 func (s *Server) ServeStream(ctx context.Context, stream *link.Stream) {
-	s.running.Add(1)
-	defer s.running.Done()
+	s.running.begin()
+	defer s.running.end()
 	defer func() { _ = stream.Close() }()
 	reader := bufio.NewReaderSize(stream, 4<<10)
 	head, err := readHead(reader)
@@ -82,9 +83,6 @@
 	_ = c.writer.Flush()
 }
 
-// waitIdle returns once no call is in progress.
-func (s *Server) waitIdle() { s.running.Wait() }
-
 func readHead(reader io.Reader) (*Head, error) {
 	frame, err := wire.ReadFrame(reader, maxFrame)
 	if err != nil {
@@ -128,7 +126,7 @@
 	}
 	c.backend = target
 	c.outer.chain[len(c.outer.chain)-1] = target.endpoint.Service
-	if target.leaving.Load() {
+	if target.leaving.Load() || c.server.leaving.Load() {
 		c.refuse(retry.Draining{})
 		return
 	}
@@ -307,6 +305,7 @@
 		return admit.Canceled{}
 	case !c.reached:
 		c.endSuspect(false)
+		c.server.backends.control.Refused(c.backend.endpoint.Address)
 		c.refuse(retry.Unreached{})
 		return admit.Lost{}
 	}
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -88,6 +88,9 @@
 	}
 }
 
+// Running returns the number of calls in progress in the backend server beside this daemon.
+func (t *Traffic) Running() int { return t.server.running.running() }
+
 // ServeStream serves a call stream of another daemon.
 func (t *Traffic) ServeStream(ctx context.Context, stream *link.Stream) {
 	t.server.ServeStream(ctx, stream)
@@ -123,6 +126,7 @@
 		}
 		server.SetKeepAlivesEnabled(false)
 		if name == "ingress" {
+			t.Control.StartDrain()
 			t.wait(t.LeaveDelay)
 		}
 		t.Log.Info().Str("server", name).Msg("server-draining")
@@ -137,7 +141,8 @@
 // needs the local address for nested calls.
 func (t *Traffic) drain(ctx context.Context) error {
 	<-ctx.Done()
-	t.server.waitIdle()
+	t.server.leaving.Store(true)
+	t.server.running.waitIdle()
 	t.Log.Info().Msg("calls-drained")
 	return nil
 }
--- a/internal/snap/doc.go
+++ b/internal/snap/doc.go
@@ -1,2 +1,3 @@
-// Package snap holds the immutable view of control state that the control loop publishes to traffic.
+// Package snap holds the immutable data that the control loop publishes and traffic goroutines read
+// without a lock.
 package snap
