--- /dev/null
+++ b/internal/root/ctrl/client.go
@@ -0,0 +1,131 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+// ErrUnanswered reports a request that the control loop or the leader did not answer in time.
+var ErrUnanswered = errors.New("no answer from the control plane")
+
+var _ call.Control = (*Loop)(nil)
+
+// post hands an event to the loop; it reports false when ctx ended first.
+func (l *Loop) post(ctx context.Context, event Event) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.stopped:
+		return false
+	}
+}
+
+// notify hands an event to the loop without a limit in time.
+func (l *Loop) notify(event Event) { l.post(context.Background(), event) }
+
+// await posts an event and waits for its reply.
+func await[T any](ctx context.Context, l *Loop, event Event, reply <-chan T) (value T, err error) {
+	if !l.post(ctx, event) {
+		return value, ErrUnanswered
+	}
+	select {
+	case value = <-reply:
+		return value, nil
+	case <-ctx.Done():
+		return value, ErrUnanswered
+	case <-l.stopped:
+		return value, ErrUnanswered
+	}
+}
+
+// Snapshot returns the control state that was published last.
+func (l *Loop) Snapshot() *snap.Snapshot { return l.snapshot.Load() }
+
+// TakeToken takes one rate token of the client account, waiting for a grant until ctx ends.
+func (l *Loop) TakeToken(ctx context.Context, account string) call.TokenVerdict {
+	cell := (*l.cells.Load())[account]
+	if cell == nil {
+		return call.TokenUnavailable{}
+	}
+	now := l.clock.Now()
+	if cell.Take(now) {
+		return call.TokenTaken{}
+	}
+	if cell.RetryAfter(now) > 0 {
+		return call.TokenRefused{}
+	}
+	reply := make(chan call.TokenVerdict, 1)
+	waiter := l.waiters.Add(1)
+	verdict, err := await(ctx, l, tokenNeeded{account: account, waiter: waiter, reply: reply}, reply)
+	if err != nil {
+		l.notify(tokenAbandoned{account: account, waiter: waiter})
+		return call.TokenUnavailable{}
+	}
+	return verdict
+}
+
+// Want subscribes to the instances of a service and waits for the first list until ctx ends.
+func (l *Loop) Want(ctx context.Context, service string) *snap.Endpoints {
+	reply := make(chan *snap.Endpoints, 1)
+	list, _ := await(ctx, l, serviceWanted{service: service, reply: reply}, reply)
+	return list
+}
+
+// Announce registers the backend server beside this daemon.
+func (l *Loop) Announce(ctx context.Context, a member.Announcement) (snap.Endpoint, error) {
+	reply := make(chan announceResult, 1)
+	result, err := await(ctx, l, announced{announcement: a, reply: reply}, reply)
+	if err != nil {
+		return snap.Endpoint{}, err
+	}
+	return result.endpoint, result.err
+}
+
+// Leave ends the registration of the backend server at address.
+func (l *Loop) Leave(ctx context.Context, address string) error {
+	reply := make(chan struct{}, 1)
+	_, err := await(ctx, l, left{address: address, reply: reply}, reply)
+	return err
+}
+
+// Refused tells that the backend server at address refused a connection.
+func (l *Loop) Refused(address string) { l.notify(connectionRefused{address: address}) }
+
+// BeginOnce makes the record of a non-idempotent request durable before it is dispatched; the verdict
+// is nil when that could not be confirmed before ctx ended.
+func (l *Loop) BeginOnce(ctx context.Context, scope state.OnceScope, requestHash []byte) (state.Attempt, state.OnceVerdict) {
+	reply := make(chan onceResult, 1)
+	result, err := await(ctx, l, onceStarted{scope: scope, hash: requestHash, reply: reply}, reply)
+	if err != nil {
+		l.notify(onceAbandoned{reply: reply})
+		return state.Attempt{}, nil
+	}
+	return result.attempt, result.verdict
+}
+
+// FinishOnce stores the outcome of an attempt for which BeginOnce returned OnceBegun.
+func (l *Loop) FinishOnce(ctx context.Context, finish *state.OnceFinish) error {
+	reply := make(chan onceResult, 1)
+	_, err := await(ctx, l, onceEnded{finish: finish, reply: reply}, reply)
+	return err
+}
+
+// ReportCrash tells the leader which requests were in flight when an incarnation died.
+func (l *Loop) ReportCrash(incarnation uint64, fingerprints []string) {
+	l.notify(crashSeen{report: &CrashReport{Incarnation: incarnation, Fingerprints: fingerprints}})
+}
+
+// ClearSuspect tells the leader that a suspect completed normally.
+func (l *Loop) ClearSuspect(fingerprint string) {
+	l.notify(crashSeen{report: &CrashReport{Fingerprints: []string{fingerprint}, Cleared: true}})
+}
+
+// StartDrain tells the leader that the instances of this daemon are leaving.
+func (l *Loop) StartDrain() { l.notify(drainStarted{}) }
--- /dev/null
+++ b/internal/root/ctrl/config.go
@@ -0,0 +1,176 @@
+package ctrl
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math"
+	"os"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/watch"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const verdictSuffix = ".verdict"
+
+// pendingProposal is a rules text that waits for the leader's verdict; it is sent again on each new
+// control stream until the verdict arrives.
+type pendingProposal struct {
+	message *Propose
+	path    string
+}
+
+// ValidateRules checks a rules text as every voter does before it accepts one.
+func ValidateRules(text []byte) error {
+	_, err := rules.Parse("rules", text)
+	return err
+}
+
+func (l *Loop) runWatcher(ctx context.Context) error {
+	watcher := &watch.Watcher{
+		Path: l.cfg.RulesFile, MaxSize: state.MaxText, Clock: l.clock,
+		Report: func(file watch.File) { l.post(ctx, rulesRead{file: file}) },
+	}
+	return watcher.Run(ctx)
+}
+
+// readRules checks a changed rules file and proposes it.
+func (l *Loop) readRules(_ time.Time, event rulesRead) {
+	file := event.file
+	if file.Err != nil {
+		l.rejectFile(file.Path, file.Err)
+		return
+	}
+	set, err := rules.Parse(file.Path, file.Text)
+	if err != nil {
+		l.rejectFile(file.Path, err)
+		return
+	}
+	hash := sha256.Sum256(file.Text)
+	l.daemon.proposal = &pendingProposal{
+		path:    file.Path,
+		message: &Propose{Number: set.Revision, Text: file.Text, Author: set.Author, Hash: hash[:]},
+	}
+	l.log.Info().Uint64("revision", set.Revision).Str("author", set.Author).Msg("rules-proposed")
+	l.sendUp(l.daemon.proposal.message)
+}
+
+func (l *Loop) rejectFile(path string, err error) {
+	l.daemon.proposal = nil
+	l.log.Error().Str("file", path).Err(err).Msg("rules-file-rejected")
+	l.writeVerdict(path, "rejected: the revision in force stays in force\n"+err.Error()+"\n")
+}
+
+func (l *Loop) finishProposal(reply *ProposeReply) {
+	pending := l.daemon.proposal
+	if pending == nil || pending.message.Number != reply.Number || !bytes.Equal(pending.message.Hash, reply.Hash) {
+		return
+	}
+	verdict, err := state.DecodeVerdict(reply.Verdict)
+	if err != nil {
+		l.log.Error().Err(err).Msg("proposal-verdict-unreadable")
+		return
+	}
+	l.daemon.proposal = nil
+	text := verdictText(verdict)
+	l.log.Info().Uint64("revision", reply.Number).Str("verdict", text).Msg("rules-verdict")
+	l.writeVerdict(pending.path, text+"\n")
+}
+
+// verdictText tells an operator what became of a proposal.
+func verdictText(verdict state.Result) string {
+	switch verdict := verdict.(type) {
+	case *state.ConfigAccepted:
+		return fmt.Sprintf("accepted: revision %d by %s since %s",
+			verdict.Revision.Number, verdict.Revision.Author, verdict.Revision.Since.Time().Format(time.RFC3339))
+	case *state.ConfigRefused:
+		return refusalText(verdict)
+	}
+	return "no verdict"
+}
+
+func refusalText(refused *state.ConfigRefused) string {
+	winner := ""
+	if refused.Winner != nil {
+		winner = fmt.Sprintf("; revision %d was accepted from %s (%s) at %s", refused.Winner.Number,
+			refused.Winner.Author, refused.Winner.Origin, refused.Winner.Since.Time().Format(time.RFC3339))
+	}
+	fix := fmt.Sprintf("; to change the rules, edit the file from revision %d and number it %d", refused.InForce, refused.InForce+1)
+	switch refused.Reason {
+	case state.NumberTaken:
+		return fmt.Sprintf("refused: revision %d was accepted with another text%s%s", refused.Number, winner, fix)
+	case state.NumberTooHigh:
+		return fmt.Sprintf("refused: revision %d is not the next after %d%s", refused.Number, refused.InForce, fix)
+	case state.NumberForgotten:
+		return fmt.Sprintf("refused: revision %d is older than the recorded history%s", refused.Number, fix)
+	}
+	return "refused: " + refused.Detail
+}
+
+// writeVerdict leaves the verdict beside the rules file; the rules file itself is never changed.
+func (l *Loop) writeVerdict(path, text string) {
+	// The file is small and local, and operators wait for it, so that the loop writes it itself.
+	if err := os.WriteFile(path+verdictSuffix, []byte(text), 0o644); err != nil {
+		l.log.Warn().Err(err).Msg("verdict-not-written")
+	}
+}
+
+// applyConfig brings this daemon to a newer revision; it never goes back to an older one.
+func (l *Loop) applyConfig(now time.Time, config *Config) {
+	current := &l.daemon.rules
+	if config.Number <= current.revision() {
+		return
+	}
+	text := config.Text
+	if config.Base != 0 {
+		var err error
+		if config.Base != current.revision() {
+			err = fmt.Errorf("%w: it needs revision %d", errPatch, config.Base)
+		} else {
+			text, err = patch(current.text, config.Hunks, config.Hash)
+		}
+		if err != nil {
+			l.log.Warn().Uint64("revision", config.Number).Err(err).Msg("config-difference-refused")
+			l.rejoin()
+			return
+		}
+	}
+	set, err := rules.Parse("rules", text)
+	if err != nil {
+		l.log.Error().Uint64("revision", config.Number).Err(err).Msg("config-unreadable")
+		return
+	}
+	hash := sha256.Sum256(text)
+	*current = rulesInForce{set: set, text: text, hash: hash[:]}
+	l.dirty = true
+	l.stepHolder(now, &limit.SetLimits{Limits: limitsOf(set)})
+	l.cells.Store(&l.daemon.holder.Cells)
+	l.log.Info().Uint64("revision", set.Revision).Str("author", set.Author).Msg("config-in-force")
+	// The beat confirms the revision to the leader and renews the lease under it.
+	l.beat(now)
+}
+
+// rejoin closes the control stream; the next one starts with a full copy.
+func (l *Loop) rejoin() {
+	l.daemon.rules.hash = nil
+	if l.daemon.session != nil {
+		l.daemon.session.close()
+	}
+}
+
+// limitsOf returns the rate limits of all client accounts.
+func limitsOf(set *rules.Set) []limit.Limit {
+	limits := make([]limit.Limit, 0, len(set.Accounts))
+	for name, account := range set.Accounts {
+		limits = append(limits, limit.Limit{
+			Account: name,
+			Rate:    uint32(math.Max(1, account.Rate.PerSecond())),
+			Burst:   uint32(account.Burst),
+		})
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/root/ctrl/leader.go
@@ -0,0 +1,361 @@
+package ctrl
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+const (
+	maxBehind       = 64 // revisions; a daemon further behind gets the whole text
+	changesPerStep  = 512
+	expiryInterval  = time.Second
+	maxRefusalsKept = 32
+)
+
+type (
+	// leaderState is the soft state of the leader; it begins empty with each term. The loop owns it.
+	leaderState struct {
+		term       uint64
+		owner      *limit.Owner
+		registry   *member.Registry
+		docket     *crash.Docket
+		daemons    map[string]*session // joined daemons by peer address
+		beats      map[string]daemonBeat
+		waits      []inForceWait
+		refusals   []proposalRefusal
+		nextExpiry time.Time
+		grants     uint64
+		recalls    uint64
+	}
+
+	// daemonBeat is what the leader saw last of a daemon.
+	daemonBeat struct {
+		name     string
+		zone     string
+		revision uint64
+		at       time.Time
+	}
+
+	proposalRefusal struct {
+		author string
+		number uint64
+		at     time.Time
+		cause  string
+	}
+)
+
+func (l *Loop) becomeLeader(now time.Time, term uint64) {
+	v := l.voter
+	lead := &leaderState{
+		term:       term,
+		owner:      limit.NewOwner(now, term, l.acceptedLimits()),
+		registry:   member.NewRegistry(),
+		docket:     crash.NewDocket(),
+		daemons:    map[string]*session{},
+		beats:      map[string]daemonBeat{},
+		nextExpiry: now.Add(expiryInterval),
+	}
+	for _, running := range v.machine.Running() {
+		lead.registry.Expect(now, running.Daemon, running.Boot)
+	}
+	v.lead = lead
+	l.log.Info().Uint64("term", term).Msg("became-leader")
+}
+
+func (l *Loop) stepDown(term uint64) {
+	v := l.voter
+	v.lead = nil
+	l.log.Warn().Uint64("term", term).Msg("stepped-down")
+	for s := range v.sessions {
+		l.redirect(s)
+	}
+}
+
+// acceptedLimits returns the rate limits of the accepted configuration.
+func (l *Loop) acceptedLimits() []limit.Limit {
+	current := l.voter.machine.InForce()
+	if current == nil {
+		return nil
+	}
+	set, err := rules.Parse("rules", current.Text)
+	if err != nil {
+		l.log.Error().Uint64("revision", current.Number).Err(err).Msg("accepted-rules-unreadable")
+		return nil
+	}
+	return limitsOf(set)
+}
+
+// redirect tells a daemon where the leader is.
+func (l *Loop) redirect(s *session) {
+	leader := l.voter.node.Status().Leader
+	address := ""
+	if leader != l.voter.name {
+		address = l.voter.peers[leader]
+	}
+	l.sendDown(s, &Redirect{Leader: address})
+}
+
+func (l *Loop) sendDown(s *session, message Down) {
+	frame, err := encodeDown(message)
+	if err != nil {
+		l.log.Error().Err(err).Msg("control-message-not-sent")
+		return
+	}
+	s.traffic += uint64(len(frame.Body) + wire.HeaderSize)
+	s.send(frame)
+}
+
+// handleUp handles a message of a daemon. Without its own lease this member answers nothing: another
+// leader may already have accepted a change.
+func (l *Loop) handleUp(now time.Time, s *session, message Up) {
+	lead := l.voter.lead
+	if lead == nil {
+		l.redirect(s)
+		return
+	}
+	if !l.voter.node.LeaseHeld(now) {
+		return
+	}
+	if join, ok := message.(*Join); ok {
+		lead.join(now, l, s, join)
+		return
+	}
+	if s.join == nil || lead.daemons[s.join.Daemon] != s {
+		// The stream belongs to an earlier term or was replaced by a later one of the same daemon.
+		s.close()
+		return
+	}
+	daemon := s.join.Daemon
+	switch message := message.(type) {
+	case beatUp:
+		lead.beat(now, l, s, message.Beat)
+	case announceUp:
+		lead.registry.Announce(now, daemon, message.Announce)
+	case leaveUp:
+		lead.registry.Leave(now, daemon, message.Leave)
+	case wantUp:
+		lead.registry.Want(daemon, message.Want)
+	case askUp:
+		lead.stepOwner(now, l, &limit.Asked{Holder: daemon, Ask: message.TokenAsk})
+	case *OnceCall:
+		l.proposeOnce(now, s, message)
+	case *CrashReport:
+		lead.crashed(now, l, message)
+	case *Propose:
+		l.proposeConfig(now, s, message)
+	case *Query:
+		lead.query(now, l, s, message)
+	}
+}
+
+func (d *leaderState) join(now time.Time, l *Loop, s *session, join *Join) {
+	if old := d.daemons[join.Daemon]; old != nil && old != s {
+		old.close()
+	}
+	s.join = join
+	d.daemons[join.Daemon] = s
+	d.registry.Join(now, join.Daemon, join.Zone, join.Boot)
+	machine := l.voter.machine
+	if known := machine.Revision(join.Revision); known != nil && bytes.Equal(known.Hash, join.Hash) {
+		s.sent = join.Revision
+	}
+	d.sendConfig(l, s, map[uint64]*Config{})
+	l.sendDown(s, quarantineList(machine))
+	l.log.Debug().Str("daemon", join.Daemon).Msg("daemon-joined")
+}
+
+func (d *leaderState) beat(now time.Time, l *Loop, s *session, beat *member.Beat) {
+	lease, known := d.registry.Beat(now, s.join.Daemon, beat)
+	if !known {
+		s.close()
+		return
+	}
+	d.beats[s.join.Daemon] = daemonBeat{name: s.peer, zone: s.join.Zone, revision: beat.Revision, at: now}
+	lease.Revision = l.voter.revision()
+	l.sendDown(s, leaseDown{&lease})
+	d.answerWaits(now, l)
+}
+
+// closed ends the stream of a daemon; its instances stay until its lease ends.
+func (d *leaderState) closed(now time.Time, l *Loop, s *session) {
+	if s.join == nil || d.daemons[s.join.Daemon] != s {
+		return
+	}
+	delete(d.daemons, s.join.Daemon)
+	d.stepOwner(now, l, &limit.HolderGone{Holder: s.join.Daemon})
+}
+
+// stepOwner passes an event to the owner of the token buckets and sends what it asks for.
+func (d *leaderState) stepOwner(now time.Time, l *Loop, event limit.OwnerEvent) {
+	for _, action := range d.owner.Step(now, event) {
+		switch action := action.(type) {
+		case *limit.SendGrant:
+			d.grants++
+			if s := d.daemons[action.Holder]; s != nil {
+				l.sendDown(s, grantDown{action.Grant})
+			}
+		case *limit.SendRecall:
+			d.recalls++
+			if s := d.daemons[action.Holder]; s != nil {
+				l.sendDown(s, recallDown{action.Recall})
+			}
+		}
+	}
+}
+
+func (l *Loop) proposeOnce(now time.Time, s *session, message *OnceCall) {
+	waiting := onceProposal{session: s, id: message.ID}
+	if begin := message.Begin; begin != nil {
+		begin.At = wire.StampOf(now)
+		l.propose(now, begin, waiting)
+		return
+	}
+	message.Finish.At = wire.StampOf(now)
+	l.propose(now, message.Finish, waiting)
+}
+
+func (l *Loop) proposeConfig(now time.Time, s *session, message *Propose) {
+	l.propose(now, &state.ProposeConfig{
+		Number: message.Number, Text: message.Text, Author: message.Author,
+		Origin: s.peer, Hash: message.Hash, At: wire.StampOf(now),
+	}, configProposal{session: s, number: message.Number, hash: message.Hash, author: message.Author})
+}
+
+func (d *leaderState) crashed(now time.Time, l *Loop, report *CrashReport) {
+	for _, fingerprint := range report.Fingerprints {
+		if report.Cleared {
+			d.docket.Clear(fingerprint)
+			continue
+		}
+		quarantine, ok := d.docket.Report(now, fingerprint, report.Incarnation)
+		if !ok {
+			continue
+		}
+		l.log.Warn().Str("fingerprint", fingerprint).Time("until", quarantine.Until.Time()).Msg("request-quarantined")
+		l.propose(now, &state.QuarantineAdd{
+			Fingerprint: fingerprint, For: quarantine.Until.Sub(wire.StampOf(now)), At: wire.StampOf(now),
+		}, ownProposal{})
+	}
+}
+
+// configChanged sends the accepted configuration to every joined daemon.
+func (d *leaderState) configChanged(now time.Time, l *Loop) {
+	d.stepOwner(now, l, &limit.SetLimits{Limits: l.acceptedLimits()})
+	prepared := map[uint64]*Config{}
+	for _, s := range d.daemons {
+		d.sendConfig(l, s, prepared)
+	}
+}
+
+// sendConfig brings a daemon from the revision sent last to the accepted one; prepared keeps messages
+// that other daemons on the same revision can share.
+func (d *leaderState) sendConfig(l *Loop, s *session, prepared map[uint64]*Config) {
+	machine := l.voter.machine
+	current := machine.InForce()
+	if current == nil || s.sent == current.Number {
+		return
+	}
+	message := prepared[s.sent]
+	if message == nil {
+		message = configMessage(machine, s.sent, current)
+		prepared[s.sent] = message
+	}
+	l.sendDown(s, message)
+	s.sent = current.Number
+}
+
+// configMessage returns a difference from base where that is possible, else the whole text.
+func configMessage(machine *state.Machine, base uint64, current *state.Revision) *Config {
+	message := &Config{Number: current.Number, Hash: current.Hash}
+	known := machine.Revision(base)
+	if known != nil && known.Text != nil && current.Number-base <= maxBehind {
+		if hunks, ok := difference(known.Text, current.Text); ok {
+			message.Base, message.Hunks = base, hunks
+			return message
+		}
+	}
+	message.Text = current.Text
+	return message
+}
+
+func (d *leaderState) quarantineChanged(l *Loop) {
+	list := quarantineList(l.voter.machine)
+	for _, s := range d.daemons {
+		l.sendDown(s, list)
+	}
+}
+
+func quarantineList(machine *state.Machine) *QuarantineList {
+	list := &QuarantineList{Version: machine.QuarantineVersion}
+	for _, entry := range machine.Quarantined() {
+		list.Entries = append(list.Entries, crash.Quarantine{Fingerprint: entry.Fingerprint, Until: entry.Until})
+	}
+	return list
+}
+
+func (d *leaderState) noteRefusal(now time.Time, author string, refused *state.ConfigRefused) {
+	if len(d.refusals) >= maxRefusalsKept {
+		d.refusals = d.refusals[1:]
+	}
+	d.refusals = append(d.refusals, proposalRefusal{author: author, number: refused.Number, at: now, cause: refusalText(refused)})
+}
+
+// settle does what is due on the leader and returns when something is due next.
+func (d *leaderState) settle(now time.Time, l *Loop) time.Time {
+	if !l.voter.node.LeaseHeld(now) {
+		return now.Add(idleWake)
+	}
+	next := now.Add(idleWake)
+	if due, ok := d.owner.Deadline(); ok {
+		if !due.After(now) {
+			d.stepOwner(now, l, &limit.Wake{})
+		}
+		if due, ok = d.owner.Deadline(); ok {
+			next = earliest(next, due)
+		}
+	}
+	next = earliest(next, d.settleRegistry(now, l))
+	d.settleExpiry(now, l)
+	d.answerWaits(now, l)
+	return earliest(next, d.nextExpiry)
+}
+
+func (d *leaderState) settleRegistry(now time.Time, l *Loop) time.Time {
+	if due, ok := d.registry.Deadline(); ok && !due.After(now) {
+		for _, gone := range d.registry.Expire(now) {
+			l.log.Warn().Str("daemon", gone.Daemon).Msg("daemon-gone")
+			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: wire.StampOf(now)}, ownProposal{})
+		}
+	}
+	sends, more := d.registry.Changes(changesPerStep)
+	for i := range sends {
+		if s := d.daemons[sends[i].Daemon]; s != nil {
+			l.sendDown(s, changeDown{&sends[i].Change})
+		}
+	}
+	if more {
+		return now
+	}
+	if due, ok := d.registry.Deadline(); ok {
+		return due
+	}
+	return now.Add(idleWake)
+}
+
+// settleExpiry lets entries of the replicated state expire while nothing else is proposed.
+func (d *leaderState) settleExpiry(now time.Time, l *Loop) {
+	if now.Before(d.nextExpiry) {
+		return
+	}
+	d.nextExpiry = now.Add(expiryInterval)
+	if due, ok := l.voter.machine.NextExpiry(); ok && due <= wire.StampOf(now) {
+		l.propose(now, &state.Tick{At: wire.StampOf(now)}, ownProposal{})
+	}
+}
--- /dev/null
+++ b/internal/root/ctrl/report.go
@@ -0,0 +1,375 @@
+package ctrl
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+var (
+	errNoLeader = errors.New("no leader is reachable")
+
+	// ErrNotFound reports a revision or rule that does not exist.
+	ErrNotFound = errors.New("not found")
+)
+
+type (
+	// ReportRequest is StatusRequest, RulesRequest, ExplainRequest, DumpRequest or LeaderRequest.
+	ReportRequest interface{ reportRequest() }
+
+	// StatusRequest asks for the control part of admin.Status.
+	StatusRequest struct{}
+
+	// RulesRequest asks for the revision in force on this daemon.
+	RulesRequest struct{}
+
+	// ExplainRequest asks for a rule of the revision in force on this daemon.
+	ExplainRequest struct{ Rule string }
+
+	// DumpRequest asks for the sections of the control state.
+	DumpRequest struct{}
+
+	// LeaderRequest asks the leader.
+	LeaderRequest struct{ Query Query }
+
+	// inForceWait is a query whose answer is held until a revision is in force everywhere.
+	inForceWait struct {
+		session  *session
+		id       uint64
+		revision uint64
+		until    time.Time
+	}
+)
+
+func (StatusRequest) reportRequest()  {}
+func (RulesRequest) reportRequest()   {}
+func (ExplainRequest) reportRequest() {}
+func (DumpRequest) reportRequest()    {}
+func (LeaderRequest) reportRequest()  {}
+
+// Report returns the JSON of a report; errors are ErrNotFound, ErrUnanswered or name a missing leader.
+func (l *Loop) Report(ctx context.Context, request ReportRequest) ([]byte, error) {
+	reply := make(chan reportResult, 1)
+	result, err := await(ctx, l, reportWanted{request: request, reply: reply}, reply)
+	if err != nil {
+		return nil, err
+	}
+	return result.body, result.err
+}
+
+func (l *Loop) report(now time.Time, event reportWanted) {
+	switch request := event.request.(type) {
+	case StatusRequest:
+		event.reply <- encoded(l.status(now))
+	case RulesRequest:
+		event.reply <- l.rulesReport()
+	case ExplainRequest:
+		event.reply <- l.explain(request.Rule)
+	case DumpRequest:
+		event.reply <- encoded(l.dump(now))
+	case LeaderRequest:
+		l.askLeader(request.Query, event.reply)
+	}
+}
+
+func encoded(value any) reportResult {
+	body, err := json.Marshal(value)
+	return reportResult{body: body, err: err}
+}
+
+func queryResult(message *QueryReply) reportResult {
+	if len(message.Body) == 0 {
+		return reportResult{err: ErrNotFound}
+	}
+	return reportResult{body: message.Body}
+}
+
+func (l *Loop) askLeader(query Query, reply chan<- reportResult) {
+	d := l.daemon
+	if d.session == nil {
+		reply <- reportResult{err: errNoLeader}
+		return
+	}
+	d.nextQuery++
+	query.ID = d.nextQuery
+	d.queries[query.ID] = reply
+	l.sendUp(&query)
+}
+
+func (l *Loop) status(now time.Time) *admin.Status {
+	d := l.daemon
+	status := &admin.Status{
+		Name: l.cfg.Name, Zone: l.cfg.Zone, Role: admin.RoleDaemon,
+		Revision: d.rules.revision(), Fresh: now.Before(d.freshUntil), FreshUntil: d.freshUntil,
+		Drain: admin.DrainServing, Started: d.started, Uptime: admin.Duration(now.Sub(d.started)),
+	}
+	if d.draining {
+		status.Drain = admin.DrainDraining
+	}
+	if d.session != nil {
+		status.Leader = d.session.peer
+	}
+	if l.voter != nil {
+		member := l.voter.node.Status()
+		status.Role, status.Term = roleOf(member, l.voter.name), member.Term
+		for _, voter := range member.Voters {
+			status.Voters = append(status.Voters, voter.Name)
+		}
+		if member.Leader != "" {
+			status.Leader = member.Leader
+		}
+	}
+	return status
+}
+
+func roleOf(status raft.Status, name string) admin.Role {
+	switch {
+	case status.Failed != "" || status.Fenced:
+		return admin.RoleFailed
+	case status.Role == raft.Leader:
+		return admin.RoleLeader
+	case status.Role == raft.Candidate || status.Role == raft.PreCandidate:
+		return admin.RoleCandidate
+	case !slices.ContainsFunc(status.Voters, func(v raft.Voter) bool { return v.Name == name }):
+		return admin.RoleLearner
+	}
+	return admin.RoleFollower
+}
+
+func (l *Loop) rulesReport() reportResult {
+	current := &l.daemon.rules
+	if current.set == nil {
+		return reportResult{err: ErrNotFound}
+	}
+	return encoded(&admin.Revision{
+		Number: current.set.Revision, Author: current.set.Author, Reason: current.set.Reason,
+		Hash: "sha256:" + hex.EncodeToString(current.hash), Text: string(current.text),
+	})
+}
+
+// explain finds a rule by its identity <kind>/<name>@<line>; the line may be left out.
+func (l *Loop) explain(identity string) reportResult {
+	set := l.daemon.rules.set
+	if set == nil {
+		return reportResult{err: ErrNotFound}
+	}
+	for _, statement := range set.Statements() {
+		rule := rules.RuleOf(statement)
+		full := rule.Identity()
+		if identity != full && identity != full[:strings.LastIndexByte(full, '@')] {
+			continue
+		}
+		return encoded(&admin.Explain{
+			Rule: full, Kind: rule.Kind, Name: rule.Name, Revision: set.Revision, Line: rule.Line,
+			Requester: rule.Requester, Reason: rule.Reason, Text: rules.Line(statement),
+		})
+	}
+	return reportResult{err: ErrNotFound}
+}
+
+// query answers a daemon's question about the fleet.
+func (d *leaderState) query(now time.Time, l *Loop, s *session, query *Query) {
+	machine := l.voter.machine
+	var report any
+	switch query.Kind {
+	case QueryInForce:
+		d.waits = append(d.waits, inForceWait{
+			session: s, id: query.ID, revision: query.Revision, until: now.Add(min(query.Wait, admin.MaxWait)),
+		})
+		d.answerWaits(now, l)
+		return
+	case QueryHistory:
+		report = historyOf(machine, int(query.Limit))
+	case QueryRevision:
+		if revision := machine.Revision(query.Revision); revision != nil {
+			report = revisionOf(revision, true)
+		}
+	case QueryLeaderDump:
+		report = d.sections(now)
+	}
+	reply := &QueryReply{ID: query.ID}
+	if report != nil {
+		reply.Body, _ = json.Marshal(report)
+	}
+	l.sendDown(s, reply)
+}
+
+// answerWaits answers the queries whose revision is in force everywhere or whose time is over.
+func (d *leaderState) answerWaits(now time.Time, l *Loop) {
+	if len(d.waits) == 0 {
+		return
+	}
+	d.waits = slices.DeleteFunc(d.waits, func(wait inForceWait) bool {
+		report := d.inForce(now, l, wait.revision)
+		if !report.InForce && now.Before(wait.until) {
+			return false
+		}
+		body, _ := json.Marshal(report)
+		l.sendDown(wait.session, &QueryReply{ID: wait.id, Body: body})
+		return true
+	})
+}
+
+func (d *leaderState) inForce(now time.Time, l *Loop, revision uint64) *admin.InForce {
+	newest := l.voter.revision()
+	if revision == 0 {
+		revision = newest
+	}
+	behind, daemons := d.registry.Behind(now, revision)
+	report := &admin.InForce{
+		Revision: revision, Newest: newest, Accepted: revision <= newest && revision > 0,
+		Daemons: daemons, Behind: len(behind), List: []admin.DaemonRevision{},
+	}
+	report.InForce = report.Accepted && report.Behind == 0
+	late := make(map[string]bool, len(behind))
+	for _, daemon := range behind {
+		late[daemon] = true
+	}
+	addresses := slices.SortedFunc(maps.Keys(d.beats), func(a, b string) int {
+		if late[a] != late[b] {
+			if late[a] {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	for _, address := range addresses[:min(len(addresses), admin.MaxDaemons)] {
+		beat := d.beats[address]
+		report.List = append(report.List, admin.DaemonRevision{Name: beat.name, Zone: beat.zone, Revision: beat.revision, Beat: beat.at})
+	}
+	for _, refusal := range d.refusals {
+		if refusal.number == revision {
+			report.Refusals = append(report.Refusals, admin.ProposalRefusal{Author: refusal.author, Time: refusal.at, Cause: refusal.cause})
+		}
+	}
+	return report
+}
+
+func historyOf(machine *state.Machine, limit int) *admin.History {
+	history := &admin.History{Revisions: []admin.Revision{}}
+	for i := len(machine.Revisions) - 1; i >= 0; i-- {
+		if len(history.Revisions) == limit {
+			history.More = true
+			break
+		}
+		history.Revisions = append(history.Revisions, *revisionOf(machine.Revisions[i], false))
+	}
+	return history
+}
+
+func revisionOf(revision *state.Revision, withText bool) *admin.Revision {
+	report := &admin.Revision{
+		Number: revision.Number, Author: revision.Author, Time: revision.Since.Time(),
+		Hash: "sha256:" + hex.EncodeToString(revision.Hash),
+	}
+	if withText {
+		report.Text = string(revision.Text)
+	}
+	if line, _, found := bytes.Cut(revision.Text, []byte("\n")); found {
+		if set, err := rules.Parse("rules", revision.Text); err == nil && len(line) > 0 {
+			report.Reason = set.Reason
+		}
+	}
+	return report
+}
+
+// dump returns the control state as tables; keys and secrets have no place in it.
+func (l *Loop) dump(now time.Time) []admin.Section {
+	d := l.daemon
+	sections := []admin.Section{
+		{Name: "control", Columns: []string{"field", "value"}, Rows: [][]string{
+			{"revision", strconv.FormatUint(d.rules.revision(), 10)},
+			{"fresh-for", d.freshUntil.Sub(now).Round(time.Millisecond).String()},
+			{"leader-address", leaderAddress(d.session)},
+			{"unanswered-beats", strconv.Itoa(len(d.beats))},
+			{"waiting-for-tokens", strconv.Itoa(len(d.waiting))},
+			{"pending-once", strconv.Itoa(len(d.once.pending))},
+			{"bytes-to-leader", strconv.FormatUint(l.sent, 10)},
+			{"bytes-from-leader", strconv.FormatUint(l.received.Load(), 10)},
+			{"draining", strconv.FormatBool(d.draining)},
+		}},
+	}
+	views := admin.Section{Name: "views", Columns: []string{"service", "instance", "zone", "incarnation", "leaving"}}
+	for _, service := range slices.Sorted(maps.Keys(d.views.Services)) {
+		for _, e := range d.views.Services[service] {
+			views.Rows = append(views.Rows, []string{service, e.ID, e.Zone, strconv.FormatUint(e.Incarnation, 10), strconv.FormatBool(e.Leaving)})
+		}
+	}
+	quarantine := admin.Section{Name: "quarantine", Columns: []string{"fingerprint", "until"}}
+	for _, fingerprint := range slices.Sorted(maps.Keys(d.quarantine)) {
+		quarantine.Rows = append(quarantine.Rows, []string{fingerprint, d.quarantine[fingerprint].Time().Format(time.RFC3339)})
+	}
+	sections = append(sections, views, quarantine)
+	if l.voter != nil {
+		sections = append(sections, l.voter.section())
+		if l.voter.lead != nil {
+			sections = append(sections, l.voter.lead.sections(now)...)
+		}
+	}
+	return sections
+}
+
+func leaderAddress(s *session) string {
+	if s == nil {
+		return "none"
+	}
+	return s.remote
+}
+
+func (v *voterState) section() admin.Section {
+	status := v.node.Status()
+	voters := make([]string, 0, len(status.Voters))
+	for _, voter := range status.Voters {
+		voters = append(voters, voter.Name)
+	}
+	return admin.Section{Name: "consensus", Columns: []string{"field", "value"}, Rows: [][]string{
+		{"role", status.Role.String()},
+		{"term", strconv.FormatUint(status.Term, 10)},
+		{"leader", status.Leader},
+		{"voters", strings.Join(voters, " ")},
+		{"commit", strconv.FormatUint(status.Commit, 10)},
+		{"applied", strconv.FormatUint(status.Applied, 10)},
+		{"last", strconv.FormatUint(status.Last, 10)},
+		{"snapshot", strconv.FormatUint(status.Snapshot, 10)},
+		{"boot", strconv.FormatUint(status.Boot, 10)},
+		{"admitted", strconv.FormatBool(status.Admitted)},
+		{"failed", status.Failed},
+		{"pending-proposals", strconv.Itoa(len(v.proposals))},
+	}}
+}
+
+func (d *leaderState) sections(now time.Time) []admin.Section {
+	daemons := admin.Section{Name: "daemons", Columns: []string{"daemon", "name", "zone", "revision", "last-beat", "bytes-sent"}}
+	for _, address := range slices.Sorted(maps.Keys(d.beats)) {
+		beat := d.beats[address]
+		sent := "closed"
+		if s := d.daemons[address]; s != nil {
+			sent = strconv.FormatUint(s.traffic, 10)
+		}
+		daemons.Rows = append(daemons.Rows, []string{
+			address, beat.name, beat.zone, strconv.FormatUint(beat.revision, 10),
+			fmt.Sprint(now.Sub(beat.at).Round(time.Millisecond)), sent,
+		})
+	}
+	leader := admin.Section{Name: "leader", Columns: []string{"field", "value"}, Rows: [][]string{
+		{"term", strconv.FormatUint(d.term, 10)},
+		{"grants", strconv.FormatUint(d.grants, 10)},
+		{"recalls", strconv.FormatUint(d.recalls, 10)},
+		{"refused-proposals", strconv.Itoa(len(d.refusals))},
+	}}
+	return []admin.Section{leader, daemons}
+}
--- /dev/null
+++ b/internal/root/ctrl/transport.go
@@ -0,0 +1,100 @@
+package ctrl
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft/codec"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+const (
+	raftQueue   = 256 // messages; more are dropped, which consensus tolerates
+	raftRedial  = 50 * time.Millisecond
+	raftTimeout = 2 * time.Second // a write that takes longer ends the stream
+)
+
+// raftLink sends consensus messages to one peer.
+type raftLink struct {
+	name    string
+	address string
+	loop    *Loop
+	queue   chan raft.Message
+}
+
+func newRaftLink(name, address string, loop *Loop) *raftLink {
+	return &raftLink{name: name, address: address, loop: loop, queue: make(chan raft.Message, raftQueue)}
+}
+
+// send queues a message; when the queue is full the message is lost.
+func (r *raftLink) send(message raft.Message) {
+	select {
+	case r.queue <- message:
+	default:
+	}
+}
+
+// run keeps a stream to the peer until ctx ends.
+func (r *raftLink) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := r.stream(ctx); err != nil && ctx.Err() == nil {
+			r.loop.log.Debug().Str("peer", r.name).Err(err).Msg("raft-stream-ended")
+			r.loop.sleep(ctx, raftRedial)
+		}
+	}
+	return nil
+}
+
+func (r *raftLink) stream(ctx context.Context) error {
+	stream, err := r.loop.dialer.Open(ctx, r.address, link.StreamRaft)
+	if err != nil {
+		return fmt.Errorf("open consensus stream: %w", err)
+	}
+	defer func() { _ = stream.Close() }()
+	writer := bufio.NewWriterSize(stream, 64<<10)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case message := <-r.queue:
+			// The deadline bounds real I/O, so it is on the machine's clock.
+			_ = stream.SetWriteDeadline(time.Now().Add(raftTimeout))
+			frame, err := codec.Encode(message)
+			if err == nil {
+				err = wire.WriteFrame(writer, frame.Kind, frame.Body)
+			}
+			if err == nil && len(r.queue) == 0 {
+				err = writer.Flush()
+			}
+			if err != nil {
+				return fmt.Errorf("send consensus message: %w", err)
+			}
+		}
+	}
+}
+
+// ServeRaft receives the consensus messages of a peer.
+func (l *Loop) ServeRaft(ctx context.Context, stream *link.Stream) {
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetReadDeadline(pastDeadline) })
+	defer stop()
+	defer func() { _ = stream.Close() }()
+	reader := bufio.NewReaderSize(stream, 64<<10)
+	for {
+		frame, err := wire.ReadFrame(reader, wire.MaxFrame)
+		if err != nil {
+			return
+		}
+		message, err := codec.Decode(frame)
+		if err != nil {
+			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("raft-message-refused")
+			return
+		}
+		if !l.post(ctx, consensus{input: raft.Received{Message: message}}) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/root/ctrl/uplink.go
@@ -0,0 +1,109 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+const (
+	backoffMin = 20 * time.Millisecond
+	backoffMax = 500 * time.Millisecond
+)
+
+// pastDeadline unblocks reads at once.
+var pastDeadline = time.Unix(1, 0)
+
+var errRedirected = errors.New("redirected to another control instance")
+
+// runUplink keeps one control stream to the leader: it tries the control addresses in turn and follows
+// redirects.
+func (l *Loop) runUplink(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(l.boot, l.boot))
+	next := random.IntN(len(l.cfg.ControlAddresses))
+	hint, backoff := "", backoffMin
+	for ctx.Err() == nil {
+		address := hint
+		if address == "" {
+			address = l.cfg.ControlAddresses[next%len(l.cfg.ControlAddresses)]
+			next++
+		}
+		hint = ""
+		lived, err := l.follow(ctx, address, &hint)
+		if ctx.Err() != nil {
+			return nil
+		}
+		l.log.Debug().Str("address", address).Err(err).Msg("control-stream-ended")
+		if lived {
+			backoff = backoffMin
+		}
+		if hint != "" && hint != address {
+			continue
+		}
+		pause := backoff/2 + time.Duration(random.Int64N(int64(backoff)))
+		backoff = min(2*backoff, backoffMax)
+		l.sleep(ctx, pause)
+	}
+	return nil
+}
+
+// follow serves one control stream; lived tells whether the leader answered on it.
+func (l *Loop) follow(ctx context.Context, address string, hint *string) (lived bool, err error) {
+	stream, err := l.dialer.Open(ctx, address, link.StreamControl)
+	if err != nil {
+		return false, err
+	}
+	current := newSession(stream, address)
+	if !l.post(ctx, uplinkOpened{session: current}) {
+		current.close()
+		return false, ctx.Err()
+	}
+	err = current.pump(ctx, func(frame wire.Frame) error {
+		message, err := decodeDown(frame)
+		if err != nil {
+			return err
+		}
+		if redirect, ok := message.(*Redirect); ok {
+			*hint = redirect.Leader
+			return errRedirected
+		}
+		lived = true
+		l.received.Add(uint64(len(frame.Body) + wire.HeaderSize))
+		l.notify(leaderSent{session: current, message: message})
+		return nil
+	})
+	l.notify(uplinkClosed{session: current})
+	return lived, err
+}
+
+// ServeStream serves the control stream of a daemon on a control instance.
+func (l *Loop) ServeStream(ctx context.Context, stream *link.Stream) {
+	current := newSession(stream, "")
+	if !l.post(ctx, daemonOpened{session: current}) {
+		current.close()
+		return
+	}
+	err := current.pump(ctx, func(frame wire.Frame) error {
+		message, err := decodeUp(frame)
+		if err != nil {
+			return err
+		}
+		l.notify(daemonSent{session: current, message: message})
+		return nil
+	})
+	l.log.Debug().Str("peer", stream.Peer).Err(err).Msg("daemon-stream-ended")
+	l.notify(daemonClosed{session: current})
+}
+
+func (l *Loop) sleep(ctx context.Context, d time.Duration) {
+	timer := l.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/root/ctrl/watch/doc.go
@@ -0,0 +1,2 @@
+// Package watch follows the rules file and reports its content after each change.
+package watch
