--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -13,6 +13,8 @@
 	MaxText = 2 << 20
 	// MaxBody is the largest stored response body in bytes.
 	MaxBody = 64 << 10
+	// MaxCommand is the largest encoded command in bytes.
+	MaxCommand = MaxText + 4<<10
 	// MaxQuarantine is the longest time for which one command quarantines a fingerprint.
 	MaxQuarantine = 24 * time.Hour
 
@@ -173,6 +175,9 @@
 
 // DecodeCommand returns the command in body; errors wrap wire.ErrDecode.
 func DecodeCommand(body []byte) (Command, error) {
+	if len(body) > MaxCommand {
+		return nil, fmt.Errorf("%w: command of %d bytes, limit %d", wire.ErrDecode, len(body), MaxCommand)
+	}
 	e, err := wire.Decode[Envelope](body)
 	if err != nil {
 		return nil, err
@@ -313,7 +318,7 @@
 	return nil
 }
 
-// stamp rejects a time that is not set. A daemon's OnceBegin carries its own time until the leader sets it.
+// stamp rejects a time that is not set; a daemon sets its own time, which the leader replaces.
 func stamp(at wire.Stamp) error {
 	if at <= 0 {
 		return fmt.Errorf("%w: no time", ErrCommand)
--- a/internal/root/ctrl/state/machine.go
+++ b/internal/root/ctrl/state/machine.go
@@ -1,53 +1,232 @@
 package state
 
-import "github.com/buckthornpitch/buckthornpitch/pkg/wire"
+import (
+	"bytes"
+	"cmp"
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
 
 type (
-	// Machine is the replicated state; the control loop owns it.
+	// Machine is the replicated state; the control loop owns it. Exported fields are read-only outside
+	// of the package.
 	Machine struct {
-		// Now is the machine time.
+		// Now is the machine time; it never steps back.
 		Now wire.Stamp
 		// Index is that of the last applied command.
 		Index uint64
+		// Revisions holds the recorded revisions with consecutive numbers; the last one is in force.
+		// The revisions themselves are immutable.
+		Revisions []*Revision
+		// QuarantineVersion increases whenever the set of quarantined fingerprints changes.
+		QuarantineVersion uint64
+
+		validate Validate
+		// texts is the number of revisions that keep their text, and textBytes their total size.
+		texts, textBytes int
+		// order holds all records (*Record) by the time of their last change, which is also the order
+		// of expiry; records finds them by scope.
+		order   *list.List
+		records map[OnceScope]*list.Element
+		// running holds the scopes of the running records of each start of a daemon.
+		running map[daemonBoot]map[OnceScope]struct{}
+		// answerBytes is the total size of the stored answers.
+		answerBytes int
+		// quarantines is sorted by expiry, then by fingerprint.
+		quarantines []Quarantine
 	}
 
 	// Validate checks a rules text; it must return the same answer on every machine.
 	Validate func(text []byte) error
 
-	// Frozen is an immutable copy of a machine that any goroutine may encode.
-	Frozen struct{}
+	daemonBoot struct {
+		daemon string
+		boot   uint64
+	}
 )
 
 // New returns an empty machine.
-func New(validate Validate) *Machine { return &Machine{} }
-
-// Restore returns the machine whose snapshot is body.
-func Restore(body []byte, validate Validate) (*Machine, error) { return &Machine{}, nil }
+func New(validate Validate) *Machine {
+	return &Machine{
+		validate: validate,
+		order:    list.New(),
+		records:  make(map[OnceScope]*list.Element),
+		running:  make(map[daemonBoot]map[OnceScope]struct{}),
+	}
+}
 
 // Apply applies the command at a log index. A command at or below the last applied index changes
 // nothing and returns nil.
-func (m *Machine) Apply(index uint64, c Command) Result { return nil }
+func (m *Machine) Apply(index uint64, c Command) Result {
+	if index <= m.Index {
+		return nil
+	}
+	m.Index = index
+	switch c := c.(type) {
+	case *ProposeConfig:
+		m.advance(c.At)
+		return m.propose(c)
+	case *OnceBegin:
+		m.advance(c.At)
+		return m.begin(c)
+	case *OnceFinish:
+		m.advance(c.At)
+		return m.finish(c)
+	case *DaemonGone:
+		m.advance(c.At)
+		return m.daemonGone(c)
+	case *QuarantineAdd:
+		m.advance(c.At)
+		return m.quarantine(c)
+	case *Tick:
+		m.advance(c.At)
+		return &Ticked{Now: m.Now}
+	}
+	return nil
+}
+
+// Stamp returns the time for a command that a leader proposes at now. A leader whose clock is behind the
+// machine time uses the machine time, so that what it adds has its full life.
+func (m *Machine) Stamp(now time.Time) wire.Stamp { return max(m.Now, wire.StampOf(now)) }
 
-// Freeze returns a copy for Frozen.Encode, so that the loop does not wait for the encoding.
-func (m *Machine) Freeze() *Frozen { return &Frozen{} }
+// NextExpiry returns the machine time at which the next entry expires; false means that none will.
+func (m *Machine) NextExpiry() (wire.Stamp, bool) {
+	var next wire.Stamp
+	if e := m.order.Front(); e != nil {
+		next = e.Value.(*Record).Changed.Add(RecordLife)
+	}
+	if len(m.quarantines) > 0 && (next == 0 || m.quarantines[0].Until < next) {
+		next = m.quarantines[0].Until
+	}
+	return next, next != 0
+}
+
+// Quarantined returns the quarantined fingerprints in order of their expiry.
+func (m *Machine) Quarantined() []Quarantine { return slices.Clone(m.quarantines) }
+
+// advance moves the machine time and removes what has expired.
+func (m *Machine) advance(at wire.Stamp) {
+	m.Now = max(m.Now, at)
+	m.expireRecords()
+	expired := 0
+	for expired < len(m.quarantines) && m.quarantines[expired].Until <= m.Now {
+		expired++
+	}
+	if expired > 0 {
+		m.quarantines = slices.Delete(m.quarantines, 0, expired)
+		m.QuarantineVersion++
+	}
+}
 
-// Encode returns the snapshot's bytes.
-func (f *Frozen) Encode() ([]byte, error) { return nil, nil }
+// quarantine counts from the command's own time, so that a command that arrives late neither revives nor
+// extends an entry; the later expiry of two commands holds. When there is no room, the entry that expires
+// first makes way, so that new crashes are always contained.
+func (m *Machine) quarantine(c *QuarantineAdd) *Quarantine {
+	entry := Quarantine{Fingerprint: c.Fingerprint, Until: c.At.Add(c.For)}
+	if entry.Until <= m.Now {
+		return &entry
+	}
+	if i := slices.IndexFunc(m.quarantines, func(q Quarantine) bool { return q.Fingerprint == c.Fingerprint }); i >= 0 {
+		if m.quarantines[i].Until >= entry.Until {
+			entry = m.quarantines[i]
+			return &entry
+		}
+		m.quarantines = slices.Delete(m.quarantines, i, i+1)
+	}
+	if len(m.quarantines) >= maxQuarantined {
+		m.quarantines = slices.Delete(m.quarantines, 0, 1)
+	}
+	at, _ := slices.BinarySearchFunc(m.quarantines, entry, compareQuarantines)
+	m.quarantines = slices.Insert(m.quarantines, at, entry)
+	m.QuarantineVersion++
+	return &entry
+}
 
-// Snapshot returns the machine's bytes; equal machines return equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) { return m.Freeze().Encode() }
+func compareQuarantines(a, b Quarantine) int {
+	return cmp.Or(cmp.Compare(a.Until, b.Until), cmp.Compare(a.Fingerprint, b.Fingerprint))
+}
 
 // InForce returns the accepted revision with its text, or nil before the first.
-func (m *Machine) InForce() *Revision { return nil }
+func (m *Machine) InForce() *Revision {
+	if len(m.Revisions) == 0 {
+		return nil
+	}
+	return m.Revisions[len(m.Revisions)-1]
+}
 
 // Revision returns a recorded revision, or nil; its text is nil where only the header is kept.
-func (m *Machine) Revision(number uint64) *Revision { return nil }
+func (m *Machine) Revision(number uint64) *Revision {
+	if len(m.Revisions) == 0 || number < m.Revisions[0].Number || number > m.InForce().Number {
+		return nil
+	}
+	return m.Revisions[number-m.Revisions[0].Number]
+}
 
-// Quarantined returns the quarantined fingerprints in order of their expiry.
-func (m *Machine) Quarantined() []Quarantine { return nil }
+func (m *Machine) propose(c *ProposeConfig) ConfigVerdict {
+	refused := ConfigRefused{Number: c.Number, Winner: header(m.InForce())}
+	if refused.Winner != nil {
+		refused.InForce = refused.Winner.Number
+	}
+	if recorded := m.Revision(c.Number); recorded != nil {
+		if bytes.Equal(recorded.Hash, c.Hash) {
+			return &ConfigAccepted{Revision: *header(recorded)}
+		}
+		refused.Reason, refused.Winner = NumberTaken, header(recorded)
+		return &refused
+	}
+	switch {
+	case c.Number <= refused.InForce:
+		refused.Reason = NumberForgotten
+		return &refused
+	case c.Number != refused.InForce+1:
+		refused.Reason = NumberTooHigh
+		return &refused
+	}
+	if err := m.checkText(c); err != nil {
+		refused.Reason, refused.Detail = TextInvalid, clip(err.Error(), maxDetail)
+		return &refused
+	}
+	accepted := &Revision{
+		Number: c.Number, Author: c.Author, Origin: c.Origin,
+		Hash: c.Hash, Since: m.Now, Text: c.Text,
+	}
+	m.Revisions = append(m.Revisions, accepted)
+	m.texts++
+	m.textBytes += len(c.Text)
+	m.trimRevisions()
+	return &ConfigAccepted{Revision: *header(accepted)}
+}
+
+// trimRevisions drops the texts and then the headers that exceed the bounds, oldest first; the revision
+// in force always keeps its text.
+func (m *Machine) trimRevisions() {
+	for m.texts > 1 && (m.texts > maxTexts || m.textBytes > maxTextBytes) {
+		i := len(m.Revisions) - m.texts
+		m.textBytes -= len(m.Revisions[i].Text)
+		m.texts--
+		m.Revisions[i] = header(m.Revisions[i])
+	}
+	if excess := len(m.Revisions) - maxHeadersKept; excess > 0 {
+		clear(m.Revisions[:excess])
+		m.Revisions = m.Revisions[excess:]
+	}
+}
 
-// Running returns the starts of daemons that have running records, ordered by daemon and boot.
-func (m *Machine) Running() []DaemonGone { return nil }
+func header(r *Revision) *Revision {
+	if r == nil {
+		return nil
+	}
+	short := *r
+	short.Text = nil
+	return &short
+}
 
-// NextExpiry returns the machine time at which the next entry expires; false means that none will.
-func (m *Machine) NextExpiry() (wire.Stamp, bool) { return 0, false }
+func clip(s string, most int) string {
+	if len(s) > most {
+		return s[:most]
+	}
+	return s
+}
--- a/internal/root/ctrl/state/result.go
+++ b/internal/root/ctrl/state/result.go
@@ -7,6 +7,9 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
+// MaxVerdict is the largest encoded verdict in bytes: a stored response with its headers.
+const MaxVerdict = MaxBody + 2*maxHeaderBytes
+
 // Reasons for which a configuration is refused.
 const (
 	// NumberTaken means that the number was accepted with a different text.
@@ -216,6 +219,9 @@
 
 // DecodeVerdict returns the result in body; errors wrap wire.ErrDecode.
 func DecodeVerdict(body []byte) (Result, error) {
+	if len(body) > MaxVerdict {
+		return nil, fmt.Errorf("%w: verdict of %d bytes, limit %d", wire.ErrDecode, len(body), MaxVerdict)
+	}
 	v, err := wire.Decode[Verdict](body)
 	if err != nil {
 		return nil, err
