--- /dev/null
+++ b/internal/root/ctrl/disk/memfs_test.go
@@ -0,0 +1,230 @@
+package disk
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+)
+
+var (
+	errCrash    = errors.New("simulated crash")
+	errInjected = errors.New("simulated I/O error")
+	errFull     = errors.New("simulated full disk")
+)
+
+type (
+	// memFS is a file system in memory that keeps apart what is synced and what a crash may lose.
+	memFS struct {
+		random  *rand.Rand
+		files   map[string]*memData
+		durable map[string]*memData
+		pending []func() // unsynced changes of the folder, in order
+		ops     int      // writes, syncs and changes of the folder so far
+		crashAt int      // the operation that crashes, 0 for none
+		failAt  int      // the operation that fails, 0 for none
+		space   int      // bytes left, negative for unlimited
+		locked  bool
+		crashed bool
+	}
+
+	memData struct{ data, synced []byte }
+
+	memFile struct {
+		fs   *memFS
+		data *memData
+	}
+
+	memLock struct{ fs *memFS }
+)
+
+func newMemFS(seed uint64) *memFS {
+	return &memFS{
+		random: rand.New(rand.NewPCG(seed, 7)), space: -1,
+		files: map[string]*memData{}, durable: map[string]*memData{},
+	}
+}
+
+// op counts one operation and returns the fault that is due.
+func (m *memFS) op() error {
+	m.ops++
+	switch {
+	case m.crashed || m.ops == m.crashAt:
+		m.crashed = true
+		return errCrash
+	case m.ops == m.failAt:
+		return errInjected
+	}
+	return nil
+}
+
+// crash returns the file system after a power failure: unsynced bytes are lost in part, in whole, or
+// sector by sector, and unsynced changes of the folder are lost from some point on.
+func (m *memFS) crash() *memFS {
+	for _, change := range m.pending[:m.random.IntN(len(m.pending)+1)] {
+		change()
+	}
+	next := newMemFS(m.random.Uint64())
+	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
+		f := m.durable[name]
+		data := bytes.Clone(f.data)
+		if base := len(f.synced); len(data) > base {
+			switch m.random.IntN(4) {
+			case 0:
+				data = data[:base]
+			case 1:
+				data = data[:base+m.random.IntN(len(data)-base)]
+			case 2:
+				for at := base; at < len(data); at = at/sectorSize*sectorSize + sectorSize {
+					if m.random.IntN(2) == 0 {
+						clear(data[at:min(at/sectorSize*sectorSize+sectorSize, len(data))])
+					}
+				}
+			}
+		}
+		f = &memData{data: data, synced: bytes.Clone(data)}
+		next.files[name], next.durable[name] = f, f
+	}
+	return next
+}
+
+// clone returns a copy of what is durable.
+func (m *memFS) clone() *memFS {
+	next := newMemFS(m.random.Uint64())
+	for name, f := range m.durable {
+		c := &memData{data: bytes.Clone(f.synced), synced: bytes.Clone(f.synced)}
+		next.files[name], next.durable[name] = c, c
+	}
+	return next
+}
+
+func (m *memFS) change(apply func(dir map[string]*memData)) {
+	apply(m.files)
+	m.pending = append(m.pending, func() { apply(m.durable) })
+}
+
+func (m *memFS) find(name string) (*memData, error) {
+	if f := m.files[name]; f != nil {
+		return f, nil
+	}
+	return nil, fmt.Errorf("%s: %w", name, fs.ErrNotExist)
+}
+
+func (m *memFS) MkdirAll(string) error { return nil }
+
+func (m *memFS) Lock(string) (io.Closer, error) {
+	if m.locked {
+		return nil, ErrLocked
+	}
+	m.locked = true
+	return memLock{fs: m}, nil
+}
+
+func (m *memFS) ReadDir(string) ([]string, error) {
+	var names []string
+	for name := range m.files {
+		names = append(names, filepath.Base(name))
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memFS) ReadFile(name string, _ int64) ([]byte, error) {
+	f, err := m.find(name)
+	if err != nil {
+		return nil, err
+	}
+	return bytes.Clone(f.data), nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	f := &memData{}
+	m.change(func(dir map[string]*memData) { dir[name] = f })
+	return &memFile{fs: m, data: f}, nil
+}
+
+func (m *memFS) Append(name string) (File, error) {
+	f, err := m.find(name)
+	return &memFile{fs: m, data: f}, err
+}
+
+func (m *memFS) Truncate(name string, size int64) error {
+	f, err := m.find(name)
+	if err == nil {
+		err = m.op()
+	}
+	if err == nil {
+		f.data = f.data[:size]
+		f.synced = bytes.Clone(f.data)
+	}
+	return err
+}
+
+func (m *memFS) Rename(from, to string) error {
+	f, err := m.find(from)
+	if err == nil {
+		err = m.op()
+	}
+	if err == nil {
+		m.change(func(dir map[string]*memData) { dir[to] = f; delete(dir, from) })
+	}
+	return err
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	m.change(func(dir map[string]*memData) { delete(dir, name) })
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	for _, change := range m.pending {
+		change()
+	}
+	m.pending = nil
+	return nil
+}
+
+func (f *memFile) Write(p []byte) (int, error) {
+	if err := f.fs.op(); err != nil {
+		f.data.data = append(f.data.data, p[:f.fs.random.IntN(len(p)+1)]...)
+		return 0, err
+	}
+	if f.fs.space >= 0 && len(p) > f.fs.space {
+		f.data.data = append(f.data.data, p[:f.fs.space]...)
+		return f.fs.space, errFull
+	}
+	if f.fs.space >= 0 {
+		f.fs.space -= len(p)
+	}
+	f.data.data = append(f.data.data, p...)
+	return len(p), nil
+}
+
+func (f *memFile) Sync() error {
+	if err := f.fs.op(); err != nil {
+		return err
+	}
+	f.data.synced = bytes.Clone(f.data.data)
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+func (l memLock) Close() error {
+	l.fs.locked = false
+	return nil
+}
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -140,7 +140,7 @@
 	kept := make([]Boot, 0, len(n.hard.Boots))
 	for _, b := range slices.Backward(n.hard.Boots) {
 		voter := slices.ContainsFunc(n.members, func(m Membership) bool {
-			return m.Index >= committed.Index && m.Has(b.Disk)
+			return (committed == nil || m.Index >= committed.Index) && m.Has(b.Disk)
 		})
 		if !voter {
 			spare[b.Name]++
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -58,7 +58,7 @@
 
 type (
 	// EntryKind tells what an entry holds.
-	EntryKind uint8
+	EntryKind uint32 // the codec has no 8-bit integers
 
 	// Role is what a member does in its term.
 	Role uint8
