--- a/internal/root/call/admit/limiter.go
+++ b/internal/root/call/admit/limiter.go
@@ -7,12 +7,26 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
+const (
+	queueShare      = 0.5 // queue length as part of the limit
+	queueMinimum    = 2   // lets a server with few slots absorb two simultaneous arrivals
+	queueWait       = 100 * time.Millisecond
+	deadlineShare   = 2    // a ticket waits at most its remaining time divided by this
+	criticalReserve = 0.10 // part of the limit that only critical requests use
+	sweepInterval   = time.Second
+)
+
 type (
-	// Limiter admits requests to one backend server.
+	// Limiter admits requests to one backend server. The mutex guards all fields.
 	Limiter struct {
 		mu       sync.Mutex
-		slots    int
+		limit    adaptive
+		nested   levels
 		inFlight int
+		byClass  [classes]int // in flight
+		queue    []*Ticket    // in order of arrival; no ticket in it fits
+		accounts accounts
+		swept    time.Time
 	}
 
 	// Load is the state of a limiter for metrics and for the picker of other daemons.
@@ -21,56 +35,222 @@
 		InFlight int
 		Waiting  int
 	}
-
-	account struct{}
 )
 
 // NewLimiter returns the limiter of a backend server that has just started with that many slots.
-func NewLimiter(now time.Time, slots int) *Limiter { return &Limiter{slots: slots} }
+func NewLimiter(now time.Time, slots int) *Limiter {
+	return &Limiter{limit: newAdaptive(now, slots), accounts: accounts{}, swept: now}
+}
 
-// Restart adapts the limiter to a new incarnation of its backend server, which starts cold.
+// Restart adapts the limiter to a new incarnation of its backend server, which starts cold. The
+// latencies learned from the previous incarnation remain the reference.
 func (l *Limiter) Restart(now time.Time, slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.slots = slots
+	l.limit.restart(now, slots)
 }
 
 // Offer decides about a new request.
 func (l *Limiter) Offer(now time.Time, t *Ticket) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.inFlight >= l.slots {
-		return Refused{Failure: retry.Overload{}}
+	l.tick(now)
+	remaining := t.Deadline.Sub(now)
+	if remaining <= 0 {
+		return Refused{Failure: retry.DeadlineBefore{}}
 	}
-	l.inFlight++
-	t.phase, t.admitted = running, now
-	return Admitted{}
+	t.account = l.accounts.of(now, t)
+	l.nested.seen(now, t.Held)
+	if l.fits(t) {
+		l.admit(now, t)
+		return Admitted{}
+	}
+	l.limit.saturated = true
+	l.nested.grow(t.Held, l.limit.whole())
+	if len(l.queue) >= max(queueMinimum, int(queueShare*l.limit.value)) && !l.evictFor(t) {
+		return Refused{Failure: retry.QueueFull{}}
+	}
+	t.phase, t.verdict = queued, make(chan Decision, 1)
+	t.account.waiting++
+	l.queue = append(l.queue, t)
+	return Queued{Verdict: t.verdict, Until: now.Add(min(queueWait, remaining/deadlineShare))}
 }
 
 // Expire ends the wait of a queued ticket; it returns Admitted if a slot was granted just before.
 func (l *Limiter) Expire(now time.Time, t *Ticket) Decision {
-	return Refused{Failure: retry.QueueTimeout{}}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tick(now)
+	switch t.phase {
+	case running:
+		return Admitted{}
+	case queued:
+		l.remove(t)
+		t.phase = refused
+		return Refused{Failure: retry.QueueTimeout{}}
+	}
+	return Refused{Failure: retry.QueueFull{}}
 }
 
 // Cancel withdraws a ticket that its caller abandoned while it was queued or just granted.
 func (l *Limiter) Cancel(now time.Time, t *Ticket) { l.Done(now, t, Canceled{}) }
 
 // Responded counts the latency of a response whose body is still being streamed.
-func (l *Limiter) Responded(now time.Time, t *Ticket, latency time.Duration) {}
+func (l *Limiter) Responded(now time.Time, t *Ticket, latency time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.phase == running && !t.reported {
+		t.reported = true
+		l.limit.sample(now, t.Route, latency)
+	}
+}
 
 // Done returns the slot of an admitted ticket and grants it to waiting ones.
 func (l *Limiter) Done(now time.Time, t *Ticket, r Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t.phase == running {
+	switch t.phase {
+	case queued:
+		l.remove(t)
+	case running:
 		l.inFlight--
+		l.byClass[t.Importance]--
+		l.nested.inFlight[level(t.Held)]--
+		t.account.update(now)
+		t.account.inFlight--
+		switch r := r.(type) {
+		case Completed:
+			if !t.reported {
+				l.limit.sample(now, t.Route, r.Latency)
+			}
+		case Expired:
+			if !t.reported {
+				l.limit.sample(now, t.Route, r.Latency)
+			}
+		case Shed:
+			l.limit.shed()
+		case Lost, Canceled:
+		}
 	}
 	t.phase = idle
+	l.tick(now)
+	l.dispatch(now)
 }
 
 // Load returns the present limit and its use.
 func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Load{Limit: l.slots, InFlight: l.inFlight}
+	return Load{Limit: l.limit.whole(), InFlight: l.inFlight, Waiting: len(l.queue)}
+}
+
+// tick closes the measuring windows that have passed.
+func (l *Limiter) tick(now time.Time) {
+	grown := l.limit.tick(now, l.inFlight)
+	if now.Sub(l.swept) >= sweepInterval {
+		l.swept = now
+		l.accounts.sweep(now)
+		grown = l.nested.shrink(now) || grown
+	}
+	if grown {
+		l.dispatch(now)
+	}
+}
+
+// fits reports whether a ticket may take a slot: the limit holds, the reserve for critical requests
+// stays free for them, and so does the reserve for requests whose chain already holds slots.
+func (l *Limiter) fits(t *Ticket) bool {
+	limit := l.limit.whole()
+	if t.Held > 0 {
+		// The slots that the chain already holds cannot be freed before this call has run.
+		limit = l.limit.slots
+	}
+	taken := l.inFlight + 1 + l.nested.free(t.Held)
+	if t.Importance != Critical {
+		taken += max(0, int(criticalReserve*l.limit.value+0.5)-l.byClass[Critical])
+	}
+	return taken <= limit
+}
+
+func (l *Limiter) admit(now time.Time, t *Ticket) {
+	t.phase, t.reported = running, false
+	l.inFlight++
+	l.byClass[t.Importance]++
+	l.nested.admit(t.Held)
+	t.account.update(now)
+	t.account.inFlight++
+	l.limit.busiest = max(l.limit.busiest, l.inFlight)
+}
+
+// dispatch grants free slots to waiting tickets.
+func (l *Limiter) dispatch(now time.Time) {
+	for {
+		var best *Ticket
+		for _, t := range l.queue {
+			if l.fits(t) && (best == nil || t.before(now, best)) {
+				best = t
+			}
+		}
+		if best == nil {
+			return
+		}
+		l.remove(best)
+		l.admit(now, best)
+		best.verdict <- Admitted{}
+	}
+}
+
+// evictFor makes room in a full queue for a ticket, if one that matters less is waiting.
+func (l *Limiter) evictFor(t *Ticket) bool {
+	var worst *Ticket
+	for _, q := range l.queue {
+		// Among equals the newest goes, because it has waited least.
+		if worst == nil || !worst.lessUrgent(q, 0) {
+			worst = q
+		}
+	}
+	if worst == nil || !worst.lessUrgent(t, 1) {
+		return false
+	}
+	l.remove(worst)
+	worst.phase = refused
+	worst.verdict <- Refused{Failure: retry.QueueFull{}}
+	return true
+}
+
+func (l *Limiter) remove(t *Ticket) {
+	for i, q := range l.queue {
+		if q == t {
+			copy(l.queue[i:], l.queue[i+1:])
+			l.queue[len(l.queue)-1] = nil
+			l.queue = l.queue[:len(l.queue)-1]
+			t.account.waiting--
+			return
+		}
+	}
+}
+
+// before reports whether t gets a slot before u, which arrived earlier.
+func (t *Ticket) before(now time.Time, u *Ticket) bool {
+	switch {
+	case t.Importance != u.Importance:
+		return t.Importance < u.Importance
+	case (t.Held > 0) != (u.Held > 0):
+		return t.Held > 0
+	}
+	return t.account.service(now) < u.account.service(now)
+}
+
+// lessUrgent reports whether t leaves a full queue before u; extra is 1 if u is not queued yet. The
+// account with the longest queue for its weight loses first, so that no account fills the queue.
+func (t *Ticket) lessUrgent(u *Ticket, extra int) bool {
+	switch {
+	case t.Importance != u.Importance:
+		return t.Importance > u.Importance
+	case (t.Held > 0) != (u.Held > 0):
+		return u.Held > 0
+	case t.account == u.account:
+		return false
+	}
+	return float64(t.account.waiting)/t.account.weight > float64(u.account.waiting+extra)/u.account.weight
 }
--- a/internal/root/call/admit/ticket.go
+++ b/internal/root/call/admit/ticket.go
@@ -31,7 +31,8 @@
 	// Ticket is one request at one limiter. The limiter's mutex guards the unexported fields.
 	Ticket struct {
 		Account    string
-		Route      string // latencies are compared within a route
+		Weight     float64 // share of the account, such as its rate; zero for the mean of the others
+		Route      string  // latencies are compared within a route
 		Importance Importance
 		Held       uint8 // slots of the same service that the request's call chain already holds
 		Deadline   time.Time
@@ -39,7 +40,6 @@
 		phase    phase
 		reported bool // latency of this request is already counted
 		account  *account
-		admitted time.Time
 		verdict  chan Decision
 	}
 
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -246,3 +246,12 @@
 	}
 	return nil, fmt.Errorf("%w %q with outcome %q", ErrReason, reason, outcome)
 }
+
+// Merge returns the failure to report for a request that failed with earlier and, sent again, with
+// last: after a send with unknown outcome, a later refusal does not prove that it has not run.
+func Merge(earlier, last Failure) Failure {
+	if earlier != nil && Describe(earlier).Outcome != NotRun && Describe(last).Outcome == NotRun {
+		return earlier
+	}
+	return last
+}
