--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon holds the commands of buckthornd: run, settings and quick-start.
+package daemon
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/config"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
+	"github.com/buckthornpitch/buckthornpitch/internal/root"
+)
+
+// drainLimit lets downloads in progress end; a second signal ends the process at once.
+const drainLimit = 24 * time.Hour
+
+type runCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file in TOML"`
+}
+
+type settingsCommand struct {
+	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file in TOML"`
+}
+
+func run(command *runCommand, stderr io.Writer) int {
+	settings, err := config.Load(command.Settings)
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	log := logs.New(stderr, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
+	return serve(settings, log, stderr)
+}
+
+// serve runs one daemon as a kratos application until a signal arrives.
+func serve(settings *config.Settings, log zerolog.Logger, stderr io.Writer) int {
+	klog.SetLogger(logs.Kratos(log))
+	daemon, err := root.New(settings, clock.Real{}, log)
+	if err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	app := kratos.New(
+		kratos.Name("buckthornd"),
+		kratos.Server(daemon),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(drainLimit),
+	)
+	ended := make(chan error, 1)
+	go func() { ended <- app.Run() }()
+	for received := 1; ; received++ {
+		select {
+		case err := <-ended:
+			if err != nil {
+				return fail(stderr, exitFailed, err)
+			}
+			return exitOK
+		case <-signals: // the application drains on the first one
+			if received > 1 {
+				log.Warn().Msg("second-signal")
+				return exitFailed
+			}
+		}
+	}
+}
+
+func printSettings(command *settingsCommand, stdout, stderr io.Writer) int {
+	settings, err := config.Load(command.Settings)
+	if err != nil {
+		return fail(stderr, exitUsage, err)
+	}
+	_, _ = io.WriteString(stdout, settings.Text())
+	return exitOK
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,48 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	"github.com/rs/zerolog"
+)
+
+// kratosLog passes the events of kratos to the log.
+type kratosLog struct{ log zerolog.Logger }
+
+// New returns a logger that writes events of at least the given level to w.
+func New(w io.Writer, level zerolog.Level) zerolog.Logger {
+	console := zerolog.ConsoleWriter{
+		Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		FormatTimestamp:     func(v any) string { return fmt.Sprintf("time=%v", v) },
+		FormatLevel:         func(v any) string { return fmt.Sprintf("level=%v", v) },
+		FormatMessage:       func(v any) string { return fmt.Sprintf("event=%v", v) },
+		FormatFieldName:     func(v any) string { return fmt.Sprintf("%v=", v) },
+		FormatFieldValue:    func(v any) string { return fmt.Sprintf("%s", v) },
+		FormatErrFieldName:  func(v any) string { return fmt.Sprintf("%v=", v) },
+		FormatErrFieldValue: func(v any) string { return fmt.Sprintf("%s", v) },
+	}
+	return zerolog.New(console).Level(level).With().Timestamp().Logger()
+}
+
+// Kratos returns a kratos logger that writes to log at debug level.
+func Kratos(log zerolog.Logger) klog.Logger { return kratosLog{log: log} }
+
+// Log writes one event of kratos.
+func (k kratosLog) Log(level klog.Level, pairs ...any) error {
+	event := k.log.Debug()
+	if level >= klog.LevelWarn {
+		event = k.log.Warn()
+	}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		key := fmt.Sprint(pairs[i])
+		if key == "msg" {
+			key = "text"
+		}
+		event = event.Str(key, fmt.Sprint(pairs[i+1]))
+	}
+	event.Msg("http-library")
+	return nil
+}
--- /dev/null
+++ b/internal/meter/counts.go
@@ -0,0 +1,42 @@
+package meter
+
+import (
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
+)
+
+// Counts returns the counters that the status report shows.
+func (m *Meter) Counts() admin.Counts {
+	counts := admin.Counts{Refused: map[string]uint64{}}
+	families, err := m.Registry.Gather()
+	if err != nil {
+		return counts
+	}
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			value := uint64(metric.GetCounter().GetValue())
+			switch family.GetName() {
+			case namespace + "_calls_total":
+				counts.Calls += value
+				if label(metric, "result") == "answered" {
+					counts.Completed += value
+				}
+			case namespace + "_retries_total":
+				counts.Retries += value
+			case namespace + "_refusals_total":
+				counts.Refused[label(metric, "reason")] += value
+			}
+		}
+	}
+	return counts
+}
+
+func label(metric *dto.Metric, name string) string {
+	for _, pair := range metric.GetLabel() {
+		if pair.GetName() == name {
+			return pair.GetValue()
+		}
+	}
+	return ""
+}
--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 const (
@@ -176,7 +177,7 @@
 	s.after(restart, func() {
 		sv.restarts++
 		sv.endpoint.Incarnation += 1000
-		sv.endpoint.Started = snap.UnixNano(s.now.UnixNano())
+		sv.endpoint.Started = wire.StampOf(s.now)
 		sv.alive, sv.coldUntil = true, s.now.Add(coldTime)
 		d.limiter.Restart(s.now, sv.service.Slots)
 		s.after(notice, s.publish)
--- /dev/null
+++ b/internal/root/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin serves the operators' endpoint: status, rules, history, state dump and metrics.
+package admin
--- /dev/null
+++ b/internal/root/admin/server.go
@@ -0,0 +1,269 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const (
+	pathMetrics    = "/metrics"
+	reportTimeout  = 2 * time.Second
+	defaultHistory = 20
+	stopTimeout    = 5 * time.Second
+)
+
+var errParameter = errors.New("invalid parameter")
+
+type (
+	// Reporter gives the reports of the control loop.
+	Reporter interface {
+		// Report returns the JSON of a report.
+		Report(ctx context.Context, request ctrl.ReportRequest) ([]byte, error)
+	}
+
+	// Traffic gives the state of the traffic part.
+	Traffic interface {
+		// Sections returns the state as tables for a dump.
+		Sections(now time.Time) []admin.Section
+		// Running returns the number of calls in progress.
+		Running() int
+	}
+
+	// Server is the operators' endpoint of one daemon.
+	Server struct {
+		Name     string
+		Region   string
+		Listener net.Listener
+		Clock    clock.Clock
+		Reporter Reporter
+		Traffic  Traffic
+		Meter    *meter.Meter
+		Settings admin.Section
+		Log      zerolog.Logger
+	}
+)
+
+// Group returns the run group of the endpoint.
+func (s *Server) Group() *super.Group {
+	return &super.Group{Name: "admin", Log: s.Log, Children: []super.Child{{Name: "admin-server", Run: s.run}}}
+}
+
+func (s *Server) run(ctx context.Context) error {
+	server := khttp.NewServer(khttp.Listener(s.Listener), khttp.Timeout(0))
+	server.ReadHeaderTimeout = reportTimeout
+	server.HandleFunc(admin.PathStatus, s.handle(s.status))
+	server.HandleFunc(admin.PathInForce, s.handle(s.inForce))
+	server.HandleFunc(admin.PathRules, s.handle(s.rules))
+	server.HandleFunc(admin.PathHistory, s.handle(s.history))
+	server.HandlePrefix(admin.PathRevision, s.handle(s.revision))
+	server.HandleFunc(admin.PathExplain, s.handle(s.explain))
+	server.HandleFunc(admin.PathDump, s.handle(s.dump))
+	server.Handle(pathMetrics, promhttp.HandlerFor(s.Meter.Registry, promhttp.HandlerOpts{}))
+	ended := make(chan error, 1)
+	go func() { ended <- server.Start(context.WithoutCancel(ctx)) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("admin server: %w", err)
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	_ = server.Stop(stopping)
+	return nil
+}
+
+// handle answers GET requests with the JSON of a report.
+func (s *Server) handle(report func(*http.Request) ([]byte, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			writeError(w, http.StatusMethodNotAllowed, admin.ReasonBadRequest, "only GET is supported; the rules file is the only way to change anything")
+			return
+		}
+		body, err := report(r)
+		switch {
+		case errors.Is(err, errParameter):
+			writeError(w, http.StatusBadRequest, admin.ReasonBadRequest, err.Error())
+		case errors.Is(err, ctrl.ErrNotFound):
+			writeError(w, http.StatusNotFound, admin.ReasonNotFound, err.Error())
+		case err != nil:
+			writeError(w, http.StatusServiceUnavailable, admin.ReasonNoLeader, err.Error())
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(body)
+		}
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, reason, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(&admin.Error{Code: status, Reason: reason, Message: message})
+}
+
+func (s *Server) ask(r *http.Request, request ctrl.ReportRequest, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(r.Context(), reportTimeout+wait)
+	defer cancel()
+	return s.Reporter.Report(ctx, request)
+}
+
+func (s *Server) status(r *http.Request) ([]byte, error) {
+	body, err := s.ask(r, ctrl.StatusRequest{}, 0)
+	if err != nil {
+		return nil, err
+	}
+	status := &admin.Status{}
+	if err := json.Unmarshal(body, status); err != nil {
+		return nil, fmt.Errorf("read control status: %w", err)
+	}
+	status.Region = s.Region
+	status.Counts = s.Meter.Counts()
+	status.Counts.Running = uint64(s.Traffic.Running())
+	return json.Marshal(status)
+}
+
+func (s *Server) inForce(r *http.Request) ([]byte, error) {
+	revision, err := number(r, admin.ParamRevision, 0)
+	if err != nil {
+		return nil, err
+	}
+	wait, err := duration(r, admin.ParamWait)
+	if err != nil {
+		return nil, err
+	}
+	query := ctrl.Query{Kind: ctrl.QueryInForce, Revision: revision, Wait: wait}
+	return s.ask(r, ctrl.LeaderRequest{Query: query}, wait)
+}
+
+func (s *Server) rules(r *http.Request) ([]byte, error) { return s.ask(r, ctrl.RulesRequest{}, 0) }
+
+func (s *Server) history(r *http.Request) ([]byte, error) {
+	limit, err := number(r, admin.ParamLimit, defaultHistory)
+	if err != nil {
+		return nil, err
+	}
+	if limit == 0 || limit > admin.MaxHistory {
+		return nil, fmt.Errorf("%w: limit is %d, want 1 to %d", errParameter, limit, admin.MaxHistory)
+	}
+	query := ctrl.Query{Kind: ctrl.QueryHistory, Limit: uint32(limit)}
+	return s.ask(r, ctrl.LeaderRequest{Query: query}, 0)
+}
+
+func (s *Server) revision(r *http.Request) ([]byte, error) {
+	text := strings.TrimPrefix(r.URL.Path, admin.PathRevision)
+	revision, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || revision == 0 {
+		return nil, fmt.Errorf("%w: %q is not a revision number", errParameter, text)
+	}
+	query := ctrl.Query{Kind: ctrl.QueryRevision, Revision: revision}
+	return s.ask(r, ctrl.LeaderRequest{Query: query}, 0)
+}
+
+func (s *Server) explain(r *http.Request) ([]byte, error) {
+	rule := r.URL.Query().Get(admin.ParamRule)
+	if rule == "" {
+		return nil, fmt.Errorf("%w: rule is missing", errParameter)
+	}
+	revision, err := number(r, admin.ParamRevision, 0)
+	if err != nil {
+		return nil, err
+	}
+	request := ctrl.ReportRequest(ctrl.RulesRequest{})
+	if revision != 0 {
+		request = ctrl.LeaderRequest{Query: ctrl.Query{Kind: ctrl.QueryRevision, Revision: revision}}
+	}
+	body, err := s.ask(r, request, 0)
+	if err != nil {
+		return nil, err
+	}
+	return explain(body, rule)
+}
+
+// explain finds a rule in a revision by its identity <kind>/<name>@<line>; the line may be left out.
+func explain(body []byte, identity string) ([]byte, error) {
+	revision := &admin.Revision{}
+	if err := json.Unmarshal(body, revision); err != nil {
+		return nil, fmt.Errorf("read revision: %w", err)
+	}
+	set, err := rules.Parse("rules", []byte(revision.Text))
+	if err != nil {
+		return nil, fmt.Errorf("%w: the text of revision %d is not kept", ctrl.ErrNotFound, revision.Number)
+	}
+	for _, statement := range set.Statements() {
+		rule := rules.RuleOf(statement)
+		full := rule.Identity()
+		if identity != full && identity != full[:strings.LastIndexByte(full, '@')] {
+			continue
+		}
+		return json.Marshal(&admin.Explain{
+			Rule: full, Kind: rule.Kind, Name: rule.Name, Revision: set.Revision, Line: rule.Line,
+			Requester: rule.Requester, Reason: rule.Reason, Text: rules.Line(statement),
+		})
+	}
+	return nil, fmt.Errorf("%w: rule %q in revision %d", ctrl.ErrNotFound, identity, set.Revision)
+}
+
+func (s *Server) dump(r *http.Request) ([]byte, error) {
+	body, err := s.ask(r, ctrl.DumpRequest{}, 0)
+	if err != nil {
+		return nil, err
+	}
+	var sections []admin.Section
+	if err := json.Unmarshal(body, &sections); err != nil {
+		return nil, fmt.Errorf("read control dump: %w", err)
+	}
+	now := s.Clock.Now()
+	sections = append([]admin.Section{s.Settings}, sections...)
+	sections = append(sections, s.Traffic.Sections(now)...)
+	if wanted := r.URL.Query()[admin.ParamSection]; len(wanted) > 0 {
+		for _, name := range wanted {
+			if !slices.ContainsFunc(sections, func(section admin.Section) bool { return section.Name == name }) {
+				return nil, fmt.Errorf("%w: section %q", ctrl.ErrNotFound, name)
+			}
+		}
+		sections = slices.DeleteFunc(sections, func(section admin.Section) bool { return !slices.Contains(wanted, section.Name) })
+	}
+	return json.Marshal(&admin.Dump{Name: s.Name, Time: now, Sections: sections})
+}
+
+func number(r *http.Request, name string, fallback uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s is %q, want a whole number", errParameter, name, text)
+	}
+	return value, nil
+}
+
+func duration(r *http.Request, name string) (time.Duration, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil || value < 0 || value > admin.MaxWait {
+		return 0, fmt.Errorf("%w: %s is %q, want a duration of at most %s", errParameter, name, text, admin.MaxWait)
+	}
+	return value, nil
+}
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -27,7 +27,7 @@
 )
 
 type (
-	// ReportRequest is StatusRequest, RulesRequest, ExplainRequest, DumpRequest or LeaderRequest.
+	// ReportRequest is StatusRequest, RulesRequest, DumpRequest or LeaderRequest.
 	ReportRequest interface{ reportRequest() }
 
 	// StatusRequest asks for the control part of admin.Status.
@@ -36,9 +36,6 @@
 	// RulesRequest asks for the revision in force on this daemon.
 	RulesRequest struct{}
 
-	// ExplainRequest asks for a rule of the revision in force on this daemon.
-	ExplainRequest struct{ Rule string }
-
 	// DumpRequest asks for the sections of the control state.
 	DumpRequest struct{}
 
@@ -54,11 +51,10 @@
 	}
 )
 
-func (StatusRequest) reportRequest()  {}
-func (RulesRequest) reportRequest()   {}
-func (ExplainRequest) reportRequest() {}
-func (DumpRequest) reportRequest()    {}
-func (LeaderRequest) reportRequest()  {}
+func (StatusRequest) reportRequest() {}
+func (RulesRequest) reportRequest()  {}
+func (DumpRequest) reportRequest()   {}
+func (LeaderRequest) reportRequest() {}
 
 // Report returns the JSON of a report; errors are ErrNotFound, ErrUnanswered or name a missing leader.
 func (l *Loop) Report(ctx context.Context, request ReportRequest) ([]byte, error) {
@@ -76,8 +72,6 @@
 		event.reply <- encoded(l.status(now))
 	case RulesRequest:
 		event.reply <- l.rulesReport()
-	case ExplainRequest:
-		event.reply <- l.explain(request.Rule)
 	case DumpRequest:
 		event.reply <- encoded(l.dump(now))
 	case LeaderRequest:
@@ -160,26 +154,6 @@
 	})
 }
 
-// explain finds a rule by its identity <kind>/<name>@<line>; the line may be left out.
-func (l *Loop) explain(identity string) reportResult {
-	set := l.daemon.rules.set
-	if set == nil {
-		return reportResult{err: ErrNotFound}
-	}
-	for _, statement := range set.Statements() {
-		rule := rules.RuleOf(statement)
-		full := rule.Identity()
-		if identity != full && identity != full[:strings.LastIndexByte(full, '@')] {
-			continue
-		}
-		return encoded(&admin.Explain{
-			Rule: full, Kind: rule.Kind, Name: rule.Name, Revision: set.Revision, Line: rule.Line,
-			Requester: rule.Requester, Reason: rule.Reason, Text: rules.Line(statement),
-		})
-	}
-	return reportResult{err: ErrNotFound}
-}
-
 // query answers a daemon's question about the fleet.
 func (d *leaderState) query(now time.Time, l *Loop, s *session, query *Query) {
 	machine := l.voter.machine
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 
@@ -15,9 +14,6 @@
 // the daemon opens another one.
 const sessionQueue = 4096
 
-// errSlow reports a peer that does not read its control stream.
-var errSlow = errors.New("control stream is not read")
-
 // session is one control stream. The loop sends on it; its own goroutines move the bytes.
 type session struct {
 	peer   string // name of the other daemon
@@ -28,10 +24,9 @@
 	once   sync.Once
 
 	// The fields below belong to the loop of a control instance.
-	join     *Join
-	sent     uint64 // revision sent last
-	sentQuar uint64 // version of the quarantine list sent last
-	traffic  uint64 // bytes queued for the daemon
+	join    *Join
+	sent    uint64 // revision sent last
+	traffic uint64 // bytes queued for the daemon
 }
 
 func newSession(stream *link.Stream, remote string) *session {
