--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -36,15 +36,11 @@
 	return nil
 }
 
-// isAdmitted reports whether a majority of the voters, this member included, has accepted its boot number.
-func (n *Node) isAdmitted() bool {
-	return n.majority(func(v Voter) bool { return v == n.self || n.accepted[v.Name] == v.Disk })
-}
-
-// mayVote reports whether this member may vote and campaign.
-func (n *Node) mayVote() bool {
-	m := n.membership()
-	return m != nil && m.Has(n.self.Disk) && !n.hard.Fenced && n.isAdmitted()
+// isAdmittedTo reports whether this member is a voter of m and a majority of its voters, this member
+// included, has accepted its boot number. Only then may it vote.
+func (n *Node) isAdmittedTo(m *Membership) bool {
+	return m != nil && !n.hard.Fenced && m.Has(n.self.Disk) &&
+		m.majority(func(v Voter) bool { return v == n.self || n.accepted[v.Name] == v.Disk })
 }
 
 // needsHello reports whether a peer has yet to accept this start, or this member looks for its group.
--- a/internal/root/ctrl/raft/elect.go
+++ b/internal/root/ctrl/raft/elect.go
@@ -63,18 +63,23 @@
 }
 
 func (n *Node) requestVotes(pre bool, term uint64) {
-	for _, v := range n.membership().Voters {
+	membership := *n.membership()
+	for _, v := range membership.Voters {
 		if v == n.self {
 			continue
 		}
-		m := &VoteRequest{Header: n.header(v), Pre: pre, LastIndex: n.log.last(), LastTerm: n.log.lastTerm()}
+		m := &VoteRequest{
+			Header: n.header(v), Pre: pre, LastIndex: n.log.last(), LastTerm: n.log.lastTerm(), Membership: &membership,
+		}
 		m.Header.Term = term
 		n.sendHeld(v, m)
 	}
 }
 
 func (n *Node) onVoteRequest(m *VoteRequest) {
-	if !n.mayVote() {
+	// The candidate's membership counts: this member may have been added, or another replaced, by an entry
+	// that it lacks. A candidate whose membership is older lacks entries too and gets no vote.
+	if !n.isAdmittedTo(m.Membership) {
 		return
 	}
 	term := m.Header.Term
@@ -136,5 +141,5 @@
 }
 
 func (n *Node) hasVotes() bool {
-	return n.majority(func(v Voter) bool { return n.votes[v.Disk] })
+	return n.membership().majority(func(v Voter) bool { return n.votes[v.Disk] })
 }
--- a/internal/root/ctrl/raft/message.go
+++ b/internal/root/ctrl/raft/message.go
@@ -49,6 +49,8 @@
 		Pre       bool   `protobuf:"varint,2,opt,name=pre"`
 		LastIndex uint64 `protobuf:"varint,3,opt,name=last-index"`
 		LastTerm  uint64 `protobuf:"varint,4,opt,name=last-term"`
+		// Membership is the candidate's; a voter that has yet to receive it can vote by it.
+		Membership *Membership `protobuf:"bytes,5,opt,name=membership"`
 	}
 
 	// VoteReply answers VoteRequest; For is the term that was asked for.
@@ -136,7 +138,15 @@
 }
 
 // Check returns an error that names the first invalid field.
-func (m *VoteRequest) Check() error { return m.Header.Check() }
+func (m *VoteRequest) Check() error {
+	if m.Membership == nil {
+		return fmt.Errorf("%w: vote request without a membership", ErrInvalid)
+	}
+	if err := m.Membership.Check(); err != nil {
+		return err
+	}
+	return m.Header.Check()
+}
 
 // Check returns an error that names the first invalid field.
 func (m *VoteReply) Check() error { return m.Header.Check() }
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -223,7 +223,7 @@
 			n.stepDown()
 		}
 	}
-	if n.role != Leader && n.mayVote() {
+	if n.role != Leader && n.isAdmittedTo(n.membership()) {
 		if n.sole() {
 			if n.role == Follower {
 				n.campaign()
@@ -251,7 +251,7 @@
 		}
 	} else {
 		due = n.now.Add(min(quietStep, max(n.timeout-n.elapsed, 0)))
-		if !n.mayVote() || n.sole() {
+		if !n.isAdmittedTo(n.membership()) || n.sole() {
 			due = n.now.Add(quietStep)
 		}
 	}
@@ -265,13 +265,14 @@
 func (n *Node) Status() Status {
 	s := Status{
 		Role: n.role, Term: n.hard.Term, Leader: n.leader.Name, Commit: n.commit, Applied: n.applied, Last: n.log.last(),
-		Boot: n.boot, Admitted: n.isAdmitted(), Fenced: n.hard.Fenced, Failed: n.failed, LeaseHeld: n.LeaseHeld(n.now),
+		Boot: n.boot, Admitted: n.isAdmittedTo(n.membership()), Fenced: n.hard.Fenced, Failed: n.failed, LeaseHeld: n.LeaseHeld(n.now),
 	}
 	if n.snapshot != nil {
 		s.Snapshot = n.snapshot.Index
 	}
 	if m := n.membership(); m != nil {
 		s.Voters = slices.Clone(m.Voters)
+		s.Replacing = m.Index > n.commit || m.Leaving != "" || m.Joining != ""
 	}
 	if n.role == Leader {
 		s.LeaseUntil = n.lead.leaseEnd
@@ -327,21 +328,6 @@
 	return m != nil && len(m.Voters) == 1 && m.Voters[0] == n.self
 }
 
-// majority reports whether the voters for which has returns true are a majority.
-func (n *Node) majority(has func(Voter) bool) bool {
-	m := n.membership()
-	if m == nil {
-		return false
-	}
-	count := 0
-	for _, v := range m.Voters {
-		if has(v) {
-			count++
-		}
-	}
-	return count > len(m.Voters)/2
-}
-
 func (n *Node) header(to Voter) Header {
 	return Header{From: n.self, Boot: n.boot, Start: n.start, To: to.Disk, Group: n.group(), Term: n.hard.Term}
 }
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -174,15 +174,17 @@
 
 	// Status describes a member for operators and for the control loop.
 	Status struct {
-		Role     Role
-		Term     uint64
-		Leader   string // name, empty if unknown
-		Voters   []Voter
-		Learners []Voter // as the leader sees them
-		Commit   uint64
-		Applied  uint64
-		Last     uint64
-		Snapshot uint64
+		Role   Role
+		Term   uint64
+		Leader string // name, empty if unknown
+		Voters []Voter
+		// Replacing is true until the latest change of the voters is committed and complete.
+		Replacing bool
+		Learners  []Voter // as the leader sees them
+		Commit    uint64
+		Applied   uint64
+		Last      uint64
+		Snapshot  uint64
 		// LeaseHeld is true on a leader that heard from a majority within the lease and has applied an
 		// entry of its own term; it is valid for the time of the last Step. LeaseUntil is its end.
 		LeaseHeld  bool
@@ -232,6 +234,17 @@
 	return "unknown"
 }
 
+// majority reports whether the voters for which has returns true are a majority.
+func (m *Membership) majority(has func(Voter) bool) bool {
+	count := 0
+	for _, v := range m.Voters {
+		if has(v) {
+			count++
+		}
+	}
+	return count > len(m.Voters)/2
+}
+
 // Has reports whether the disk is a voter.
 func (m *Membership) Has(disk string) bool {
 	for _, v := range m.Voters {
