--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -12,7 +12,7 @@
 
 // admits reports whether a message comes from a start of a disk that this member has accepted.
 func (n *Node) admits(h *Header) bool {
-	if h.To != n.self.Disk || (n.group() != "" && h.Group != n.group()) {
+	if h.To != n.self.Disk || (n.group() != "" && h.Group != "" && h.Group != n.group()) {
 		return false
 	}
 	if n.wasRemoved(h.From.Disk) {
--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -25,7 +25,8 @@
 	// Received is a decoded and checked message from a peer.
 	Received struct{ Message Message }
 
-	// Propose asks the leader to append Data; ID is not zero and comes back in Apply or Dropped.
+	// Propose asks the leader to append Data, which must not change afterwards; ID is not zero and comes
+	// back in Apply or Dropped.
 	Propose struct {
 		ID   uint64
 		Data []byte
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -33,7 +33,7 @@
 		peer     Voter
 		match    uint64 // synced at the peer
 		next     uint64 // next entry to send
-		probing  bool   // next is a guess; one message at a time
+		probing  bool   // next is a guess; one message without entries at a time
 		waiting  bool   // a probe or a snapshot chunk has no answer yet
 		waits    int    // heartbeats since the chunk was sent
 		inflight []uint64
@@ -193,7 +193,7 @@
 	if p.probing {
 		if beat || !p.waiting {
 			p.waiting = true
-			n.sendAppend(p, n.log.from(p.next))
+			n.sendAppend(p, nil)
 		}
 		return
 	}
@@ -216,7 +216,8 @@
 	if beat {
 		p.waits++
 	}
-	if p.waiting && p.waits < chunkRetries {
+	// A peer that does not answer gets no chunks, only heartbeats: its disk may be gone for good.
+	if !n.answers(p) || (p.waiting && p.waits < chunkRetries) {
 		if beat {
 			m := &Append{Header: n.header(p.peer), Prev: n.log.base, PrevTerm: n.log.baseTerm, Sent: n.sentNow()}
 			n.send(p.peer, m)
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -129,7 +129,9 @@
 		} else if !n.hard.Fenced {
 			n.handle(ev)
 		}
-		n.settle()
+		if n.failed == "" {
+			n.settle()
+		}
 	}
 	out := n.out
 	n.out = nil
