--- /dev/null
+++ b/internal/root/ctrl/limit/limit_test.go
@@ -0,0 +1,387 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+type (
+	// fleet runs one owner and its holders over a network that delays messages. Times are true times; a
+	// daemon's clock may differ by an offset and a speed.
+	fleet struct {
+		now     time.Duration
+		owner   *Owner
+		epoch   uint64
+		limits  []Limit
+		holders []*daemon
+		ownerAt func(time.Duration) time.Time
+		// deliver returns the delays after which copies of a message arrive; none means that it is lost.
+		deliver func() []time.Duration
+		wire    []message
+		spent   func(account string, request uint64)
+		refused func(request uint64)
+		// messages and bytes count what was sent in both directions.
+		messages, bytes int
+	}
+
+	daemon struct {
+		name   string
+		holder *Holder
+		offset time.Duration
+		speed  float64
+		// stalled is the time until which the control loop does not run, while traffic goes on.
+		stalled time.Duration
+		// accounts holds the account of each waiting request.
+		accounts map[uint64]string
+	}
+
+	message struct {
+		at time.Duration
+		to int // index of the holder, -1 for the owner
+		// from is the index of the sender of an ask.
+		from int
+		body any
+	}
+
+	// conformance is the bucket that the spent tokens must never overdraw, which is the same as the bound
+	// burst + rate × window over every window.
+	conformance struct {
+		level, rate, burst float64
+		at                 time.Duration
+	}
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func init() {
+	// Every run of the property tests uses the same seed unless a flag names another.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "300")
+}
+
+func newFleet(holders int, limits []Limit) *fleet {
+	f := &fleet{
+		limits: limits, epoch: 1,
+		ownerAt: epoch.Add,
+		deliver: func() []time.Duration { return []time.Duration{0} },
+		spent:   func(string, uint64) {},
+		refused: func(uint64) {},
+	}
+	f.owner = NewOwner(f.ownerAt(0), 1, limits)
+	for i := range holders {
+		d := &daemon{name: fmt.Sprintf("127.0.%d.%d:7400", i/250, i%250), speed: 1, accounts: make(map[uint64]string)}
+		f.holders = append(f.holders, d)
+		f.start(d, uint64(i+1))
+	}
+	return f
+}
+
+func (f *fleet) start(d *daemon, boot uint64) {
+	d.holder = NewHolder(f.clock(d), boot)
+	d.holder.Step(f.clock(d), &SetLimits{Limits: f.limits})
+	clear(d.accounts)
+}
+
+func (f *fleet) clock(d *daemon) time.Time {
+	return epoch.Add(d.offset + time.Duration(float64(f.now)*d.speed))
+}
+
+// request is one arrival at a holder.
+func (f *fleet) request(i int, account string, id uint64) {
+	d := f.holders[i]
+	cell := d.holder.Cells[account]
+	switch now := f.clock(d); {
+	case cell == nil:
+		f.refused(id)
+	case cell.Take(now):
+		f.spent(account, id)
+	case cell.RetryAfter(now) > 0 || d.stalled > f.now:
+		f.refused(id)
+	default:
+		d.accounts[id] = account
+		f.hold(i, &Need{Account: account, Waiter: id})
+	}
+}
+
+func (f *fleet) hold(i int, ev HolderEvent) {
+	d := f.holders[i]
+	for _, action := range d.holder.Step(f.clock(d), ev) {
+		switch a := action.(type) {
+		case *SendAsk:
+			f.send(message{to: -1, from: i, body: pass(f, a.Ask)})
+		case *Admit:
+			f.spent(d.accounts[a.Waiter], a.Waiter)
+			delete(d.accounts, a.Waiter)
+		case *Refuse:
+			f.refused(a.Waiter)
+			delete(d.accounts, a.Waiter)
+		}
+	}
+}
+
+func (f *fleet) own(ev OwnerEvent) {
+	for _, action := range f.owner.Step(f.ownerAt(f.now), ev) {
+		to, body := "", any(nil)
+		switch a := action.(type) {
+		case *SendGrant:
+			to, body = a.Holder, pass(f, a.Grant)
+		case *SendRecall:
+			to, body = a.Holder, pass(f, a.Recall)
+		}
+		for i, d := range f.holders {
+			if d.name == to {
+				f.send(message{to: i, body: body})
+			}
+		}
+	}
+}
+
+// pass encodes and decodes a message and counts its bytes.
+func pass[T any, M wire.Message[T]](f *fleet, m M) M {
+	body, err := wire.Encode[T](m)
+	if err != nil {
+		panic(err)
+	}
+	back, err := wire.Decode[T, M](body)
+	if err != nil {
+		panic(err)
+	}
+	f.messages++
+	f.bytes += len(body)
+	return back
+}
+
+func (f *fleet) send(m message) {
+	for _, delay := range f.deliver() {
+		m.at = f.now + delay
+		f.wire = append(f.wire, m)
+	}
+}
+
+// advance moves the time, delivers what is due in order of sending, and wakes what is due; every also
+// wakes holders that are not, as a timer does whose clock stepped.
+func (f *fleet) advance(by time.Duration, every bool) {
+	f.now += by
+	due := f.wire
+	f.wire = nil
+	for _, m := range due {
+		switch body := m.body.(type) {
+		case *TokenAsk:
+			if m.at <= f.now {
+				f.own(&Asked{Holder: f.holders[m.from].name, Ask: body})
+				continue
+			}
+		case HolderEvent:
+			if m.at <= f.now && f.holders[m.to].stalled <= f.now {
+				f.hold(m.to, body)
+				continue
+			}
+		}
+		f.wire = append(f.wire, m)
+	}
+	if at, ok := f.owner.Deadline(); ok && !at.After(f.ownerAt(f.now)) {
+		f.own(&Wake{})
+	}
+	for i, d := range f.holders {
+		if at, ok := d.holder.Deadline(); ok && d.stalled <= f.now && (every || !at.After(f.clock(d))) {
+			f.hold(i, &Wake{})
+		}
+	}
+}
+
+func (c *conformance) refill(now time.Duration) {
+	if c.level < c.burst {
+		c.level = min(c.burst, c.level+c.rate*(now-c.at).Seconds())
+	}
+	c.at = now
+}
+
+func (c *conformance) take(now time.Duration) bool {
+	c.refill(now)
+	c.level--
+	return c.level > -1e-6
+}
+
+// spendable returns the tokens that the bucket or any cell could spend now.
+func (f *fleet) spendable(account string) float64 {
+	total := 0.0
+	if b := f.owner.buckets[account]; b != nil {
+		if f.now/time.Millisecond%5 == 0 {
+			f.owner.refill(b, f.owner.at(f.ownerAt(f.now)))
+		}
+		if b.withdrawn {
+			b.level = 0
+		}
+		total = float64(b.level) / float64(unit)
+	}
+	for _, d := range f.holders {
+		cell := d.holder.Cells[account]
+		if cell == nil || cell.lots.Load() == nil {
+			continue
+		}
+		for _, l := range *cell.lots.Load() {
+			at := int64(f.clock(d).Sub(cell.base))
+			if at >= l.from && at < l.until && at >= l.latest.Load()-int64(clockJitter) {
+				total += float64(l.tokens - l.used())
+			}
+		}
+	}
+	return total
+}
+
+// Guards R6: no interleaving of asks, lost, repeated and reordered messages, lost daemons, changes of the
+// owner, clocks that step or run at different speeds, and changes of the limits may let the fleet spend
+// more than burst + rate × window in any window.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		limits := []Limit{
+			{Account: "a", Rate: uint32(1 + r.IntN(300)), Burst: uint32(1 + r.IntN(200))},
+			{Account: "b", Rate: 20, Burst: 5},
+		}
+		f := newFleet(1+r.IntN(4), limits)
+		loss, repeat, slow := r.Float64()*0.1, r.Float64()*0.3, 3+r.IntN(20)
+		boot, id, spends, owned := uint64(100), uint64(0), 0, time.Duration(0)
+		for _, d := range f.holders {
+			d.speed = 0.9 + 0.2*r.Float64()
+		}
+		ownerOffset := time.Duration(0)
+		f.ownerAt = func(now time.Duration) time.Time { return epoch.Add(now + ownerOffset) }
+		f.deliver = func() []time.Duration {
+			var copies []time.Duration
+			for chance := 1 - loss; r.Float64() < chance && len(copies) < 3; chance = repeat {
+				copies = append(copies, time.Duration(math.Pow(r.Float64(), float64(slow))*float64(1500*time.Millisecond)))
+			}
+			return copies
+		}
+		allowed := map[string]*conformance{}
+		for _, l := range limits {
+			allowed[l.Account] = &conformance{level: float64(l.Burst), rate: float64(l.Rate), burst: float64(l.Burst)}
+		}
+		f.spent = func(account string, _ uint64) {
+			spends++
+			assert.Assert(t, allowed[account].take(f.now), "%s overdrawn at %v", account, f.now)
+		}
+		configure := func(l Limit) {
+			c := allowed[l.Account]
+			c.refill(f.now)
+			c.rate, c.burst = float64(l.Rate), float64(l.Burst)
+			f.limits = []Limit{limits[1]}
+			if l.Rate > 0 {
+				f.limits = append(f.limits, l)
+			}
+			f.own(&SetLimits{Limits: f.limits})
+			for i := range f.holders {
+				f.hold(i, &SetLimits{Limits: f.limits})
+			}
+		}
+		// Each run has its own set of failures, so that rare ones are also seen alone.
+		failures, busy := rapid.IntRange(0, 127).Draw(t, "failures"), 0
+		load := 0.2 + 3*math.Pow(r.Float64(), 4)
+		for range 100 + r.IntN(800) {
+			f.advance(time.Duration(r.IntN(40))*time.Millisecond, true)
+			for account, c := range allowed {
+				c.refill(f.now)
+				assert.Assert(t, f.spendable(account) <= c.level+1e-6, "%s could be overdrawn at %v", account, f.now)
+			}
+			i := r.IntN(len(f.holders))
+			if busy--; busy < -r.IntN(200) {
+				busy = r.IntN(120)
+			}
+			arrivals := 0
+			if busy > 0 {
+				arrivals = int(load * float64(limits[0].Rate) * 0.02 * 2 * r.Float64())
+			}
+			if r.IntN(30) == 0 {
+				arrivals += r.IntN(100) // takes the whole stock at once
+			}
+			for range arrivals {
+				id++
+				f.request((i+r.IntN(2))%len(f.holders), limits[min(1, r.IntN(5)/4)].Account, id)
+			}
+			kind := r.IntN(7)
+			if r.IntN(20) > 0 || failures&(1<<kind) == 0 {
+				continue
+			}
+			switch kind {
+			case 0:
+				boot++
+				f.start(f.holders[i], boot)
+				f.own(&HolderGone{Holder: f.holders[i].name})
+			case 1:
+				if f.now-owned < 3*time.Second {
+					continue
+				}
+				owned = f.now
+				f.epoch++
+				f.owner = NewOwner(f.ownerAt(f.now), f.epoch, f.limits)
+				for i := range f.holders {
+					f.hold(i, &Connected{})
+				}
+			case 2:
+				if f.holders[i].stalled > f.now {
+					continue // a step that the loop cannot see while it stalls is outside of the contract
+				}
+				step := 100*time.Millisecond + time.Duration(r.IntN(2000))*time.Millisecond
+				f.holders[i].offset += step * time.Duration(2*r.IntN(2)-1)
+			case 3:
+				ownerOffset -= time.Duration(r.IntN(2000)) * time.Millisecond
+			case 4:
+				configure(Limit{Account: "a", Rate: uint32(1 + r.IntN(300)), Burst: uint32(1 + r.IntN(60))})
+			case 5:
+				f.holders[i].stalled = f.now + time.Duration(r.IntN(3000))*time.Millisecond
+			case 6:
+				configure(Limit{Account: "a"}) // withdrawn
+				if r.IntN(4) > 0 {
+					f.advance(time.Duration(r.IntN(1000))*time.Millisecond, true)
+					configure(limits[0])
+				}
+			}
+		}
+		t.Logf("%d of %d requests admitted", spends, id)
+	})
+}
+
+// Guards against a lot that outlives its ask, a grant or report that reaches the wrong start of a daemon or
+// the wrong owner, and refilling during the time before an expiry.
+func TestLives(t *testing.T) {
+	h := NewHolder(epoch, 7)
+	h.Step(epoch, &SetLimits{Limits: []Limit{{Account: "a", Rate: 10, Burst: 10}}})
+	out := h.Step(epoch, &Need{Account: "a", Waiter: 1})
+	assert.Equal(t, len(out), 1)
+	cell, grant := h.Cells["a"], Grant{Account: "a", Boot: 7, Seq: 1, Epoch: 3, Lot: 1, Tokens: 3}
+	foreign := grant
+	foreign.Boot = 8
+	assert.Equal(t, len(h.Step(epoch.Add(time.Millisecond), &foreign)), 0)
+	assert.DeepEqual(t, h.Step(epoch.Add(500*time.Millisecond), &grant), []HolderAction{&Admit{Waiter: 1}})
+	assert.Assert(t, cell.Take(epoch.Add(HolderLife-1)))
+	assert.Assert(t, !cell.Take(epoch.Add(HolderLife)))
+	late := grant
+	late.Lot = 2
+	assert.Equal(t, len(h.Step(epoch.Add(HolderLife), &late)), 1) // only the report of the first lot
+	assert.Assert(t, !cell.Take(epoch.Add(HolderLife-1)))
+
+	granted := func(at time.Duration, o *Owner, ask TokenAsk) (tokens uint32) {
+		for _, a := range o.Step(epoch.Add(at), &Asked{Holder: "h", Ask: &ask}) {
+			tokens += a.(*SendGrant).Grant.Tokens
+		}
+		return tokens
+	}
+	o := NewOwner(epoch, 3, []Limit{{Account: "a", Rate: 10, Burst: 10}})
+	assert.Equal(t, granted(OwnerLife+99*time.Millisecond, o, TokenAsk{Account: "a", Boot: 1, Seq: 1, Need: 1}), uint32(0))
+	assert.Equal(t, granted(OwnerLife+time.Second, o, TokenAsk{Account: "a", Boot: 1, Seq: 2, Need: 10}), uint32(10))
+	returned := []LotReport{{Lot: 1, Closed: true}}
+	at := 2*OwnerLife + time.Second
+	assert.Equal(t, granted(at-1, o, TokenAsk{Account: "a", Boot: 1, Seq: 3, Need: 1, Epoch: 2, Reports: returned}), uint32(0))
+	assert.Equal(t, granted(at+300*time.Millisecond, o, TokenAsk{Account: "a", Boot: 1, Seq: 4, Need: 10}), uint32(3))
+}
