--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -1,7 +1,9 @@
 package replay
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"sort"
 	"strings"
 	"time"
@@ -74,6 +76,18 @@
 		s.at(start.Add(f.Until), func() { s.finish(f) })
 	}
 	s.arrivals()
+	if os.Getenv("LIM") != "" {
+		for i := 0; i < int(trace.Length/time.Second)*4; i++ {
+			s.at(start.Add(time.Duration(i)*time.Second/4), func() {
+				fmt.Print(s.now.Sub(start), " ")
+				for _, d := range s.daemons {
+					l := d.limiter.Load()
+					fmt.Print(l.Limit, ".", l.InFlight, ".", l.Waiting, " ")
+				}
+				fmt.Println()
+			})
+		}
+	}
 	s.runUntil(start.Add(trace.Length))
 	return s.result
 }
@@ -100,7 +114,7 @@
 			return
 		}
 		s.arrive(account, route, generation)
-		s.result.offer(s.now.Sub(s.start), route)
+		s.result.offer(s.now.Sub(s.start), account)
 		s.ask(&original{account: account, route: route, at: s.now, resends: s.trace.Resends})
 	})
 }
--- a/internal/root/call/admit/adaptive.go
+++ b/internal/root/call/admit/adaptive.go
@@ -7,18 +7,23 @@
 
 const (
 	lowestShare   = 1.0 / 8 // part of the slots below which the limit does not fall
-	coldShare     = 1.0 / 4 // part of the slots at the start of a backend server
+	coldShare     = 1.0 / 2 // part of the slots at the start of a backend server
 	window        = 100 * time.Millisecond
 	windowSamples = 30                     // fewer samples give a mean too uncertain to compare with
 	windowLongest = 500 * time.Millisecond // a window with few samples is closed anyway
 	latencyFactor = 2.0                    // of the reference; above it the limit falls
 	shedShare     = 0.01                   // part of the samples above which shedding lowers the limit
-	decrease      = 0.9                    // per window
-	fastIncrease  = 1.1                    // per window, below the limit that last proved too high
+	expiredShare  = 0.10                   // part of the samples above which work for passed deadlines lowers the limit
+	decrease      = 0.9                    // per window with shedding or passed deadlines
+	latencyCut    = 0.7                    // for latency; large enough for its effect to stand out
+	shortestJudge = 300 * time.Millisecond // from a cut until its effect is judged
+	judgeDelay    = 2                      // mean latencies from a cut until its effect is judged
+	fastIncrease  = 1.1                    // per window, while the latency is near the reference
+	nearFactor    = 1.5                    // of the reference; above it the limit grows by one slot per window
 	usedShare     = 0.8                    // part of the limit in use above which it may grow
 	loadedShare   = 0.5                    // part of the limit in use below which latency is not its effect
-	cutToJudge    = 0.6                    // the limit was cut by this factor without effect: latency is not its effect
-	cutWorks      = 0.8                    // factor by which latency falls at least if cutting has an effect
+	pardonTime    = 5 * time.Second        // after a cut without effect, while the references are learned again
+	cutWorks      = 0.85                   // factor by which latency falls at least if cutting has an effect
 	maxRoutes     = 1_024
 )
 
@@ -27,18 +32,21 @@
 	adaptive struct {
 		slots     int
 		value     float64
-		proven    float64 // below it the limit grows fast
 		opened    time.Time
 		samples   int
 		sheds     int
-		relative  float64 // sum of latencies, each relative to the reference of its route
-		compared  int     // samples in relative
-		busiest   int     // highest number in flight in this window
-		saturated bool    // a request did not fit in this window
+		expired   int
+		total     time.Duration // sum of latencies
+		relative  float64       // sum of latencies, each relative to the reference of its route
+		compared  int           // samples in relative
+		busiest   int           // highest number in flight in this window
+		saturated bool          // a request did not fit in this window
 		routes    map[string]*reference
 
-		cutFrom     float64 // limit at which the present series of decreases began, zero if none
+		cutFrom     float64 // limit before the last cut for latency, zero if the latency was fine since
 		cutRelative float64 // relative latency then
+		judge       time.Time
+		pardon      time.Time // until then latency does not lower the limit
 	}
 )
 
@@ -51,13 +59,13 @@
 func (a *adaptive) restart(now time.Time, slots int) {
 	a.slots = max(1, slots)
 	a.value = max(1, coldShare*float64(a.slots))
-	a.proven = float64(a.slots)
-	a.cutFrom = 0
+	a.cutFrom, a.relative, a.compared = 0, 0, 0
 	a.open(now)
 }
 
 func (a *adaptive) open(now time.Time) {
-	a.opened, a.samples, a.sheds, a.relative, a.compared, a.busiest, a.saturated = now, 0, 0, 0, 0, 0, false
+	a.opened, a.samples, a.sheds, a.expired, a.total = now, 0, 0, 0, 0
+	a.busiest, a.saturated = 0, false
 }
 
 // whole returns the limit in slots, at least 1.
@@ -67,6 +75,7 @@
 
 func (a *adaptive) sample(now time.Time, route string, latency time.Duration) {
 	a.samples++
+	a.total += latency
 	r := a.routes[route]
 	if r == nil {
 		if len(a.routes) >= maxRoutes {
@@ -90,56 +99,61 @@
 	}
 	before := a.value
 	a.busiest = max(a.busiest, inFlight)
-	relative := 0.0
-	if a.compared >= windowSamples {
-		relative = a.relative / float64(a.compared)
-	}
+	known := a.compared >= windowSamples
+	relative := a.relative / max(1, float64(a.compared))
 	switch {
 	case a.samples == 0:
-	case float64(a.sheds) > shedShare*float64(a.samples):
-		a.lower()
-	case relative > latencyFactor && float64(a.busiest) >= loadedShare*a.value:
-		a.lowerForLatency(relative)
-	case a.saturated || float64(a.busiest) >= usedShare*a.value:
-		a.cutFrom = 0
-		a.raise()
+	case float64(a.sheds) > shedShare*float64(a.samples), float64(a.expired) > expiredShare*float64(a.samples):
+		a.lower(decrease)
+	case known && relative > latencyFactor && float64(a.busiest) >= loadedShare*a.value && !now.Before(a.pardon):
+		a.lowerForLatency(now, relative)
 	default:
-		a.cutFrom = 0
+		if known {
+			a.cutFrom = 0
+		}
+		if a.cutFrom == 0 && (a.saturated || float64(a.busiest) >= usedShare*a.value) {
+			a.raise(relative)
+		}
 	}
 	a.open(now)
+	if known {
+		a.relative, a.compared = 0, 0
+	}
 	return a.whole() > int(before)
 }
 
-func (a *adaptive) raise() {
-	if a.value < a.proven {
-		a.value = max(a.value+1, a.value*fastIncrease)
-	} else {
-		a.value++
+func (a *adaptive) raise(relative float64) {
+	raised := a.value + 1
+	if relative < nearFactor {
+		raised = max(raised, a.value*fastIncrease)
 	}
-	a.value = min(a.value, float64(a.slots))
+	a.value = min(raised, float64(a.slots))
 }
 
-func (a *adaptive) lower() {
-	a.proven = a.value * decrease
-	a.value = max(1, lowestShare*float64(a.slots), a.value*decrease)
+func (a *adaptive) lower(factor float64) {
+	a.value = max(1, lowestShare*float64(a.slots), a.value*factor)
 }
 
-// lowerForLatency cuts the limit while that lowers the latency. If a series of cuts had no effect, the
-// latency has another cause, such as a slower disk or a new version; cutting further would only waste
+// lowerForLatency cuts the limit while that lowers the latency. If a cut had no effect, the latency has
+// another cause, such as a slower disk, cold caches or a new version; cutting further would only waste
 // slots, so the present latency becomes the reference and the limit returns.
-func (a *adaptive) lowerForLatency(relative float64) {
-	if a.cutFrom == 0 {
-		a.cutFrom, a.cutRelative = a.value, relative
-	}
-	cut := a.value <= max(cutToJudge*a.cutFrom, lowestShare*float64(a.slots))
-	if cut && relative > cutWorks*a.cutRelative {
-		for _, r := range a.routes {
-			r.raise(relative)
+func (a *adaptive) lowerForLatency(now time.Time, relative float64) {
+	if a.cutFrom > 0 {
+		if now.Before(a.judge) {
+			return
+		}
+		if relative > cutWorks*a.cutRelative {
+			for _, r := range a.routes {
+				r.raise(relative)
+			}
+			a.value, a.cutFrom = a.cutFrom, 0
+			a.pardon = now.Add(pardonTime)
+			return
 		}
-		a.value, a.proven, a.cutFrom = a.cutFrom, a.cutFrom, 0
-		return
 	}
-	a.lower()
+	a.cutFrom, a.cutRelative = a.value, relative
+	a.judge = now.Add(max(shortestJudge, judgeDelay*a.total/time.Duration(a.samples)))
+	a.lower(latencyCut)
 }
 
 const (
@@ -175,12 +189,9 @@
 	}
 }
 
-// raise lifts the reference by a factor.
+// raise lifts the reference by a factor and forgets the means that led to it.
 func (r *reference) raise(factor float64) {
 	r.lowest *= factor
-	for i, mean := range r.recent {
-		if mean > 0 {
-			r.recent[i] = max(mean, r.lowest)
-		}
-	}
+	r.recent, r.next = [referenceWindows]float64{}, 0
+	r.count, r.sum = 0, 0
 }
--- a/internal/root/call/admit/limiter.go
+++ b/internal/root/call/admit/limiter.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	queueShare      = 0.5 // queue length as part of the limit
+	queueShare      = 1.0 // queue length as part of the limit
 	queueMinimum    = 2   // lets a server with few slots absorb two simultaneous arrivals
 	queueWait       = 100 * time.Millisecond
 	deadlineShare   = 2    // a ticket waits at most its remaining time divided by this
-	criticalReserve = 0.10 // part of the limit that only critical requests use
+	criticalReserve = 0.10 // part of the limit that only critical requests use, where there are any
+	reserveDecay    = 0.9  // per sweep, of a critical reserve that is not used
 	sweepInterval   = time.Second
 )
 
@@ -24,6 +25,7 @@
 		nested   levels
 		inFlight int
 		byClass  [classes]int // in flight
+		critical float64      // highest number of critical requests in flight, decaying
 		queue    []*Ticket    // in order of arrival; no ticket in it fits
 		accounts accounts
 		swept    time.Time
@@ -125,6 +127,7 @@
 			}
 		case Expired:
 			if !t.reported {
+				l.limit.expired++
 				l.limit.sample(now, t.Route, r.Latency)
 			}
 		case Shed:
@@ -151,6 +154,7 @@
 		l.swept = now
 		l.accounts.sweep(now)
 		grown = l.nested.shrink(now) || grown
+		l.critical = max(float64(l.byClass[Critical]), l.critical*reserveDecay)
 	}
 	if grown {
 		l.dispatch(now)
@@ -167,15 +171,22 @@
 	}
 	taken := l.inFlight + 1 + l.nested.free(t.Held)
 	if t.Importance != Critical {
-		taken += max(0, int(criticalReserve*l.limit.value+0.5)-l.byClass[Critical])
+		taken += max(0, l.reserve()-l.byClass[Critical])
 	}
 	return taken <= limit
 }
 
+// reserve returns the slots kept for critical requests: twice their recent peak, up to their part of
+// the limit, so that a service without critical requests does not leave a tenth of its slots unused.
+func (l *Limiter) reserve() int {
+	return int(min(criticalReserve*l.limit.value, 2*l.critical) + 0.5)
+}
+
 func (l *Limiter) admit(now time.Time, t *Ticket) {
 	t.phase, t.reported = running, false
 	l.inFlight++
 	l.byClass[t.Importance]++
+	l.critical = max(l.critical, float64(l.byClass[Critical]))
 	l.nested.admit(t.Held)
 	t.account.update(now)
 	t.account.inFlight++
--- a/internal/root/call/admit/throttle.go
+++ b/internal/root/call/admit/throttle.go
@@ -11,7 +11,8 @@
 	throttleWindow = 10 * time.Second
 	throttleFactor = 1.5  // requests per accepted one that are sent in any case
 	throttleLimit  = 0.95 // the remaining calls detect the recovery
-	acceptedInRow  = 10   // accepted calls that halve the excess; at half accepted this is 1 chance in 1,024
+	throttleSlack  = 3    // refused calls that are too few to tell overload from chance
+	acceptedInRow  = 2    // accepted calls in a row after which each further one halves the excess
 	maxThrottled   = 4_096
 )
 
@@ -55,7 +56,7 @@
 	if c == nil {
 		return true
 	}
-	p := min(throttleLimit, (c.requests-throttleFactor*c.accepts)/(c.requests+1))
+	p := min(throttleLimit, (c.requests-throttleFactor*c.accepts-throttleSlack)/(c.requests+1))
 	if p <= 0 || t.random.Float64() >= p {
 		return true // counted by Report, because a call in flight says nothing yet
 	}
@@ -82,7 +83,7 @@
 	}
 	c.accepts++
 	c.row++
-	if excess := c.requests - throttleFactor*c.accepts; excess > 0 && c.row%acceptedInRow == 0 {
+	if excess := c.requests - throttleFactor*c.accepts; excess > 0 && c.row > acceptedInRow {
 		c.requests -= excess / 2
 	}
 }
