--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -1,9 +1,7 @@
 package replay
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"strings"
 	"time"
@@ -27,7 +25,8 @@
 		start       time.Time
 		daemons     []*daemon
 		buckets     map[string]*bucket
-		factors     map[string]float64 // on the demand, by account, with "all"
+		factors     map[string]float64 // on the demand, by account or route
+		pinned      map[string]bool    // accounts whose callers all use one ingress
 		generation  int                // arrivals drawn with earlier factors are dropped
 		live        map[uint64]*attempt
 		attempts    uint64
@@ -67,27 +66,16 @@
 	start := time.Unix(1_000_000, 0)
 	s := &sim{
 		queue: queue{now: start}, trace: trace, mechanism: mechanism, start: start, random: rand.New(rand.NewPCG(trace.Seed, 7)),
-		buckets: map[string]*bucket{}, factors: map[string]float64{}, live: map[uint64]*attempt{},
+		buckets: map[string]*bucket{}, factors: map[string]float64{}, pinned: map[string]bool{}, live: map[uint64]*attempt{},
 		docket: crash.NewDocket(), quarantined: map[string]bool{}, result: newResult(trace),
 	}
+	s.result.Mechanism = mechanism.Name
 	s.build()
 	for _, f := range trace.Faults {
 		s.at(start.Add(f.At), func() { s.begin(f) })
 		s.at(start.Add(f.Until), func() { s.finish(f) })
 	}
 	s.arrivals()
-	if os.Getenv("LIM") != "" {
-		for i := 0; i < int(trace.Length/time.Second)*4; i++ {
-			s.at(start.Add(time.Duration(i)*time.Second/4), func() {
-				fmt.Print(s.now.Sub(start), " ")
-				for _, d := range s.daemons {
-					l := d.limiter.Load()
-					fmt.Print(l.Limit, ".", l.InFlight, ".", l.Waiting, " ")
-				}
-				fmt.Println()
-			})
-		}
-	}
 	s.runUntil(start.Add(trace.Length))
 	return s.result
 }
@@ -104,7 +92,7 @@
 
 func (s *sim) arrive(account *Account, route *Route, generation int) {
 	rate := route.Demand * account.Share
-	for _, name := range [...]string{"all", account.Name} {
+	for _, name := range [...]string{account.Name, route.Name} {
 		if factor, ok := s.factors[name]; ok {
 			rate *= factor
 		}
@@ -122,6 +110,9 @@
 // ask sends an original to an ingress.
 func (s *sim) ask(o *original) {
 	ingress := s.daemons[s.random.IntN(len(s.daemons))]
+	if s.pinned[o.account.Name] {
+		ingress = s.daemons[0]
+	}
 	s.attempts++
 	a := &attempt{original: o, s: s, number: s.attempts, ingress: ingress, deadline: s.now.Add(s.trace.Client + o.route.Deadline)}
 	s.after(s.trace.Client, a.enter)
@@ -251,6 +242,8 @@
 	case "demand":
 		s.factors[f.Target] = f.Factor
 		s.arrivals()
+	case "pin":
+		s.pinned[f.Target] = true
 	case "withdrawn":
 		for _, d := range s.daemons {
 			s.after(time.Duration(s.random.Int64N(int64(notice))), func() { d.withdrawn[f.Target] = true })
@@ -290,6 +283,8 @@
 		s.begin(f)
 	case "cut":
 		s.find(f.Target).cut = time.Time{}
+	case "pin":
+		delete(s.pinned, f.Target)
 	case "withdrawn", "lost", "drain", "poison":
 	}
 }
--- a/internal/replay/queue.go
+++ b/internal/replay/queue.go
@@ -8,7 +8,7 @@
 type (
 	// event is a function to run at a time; events at the same time run in the order they were added.
 	event struct {
-		at    time.Time
+		at    int64 // Unix nanoseconds, which compare faster than time.Time
 		order uint64
 		run   func()
 	}
@@ -25,10 +25,7 @@
 
 func (e events) Len() int { return len(e) }
 func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].order < e[j].order
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
 }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
@@ -43,14 +40,14 @@
 
 func (q *queue) at(at time.Time, run func()) {
 	q.added++
-	heap.Push(&q.events, event{at: at, order: q.added, run: run})
+	heap.Push(&q.events, event{at: at.UnixNano(), order: q.added, run: run})
 }
 
 // runUntil runs all events up to a time.
 func (q *queue) runUntil(end time.Time) {
-	for len(q.events) > 0 && !q.events[0].at.After(end) {
+	for len(q.events) > 0 && q.events[0].at <= end.UnixNano() {
 		next := heap.Pop(&q.events).(event)
-		q.now = next.at
+		q.now = time.Unix(0, next.at)
 		next.run()
 	}
 	q.now = end
--- a/internal/root/call/admit/limiter.go
+++ b/internal/root/call/admit/limiter.go
@@ -13,6 +13,7 @@
 	queueWait       = 100 * time.Millisecond
 	deadlineShare   = 2    // a ticket waits at most its remaining time divided by this
 	criticalReserve = 0.10 // part of the limit that only critical requests use, where there are any
+	criticalExcess  = 0.5  // critical requests in flight, as part of the limit, up to which they may exceed it
 	reserveDecay    = 0.9  // per sweep, of a critical reserve that is not used
 	sweepInterval   = time.Second
 )
@@ -165,9 +166,13 @@
 // stays free for them, and so does the reserve for requests whose chain already holds slots.
 func (l *Limiter) fits(t *Ticket) bool {
 	limit := l.limit.whole()
-	if t.Held > 0 {
+	switch {
+	case t.Held > 0:
 		// The slots that the chain already holds cannot be freed before this call has run.
 		limit = l.limit.slots
+	case t.Importance == Critical && l.byClass[Critical] < int(criticalExcess*l.limit.value):
+		// After a cut, less important requests still hold the slots above the limit.
+		limit = l.limit.slots
 	}
 	taken := l.inFlight + 1 + l.nested.free(t.Held)
 	if t.Importance != Critical {
--- a/internal/root/call/admit/throttle.go
+++ b/internal/root/call/admit/throttle.go
@@ -9,10 +9,11 @@
 
 const (
 	throttleWindow = 10 * time.Second
-	throttleFactor = 1.5  // requests per accepted one that are sent in any case
-	throttleLimit  = 0.95 // the remaining calls detect the recovery
-	throttleSlack  = 3    // refused calls that are too few to tell overload from chance
-	acceptedInRow  = 2    // accepted calls in a row after which each further one halves the excess
+	throttleFactor = 1.5                    // requests per accepted one that are sent in any case
+	throttleLimit  = 0.95                   // the remaining calls detect the recovery
+	probeInterval  = 250 * time.Millisecond // a call is sent at least this often, because at 8 calls/s a twentieth needs over 8 s to show a recovery
+	throttleSlack  = 3                      // refused calls that are too few to tell overload from chance
+	acceptedInRow  = 1                      // accepted calls in a row after which each further one halves the excess
 	maxThrottled   = 4_096
 )
 
@@ -33,6 +34,7 @@
 	// throttleCount decays with throttleWindow.
 	throttleCount struct {
 		updated  time.Time
+		sent     time.Time
 		requests float64
 		accepts  float64
 		row      int // accepted calls since the last refusal
@@ -57,7 +59,8 @@
 		return true
 	}
 	p := min(throttleLimit, (c.requests-throttleFactor*c.accepts-throttleSlack)/(c.requests+1))
-	if p <= 0 || t.random.Float64() >= p {
+	if p <= 0 || now.Sub(c.sent) >= probeInterval || t.random.Float64() >= p {
+		c.sent = now
 		return true // counted by Report, because a call in flight says nothing yet
 	}
 	c.requests++
