--- a/internal/root/call/admit/adaptive.go
+++ b/internal/root/call/admit/adaptive.go
@@ -13,7 +13,7 @@
 	windowLongest = 500 * time.Millisecond // a window with few samples is closed anyway
 	latencyFactor = 2.0                    // of the reference; above it the limit falls
 	shedShare     = 0.01                   // part of the samples above which shedding lowers the limit
-	expiredShare  = 0.10                   // part of the samples above which work for passed deadlines lowers the limit
+	expiredShare  = 0.30                   // part of the samples above which work for passed deadlines lowers the limit
 	decrease      = 0.9                    // per window with shedding or passed deadlines
 	latencyCut    = 0.7                    // for latency; large enough for its effect to stand out
 	shortestJudge = 300 * time.Millisecond // from a cut until its effect is judged
--- a/internal/root/call/admit/limiter.go
+++ b/internal/root/call/admit/limiter.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	queueShare      = 1.0 // queue length as part of the limit
+	queueShare      = 0.5 // queue length as part of the limit
 	queueMinimum    = 2   // lets a server with few slots absorb two simultaneous arrivals
 	queueWait       = 100 * time.Millisecond
-	deadlineShare   = 2    // a ticket waits at most its remaining time divided by this
-	criticalReserve = 0.10 // part of the limit that only critical requests use, where there are any
-	criticalExcess  = 0.5  // critical requests in flight, as part of the limit, up to which they may exceed it
-	reserveDecay    = 0.9  // per sweep, of a critical reserve that is not used
+	criticalWait    = 250 * time.Millisecond // 100 ms refused 2% of the critical requests to a slow service that had room for them
+	deadlineShare   = 2                      // a ticket waits at most its remaining time divided by this
+	criticalReserve = 0.10                   // part of the limit that only critical requests use, where there are any
+	criticalExcess  = 0.5                    // critical requests in flight, as part of the limit, up to which they may exceed it
+	reserveDecay    = 0.9                    // per sweep, of a critical reserve that is not used
 	sweepInterval   = time.Second
 )
 
@@ -76,7 +77,11 @@
 	t.phase, t.verdict = queued, make(chan Decision, 1)
 	t.account.waiting++
 	l.queue = append(l.queue, t)
-	return Queued{Verdict: t.verdict, Until: now.Add(min(queueWait, remaining/deadlineShare))}
+	wait := queueWait
+	if t.Importance == Critical {
+		wait = criticalWait
+	}
+	return Queued{Verdict: t.verdict, Until: now.Add(min(wait, remaining/deadlineShare))}
 }
 
 // Expire ends the wait of a queued ticket; it returns Admitted if a slot was granted just before.
