--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -25,7 +25,8 @@
 		start       time.Time
 		daemons     []*daemon
 		buckets     map[string]*bucket
-		factors     map[string]float64 // on the demand, by account, with "all"
+		factors     map[string]float64 // on the demand, by account or route
+		pinned      map[string]bool    // accounts whose callers all use one ingress
 		generation  int                // arrivals drawn with earlier factors are dropped
 		live        map[uint64]*attempt
 		attempts    uint64
@@ -65,9 +66,10 @@
 	start := time.Unix(1_000_000, 0)
 	s := &sim{
 		queue: queue{now: start}, trace: trace, mechanism: mechanism, start: start, random: rand.New(rand.NewPCG(trace.Seed, 7)),
-		buckets: map[string]*bucket{}, factors: map[string]float64{}, live: map[uint64]*attempt{},
+		buckets: map[string]*bucket{}, factors: map[string]float64{}, pinned: map[string]bool{}, live: map[uint64]*attempt{},
 		docket: crash.NewDocket(), quarantined: map[string]bool{}, result: newResult(trace),
 	}
+	s.result.Mechanism = mechanism.Name
 	s.build()
 	for _, f := range trace.Faults {
 		s.at(start.Add(f.At), func() { s.begin(f) })
@@ -90,7 +92,7 @@
 
 func (s *sim) arrive(account *Account, route *Route, generation int) {
 	rate := route.Demand * account.Share
-	for _, name := range [...]string{"all", account.Name} {
+	for _, name := range [...]string{account.Name, route.Name} {
 		if factor, ok := s.factors[name]; ok {
 			rate *= factor
 		}
@@ -100,7 +102,7 @@
 			return
 		}
 		s.arrive(account, route, generation)
-		s.result.offer(s.now.Sub(s.start), route)
+		s.result.offer(s.now.Sub(s.start), account)
 		s.ask(&original{account: account, route: route, at: s.now, resends: s.trace.Resends})
 	})
 }
@@ -108,6 +110,9 @@
 // ask sends an original to an ingress.
 func (s *sim) ask(o *original) {
 	ingress := s.daemons[s.random.IntN(len(s.daemons))]
+	if s.pinned[o.account.Name] {
+		ingress = s.daemons[0]
+	}
 	s.attempts++
 	a := &attempt{original: o, s: s, number: s.attempts, ingress: ingress, deadline: s.now.Add(s.trace.Client + o.route.Deadline)}
 	s.after(s.trace.Client, a.enter)
@@ -237,6 +242,8 @@
 	case "demand":
 		s.factors[f.Target] = f.Factor
 		s.arrivals()
+	case "pin":
+		s.pinned[f.Target] = true
 	case "withdrawn":
 		for _, d := range s.daemons {
 			s.after(time.Duration(s.random.Int64N(int64(notice))), func() { d.withdrawn[f.Target] = true })
@@ -276,6 +283,8 @@
 		s.begin(f)
 	case "cut":
 		s.find(f.Target).cut = time.Time{}
+	case "pin":
+		delete(s.pinned, f.Target)
 	case "withdrawn", "lost", "drain", "poison":
 	}
 }
--- a/internal/root/call/admit/throttle.go
+++ b/internal/root/call/admit/throttle.go
@@ -9,9 +9,11 @@
 
 const (
 	throttleWindow = 10 * time.Second
-	throttleFactor = 1.5  // requests per accepted one that are sent in any case
-	throttleLimit  = 0.95 // the remaining calls detect the recovery
-	acceptedInRow  = 10   // accepted calls that halve the excess; at half accepted this is 1 chance in 1,024
+	throttleFactor = 1.5                    // requests per accepted one that are sent in any case
+	throttleLimit  = 0.95                   // the remaining calls detect the recovery
+	probeInterval  = 250 * time.Millisecond // a call is sent at least this often, because at 8 calls/s a twentieth needs over 8 s to show a recovery
+	throttleSlack  = 3                      // refused calls that are too few to tell overload from chance
+	acceptedInRow  = 1                      // accepted calls in a row after which each further one halves the excess
 	maxThrottled   = 4_096
 )
 
@@ -32,6 +34,7 @@
 	// throttleCount decays with throttleWindow.
 	throttleCount struct {
 		updated  time.Time
+		sent     time.Time
 		requests float64
 		accepts  float64
 		row      int // accepted calls since the last refusal
@@ -55,8 +58,9 @@
 	if c == nil {
 		return true
 	}
-	p := min(throttleLimit, (c.requests-throttleFactor*c.accepts)/(c.requests+1))
-	if p <= 0 || t.random.Float64() >= p {
+	p := min(throttleLimit, (c.requests-throttleFactor*c.accepts-throttleSlack)/(c.requests+1))
+	if p <= 0 || now.Sub(c.sent) >= probeInterval || t.random.Float64() >= p {
+		c.sent = now
 		return true // counted by Report, because a call in flight says nothing yet
 	}
 	c.requests++
@@ -82,7 +86,7 @@
 	}
 	c.accepts++
 	c.row++
-	if excess := c.requests - throttleFactor*c.accepts; excess > 0 && c.row%acceptedInRow == 0 {
+	if excess := c.requests - throttleFactor*c.accepts; excess > 0 && c.row > acceptedInRow {
 		c.requests -= excess / 2
 	}
 }
