--- a/internal/daemon/quick.go
+++ b/internal/daemon/quick.go
@@ -136,7 +136,7 @@
   curl -i %s
   curl -i -X POST -H 'Buckthorn-Key: %s' -H 'Idempotency-Key: first' %s
   curl -i -X POST -H 'Buckthorn-Key: unknown' %s
-  go run ./cmd/buckthornctl status --address %s
+  go run ./cmd/buckthornctl status --admin %s
 
 The rules are in %s. Edit them, raise the revision number, and look at %s.verdict.
 End with Ctrl-C.
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -200,7 +200,7 @@
 		Route:         r.Route.Name,
 		Rule:          r.Route.Identity(),
 		Account:       r.Account,
-		Importance:    r.Importance,
+		Importance:    uint32(r.Importance),
 		Once:          !r.idempotent(),
 		Method:        r.Method,
 		Target:        r.Target,
--- a/internal/root/call/message.go
+++ b/internal/root/call/message.go
@@ -39,24 +39,24 @@
 
 	// Head starts a call on a stream.
 	Head struct {
-		RequestID     string           `protobuf:"bytes,1,opt,name=request_id,proto3"`
-		Instance      string           `protobuf:"bytes,2,opt,name=instance,proto3"`
-		Incarnation   uint64           `protobuf:"varint,3,opt,name=incarnation,proto3"`
-		Route         string           `protobuf:"bytes,4,opt,name=route,proto3"` // name of the route's rule
-		Rule          string           `protobuf:"bytes,5,opt,name=rule,proto3"`  // identity of the route's rule
-		Account       string           `protobuf:"bytes,6,opt,name=account,proto3"`
-		Importance    admit.Importance `protobuf:"varint,7,opt,name=importance,proto3"`
-		Once          bool             `protobuf:"varint,8,opt,name=once,proto3"`
-		Method        string           `protobuf:"bytes,9,opt,name=method,proto3"`
-		Target        string           `protobuf:"bytes,10,opt,name=target,proto3"` // path and query
-		Host          string           `protobuf:"bytes,11,opt,name=host,proto3"`
-		Header        []Field          `protobuf:"bytes,12,rep,name=header,proto3"`
-		ContentLength int64            `protobuf:"varint,13,opt,name=content_length,proto3"` // -1 if unknown
-		Timeout       time.Duration    `protobuf:"varint,14,opt,name=timeout,proto3"`
-		Retries       uint32           `protobuf:"varint,15,opt,name=retries,proto3"` // lent to this call
-		Chain         []string         `protobuf:"bytes,16,rep,name=chain,proto3"`    // services that the request runs in, outermost first
-		Fingerprint   string           `protobuf:"bytes,17,opt,name=fingerprint,proto3"`
-		WaitAdmitted  bool             `protobuf:"varint,18,opt,name=wait_admitted,proto3"` // the body follows only after Admitted
+		RequestID     string        `protobuf:"bytes,1,opt,name=request_id,proto3"`
+		Instance      string        `protobuf:"bytes,2,opt,name=instance,proto3"`
+		Incarnation   uint64        `protobuf:"varint,3,opt,name=incarnation,proto3"`
+		Route         string        `protobuf:"bytes,4,opt,name=route,proto3"` // name of the route's rule
+		Rule          string        `protobuf:"bytes,5,opt,name=rule,proto3"`  // identity of the route's rule
+		Account       string        `protobuf:"bytes,6,opt,name=account,proto3"`
+		Importance    uint32        `protobuf:"varint,7,opt,name=importance,proto3"` // an admit.Importance
+		Once          bool          `protobuf:"varint,8,opt,name=once,proto3"`
+		Method        string        `protobuf:"bytes,9,opt,name=method,proto3"`
+		Target        string        `protobuf:"bytes,10,opt,name=target,proto3"` // path and query
+		Host          string        `protobuf:"bytes,11,opt,name=host,proto3"`
+		Header        []Field       `protobuf:"bytes,12,rep,name=header,proto3"`
+		ContentLength int64         `protobuf:"varint,13,opt,name=content_length,proto3"` // -1 if unknown
+		Timeout       time.Duration `protobuf:"varint,14,opt,name=timeout,proto3"`
+		Retries       uint32        `protobuf:"varint,15,opt,name=retries,proto3"` // lent to this call
+		Chain         []string      `protobuf:"bytes,16,rep,name=chain,proto3"`    // services that the request runs in, outermost first
+		Fingerprint   string        `protobuf:"bytes,17,opt,name=fingerprint,proto3"`
+		WaitAdmitted  bool          `protobuf:"varint,18,opt,name=wait_admitted,proto3"` // the body follows only after Admitted
 	}
 
 	// Report is what every answering message tells about the call besides its content.
@@ -100,7 +100,7 @@
 		return fmt.Errorf("request line %q %q is not valid", h.Method, h.Target)
 	case h.Timeout <= 0:
 		return fmt.Errorf("timeout %s is not positive", h.Timeout)
-	case h.Importance > admit.Bulk:
+	case h.Importance > uint32(admit.Bulk):
 		return fmt.Errorf("importance %d is unknown", h.Importance)
 	case h.ContentLength < -1:
 		return fmt.Errorf("content length %d is not valid", h.ContentLength)
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -71,7 +71,7 @@
 			ctx:        ctx,
 			id:         head.RequestID,
 			account:    head.Account,
-			importance: head.Importance,
+			importance: admit.Importance(head.Importance),
 			budget:     retry.NewBudget(head.Retries),
 			chain:      append(head.Chain[:len(head.Chain):len(head.Chain)], ""),
 		},
@@ -131,7 +131,7 @@
 		return
 	}
 	if failure := c.admit(ctx); failure != nil {
-		c.server.Meter.Shed(importanceName(c.head.Importance), string(retry.Describe(failure).Reason))
+		c.server.Meter.Shed(importanceName(c.outer.importance), string(retry.Describe(failure).Reason))
 		c.refuse(failure)
 		return
 	}
@@ -146,7 +146,7 @@
 	c.ticket = &admit.Ticket{
 		Account:    c.head.Account,
 		Route:      c.head.Route,
-		Importance: c.head.Importance,
+		Importance: c.outer.importance,
 		Held:       held(c.head.Chain, c.backend.endpoint.Service),
 		Deadline:   c.outer.deadline,
 	}
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
@@ -117,6 +118,7 @@
 		server.ReadHeaderTimeout = readHeaderTimeout
 		server.IdleTimeout = idleTimeout
 		server.MaxHeaderBytes = t.MaxHeader
+		server.ErrorLog = stdlog.New(t.Log, "", 0)
 		ended := make(chan error, 1)
 		go func() { ended <- server.Start(context.WithoutCancel(ctx)) }()
 		select {
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,8 @@
 	answerTimeout = 700 * time.Millisecond
 )
 
+var errDraining = errors.New("this daemon is draining")
+
 // daemonState is the part of the control state that every daemon has; the loop owns it.
 type daemonState struct {
 	session *session // to the leader, nil while there is none
@@ -132,10 +135,10 @@
 		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
 		Revision: d.rules.revision(), Hash: d.rules.hash,
 	})
-	l.beat(now)
 	for _, announce := range d.local.All() {
 		l.sendUp(announceUp{announce})
 	}
+	l.beat(now) // after the announcements: instances that are not announced by now have left
 	l.sendWant()
 	l.stepHolder(now, &limit.Connected{})
 	d.once.resend(l)
@@ -271,6 +274,10 @@
 
 func (l *Loop) announce(now time.Time, event announced) {
 	d := l.daemon
+	if d.draining {
+		event.reply <- announceResult{err: errDraining}
+		return
+	}
 	message, err := d.local.Announce(now, &event.announcement)
 	if err != nil {
 		event.reply <- announceResult{err: err}
--- a/internal/root/ctrl/member/registry.go
+++ b/internal/root/ctrl/member/registry.go
@@ -1,8 +1,13 @@
 package member
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -11,11 +16,48 @@
 	DaemonLease = 3 * time.Second
 	// GoneAfter is how long a daemon is silent before its running idempotency records become unknown.
 	GoneAfter = 10 * time.Second
+
+	// minOtherZones is the part of a view that lies in other availability zones, so that a daemon whose
+	// zone fails has instances left to call.
+	minOtherZones = 8
 )
 
 type (
 	// Registry is the leader's soft state of daemons and instances; the control loop owns it.
-	Registry struct{}
+	Registry struct {
+		daemons  map[string]*daemon
+		services map[string]map[string]snap.Endpoint // instances by id
+		// dirty holds the subscriptions whose view may have changed, in the order of the change.
+		dirty   []subscription
+		queued  map[subscription]bool
+		callers map[string]map[string]bool // daemons that subscribe to a service
+		version uint64                     // of the change sent last
+		// replaced holds starts whose daemon is known under a later start.
+		replaced []Gone
+	}
+
+	// daemon is one start of a daemon.
+	daemon struct {
+		zone      string
+		boot      uint64
+		joined    bool // false for a daemon that is only expected
+		live      bool // within its lease
+		beat      time.Time
+		revision  uint64
+		seq       uint64                   // of the last Announce or Leave
+		instances map[string]snap.Endpoint // announced, listed while the daemon is live
+		stale     map[string]snap.Endpoint // not announced again since the last Join
+		views     map[string]*view
+	}
+
+	// view is what a daemon was sent of a service.
+	view struct {
+		version   uint64
+		instances map[string]snap.Endpoint
+		full      bool // the next change replaces the view
+	}
+
+	subscription struct{ daemon, service string }
 
 	// Gone names a start of a daemon that was silent for GoneAfter or replaced by a later start.
 	Gone struct {
@@ -31,38 +73,297 @@
 )
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{} }
+func NewRegistry() *Registry {
+	return &Registry{
+		daemons:  map[string]*daemon{},
+		services: map[string]map[string]snap.Endpoint{},
+		queued:   map[subscription]bool{},
+		callers:  map[string]map[string]bool{},
+	}
+}
 
-// Join registers a daemon that opened a control stream; it keeps the instances of the same boot.
-func (r *Registry) Join(now time.Time, daemon, zone string, boot uint64) {}
+// Join registers a daemon that opened a control stream; it keeps the instances of the same boot. Those
+// that are not announced again before the daemon's first beat are removed, because their Leave may have
+// been lost with the previous stream.
+func (r *Registry) Join(now time.Time, name, zone string, boot uint64) {
+	d := r.daemons[name]
+	if d == nil || d.boot != boot {
+		if d != nil {
+			r.unlist(d)
+			r.unsubscribe(name, d)
+			r.replaced = append(r.replaced, Gone{Daemon: name, Boot: d.boot})
+		}
+		d = &daemon{boot: boot, instances: map[string]snap.Endpoint{}, views: map[string]*view{}}
+		r.daemons[name] = d
+	}
+	d.zone, d.joined, d.live, d.beat = zone, true, true, now
+	d.stale = maps.Clone(d.instances)
+	r.unsubscribe(name, d)
+	for id := range d.instances {
+		r.list(d.instances[id])
+	}
+}
 
 // Expect makes a daemon known that may never join, so that it is reported as gone in time. A new leader
 // calls it for the daemons of running idempotency records.
-func (r *Registry) Expect(now time.Time, daemon string, boot uint64) {}
+func (r *Registry) Expect(now time.Time, name string, boot uint64) {
+	if d := r.daemons[name]; d != nil {
+		if d.boot != boot {
+			r.replaced = append(r.replaced, Gone{Daemon: name, Boot: boot})
+		}
+		return
+	}
+	r.daemons[name] = &daemon{boot: boot, beat: now, instances: map[string]snap.Endpoint{}, views: map[string]*view{}}
+}
 
 // Beat renews the daemon's lease; false means that the daemon is not known and has to join again.
-func (r *Registry) Beat(now time.Time, daemon string, b *Beat) (Lease, bool) { return Lease{}, false }
+func (r *Registry) Beat(now time.Time, name string, b *Beat) (Lease, bool) {
+	d := r.daemons[name]
+	if d == nil || !d.joined {
+		return Lease{}, false
+	}
+	d.beat, d.revision = now, b.Revision
+	for id := range d.stale {
+		r.drop(d, id)
+	}
+	d.stale = nil
+	if !d.live {
+		d.live = true
+		for id := range d.instances {
+			r.list(d.instances[id])
+		}
+	}
+	return Lease{Seq: b.Seq}, true
+}
 
 // Announce adds or replaces an instance of the daemon.
-func (r *Registry) Announce(now time.Time, daemon string, a *Announce) {}
+func (r *Registry) Announce(_ time.Time, name string, a *Announce) {
+	d := r.daemons[name]
+	if d == nil || a.Seq <= d.seq || a.Instance.Daemon != name {
+		return
+	}
+	d.seq = a.Seq
+	delete(d.stale, a.Instance.ID)
+	if old, ok := d.instances[a.Instance.ID]; ok && old.Service != a.Instance.Service {
+		r.drop(d, a.Instance.ID)
+	}
+	d.instances[a.Instance.ID] = a.Instance
+	if d.live {
+		r.list(a.Instance)
+	}
+}
 
 // Leave removes an instance of the daemon.
-func (r *Registry) Leave(now time.Time, daemon string, l *Leave) {}
+func (r *Registry) Leave(_ time.Time, name string, l *Leave) {
+	d := r.daemons[name]
+	if d == nil || l.Seq <= d.seq {
+		return
+	}
+	d.seq = l.Seq
+	r.drop(d, l.ID)
+}
 
 // Want replaces the services that the daemon subscribes to and marks all of them for a full view.
-func (r *Registry) Want(daemon string, w *Want) {}
+func (r *Registry) Want(name string, w *Want) {
+	d := r.daemons[name]
+	if d == nil {
+		return
+	}
+	r.unsubscribe(name, d)
+	for _, service := range w.Services {
+		d.views[service] = &view{full: true}
+		if r.callers[service] == nil {
+			r.callers[service] = map[string]bool{}
+		}
+		r.callers[service][name] = true
+		r.mark(subscription{daemon: name, service: service})
+	}
+}
 
 // Expire ends the leases that are over and returns the daemons that are gone.
-func (r *Registry) Expire(now time.Time) []Gone { return nil }
+func (r *Registry) Expire(now time.Time) []Gone {
+	out := r.replaced
+	r.replaced = nil
+	for _, name := range slices.Sorted(maps.Keys(r.daemons)) {
+		d := r.daemons[name]
+		silent := now.Sub(d.beat)
+		if d.live && silent >= DaemonLease {
+			d.live = false
+			r.unlist(d)
+		}
+		if silent >= GoneAfter {
+			r.unsubscribe(name, d)
+			delete(r.daemons, name)
+			out = append(out, Gone{Daemon: name, Boot: d.boot})
+		}
+	}
+	return out
+}
 
 // Deadline returns when the next Expire is due; false means that none is.
-func (r *Registry) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (r *Registry) Deadline() (time.Time, bool) {
+	var next time.Time
+	for _, d := range r.daemons {
+		due := d.beat.Add(GoneAfter)
+		if d.live {
+			due = d.beat.Add(DaemonLease)
+		}
+		if next.IsZero() || due.Before(next) {
+			next = due
+		}
+	}
+	if len(r.replaced) > 0 {
+		return time.Time{}.Add(time.Nanosecond), true
+	}
+	return next, !next.IsZero()
+}
 
-// View returns the instances of service that the daemon learns, at most MaxView.
-func (r *Registry) View(service, daemon, zone string) []snap.Endpoint { return nil }
+// View returns the instances of service that the daemon learns, at most MaxView. Of a larger service
+// each daemon gets its own choice, mostly from its own availability zone.
+func (r *Registry) View(service, name, zone string) []snap.Endpoint {
+	all := r.services[service]
+	if len(all) <= MaxView {
+		return slices.SortedFunc(maps.Values(all), func(a, b snap.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	type ranked struct {
+		weight   uint64
+		instance snap.Endpoint
+	}
+	var own, other []ranked
+	for id, instance := range all {
+		candidate := ranked{weight: xxhash.Sum64String(name + "\x00" + id), instance: instance}
+		if instance.Zone == zone {
+			own = append(own, candidate)
+		} else {
+			other = append(other, candidate)
+		}
+	}
+	byWeight := func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) }
+	slices.SortFunc(own, byWeight)
+	slices.SortFunc(other, byWeight)
+	fromOther := max(min(len(other), minOtherZones), MaxView-len(own))
+	chosen := append(own[:MaxView-fromOther], other[:fromOther]...)
+	out := make([]snap.Endpoint, 0, len(chosen))
+	for _, candidate := range chosen {
+		out = append(out, candidate.instance)
+	}
+	return out
+}
 
 // Changes returns the changes of at most limit views and whether more views have changed.
-func (r *Registry) Changes(limit int) ([]Send, bool) { return nil, false }
+func (r *Registry) Changes(limit int) ([]Send, bool) {
+	var out []Send
+	for len(r.dirty) > 0 && limit > 0 {
+		next := r.dirty[0]
+		r.dirty = r.dirty[1:]
+		delete(r.queued, next)
+		limit--
+		d := r.daemons[next.daemon]
+		if d == nil || d.views[next.service] == nil {
+			continue
+		}
+		if change, ok := r.change(next, d); ok {
+			out = append(out, Send{Daemon: next.daemon, Change: change})
+		}
+	}
+	return out, len(r.dirty) > 0
+}
+
+func (r *Registry) change(s subscription, d *daemon) (Change, bool) {
+	known := d.views[s.service]
+	change := Change{Service: s.service, Base: known.version}
+	if known.full {
+		change.Base = 0
+		known.instances = map[string]snap.Endpoint{}
+	}
+	current := map[string]snap.Endpoint{}
+	for _, instance := range r.View(s.service, s.daemon, d.zone) {
+		current[instance.ID] = instance
+		if known.instances[instance.ID] != instance {
+			change.Set = append(change.Set, instance)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(known.instances)) {
+		if _, kept := current[id]; !kept {
+			change.Removed = append(change.Removed, id)
+		}
+	}
+	if !known.full && len(change.Set) == 0 && len(change.Removed) == 0 {
+		return Change{}, false
+	}
+	r.version++
+	change.Version = r.version
+	known.version, known.instances, known.full = change.Version, current, false
+	return change, true
+}
 
 // Behind returns the daemons with a live lease that have not reported revision, and how many have a lease.
-func (r *Registry) Behind(now time.Time, revision uint64) ([]string, int) { return nil, 0 }
+func (r *Registry) Behind(now time.Time, revision uint64) ([]string, int) {
+	var behind []string
+	live := 0
+	for _, name := range slices.Sorted(maps.Keys(r.daemons)) {
+		d := r.daemons[name]
+		if !d.joined || now.Sub(d.beat) >= DaemonLease {
+			continue
+		}
+		live++
+		if d.revision < revision {
+			behind = append(behind, name)
+		}
+	}
+	return behind, live
+}
+
+// list makes an instance visible to the daemons that call its service.
+func (r *Registry) list(instance snap.Endpoint) {
+	if r.services[instance.Service] == nil {
+		r.services[instance.Service] = map[string]snap.Endpoint{}
+	}
+	if r.services[instance.Service][instance.ID] == instance {
+		return
+	}
+	r.services[instance.Service][instance.ID] = instance
+	r.changed(instance.Service)
+}
+
+// unlist hides all instances of a daemon.
+func (r *Registry) unlist(d *daemon) {
+	for id, instance := range d.instances {
+		r.hide(id, instance.Service)
+	}
+}
+
+// drop forgets one instance of a daemon.
+func (r *Registry) drop(d *daemon, id string) {
+	if instance, ok := d.instances[id]; ok {
+		delete(d.instances, id)
+		r.hide(id, instance.Service)
+	}
+}
+
+func (r *Registry) hide(id, service string) {
+	if _, listed := r.services[service][id]; listed {
+		delete(r.services[service], id)
+		r.changed(service)
+	}
+}
+
+func (r *Registry) changed(service string) {
+	for _, name := range slices.Sorted(maps.Keys(r.callers[service])) {
+		r.mark(subscription{daemon: name, service: service})
+	}
+}
+
+func (r *Registry) mark(s subscription) {
+	if !r.queued[s] {
+		r.queued[s] = true
+		r.dirty = append(r.dirty, s)
+	}
+}
+
+func (r *Registry) unsubscribe(name string, d *daemon) {
+	for service := range d.views {
+		delete(r.callers[service], name)
+	}
+	clear(d.views)
+}
