--- /dev/null
+++ b/internal/root/call/control.go
@@ -0,0 +1,54 @@
+package call
+
+import (
+	"context"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+type (
+	// Control is what traffic needs from the control loop; its methods are safe for many goroutines.
+	Control interface {
+		// Snapshot returns the control state that was published last.
+		Snapshot() *snap.Snapshot
+		// TakeToken takes one rate token of the client account, waiting for a grant until ctx ends.
+		TakeToken(ctx context.Context, account string) TokenVerdict
+		// Want subscribes to the instances of a service and waits for the first list until ctx ends.
+		Want(ctx context.Context, service string) *snap.Endpoints
+		// Announce registers the backend server beside this daemon.
+		Announce(ctx context.Context, a member.Announcement) (snap.Endpoint, error)
+		// Leave ends the registration of the backend server at address.
+		Leave(ctx context.Context, address string) error
+		// Refused tells that the backend server at address refused a connection.
+		Refused(address string)
+		// BeginOnce makes the record of a non-idempotent request durable before it is dispatched; the
+		// verdict is nil when that could not be confirmed before ctx ended.
+		BeginOnce(ctx context.Context, scope state.OnceScope, requestHash []byte) (state.Attempt, state.OnceVerdict)
+		// FinishOnce stores the outcome of an attempt for which BeginOnce returned OnceBegun.
+		FinishOnce(ctx context.Context, finish *state.OnceFinish) error
+		// ReportCrash tells the leader which requests were in flight when an incarnation died.
+		ReportCrash(incarnation uint64, fingerprints []string)
+		// ClearSuspect tells the leader that a suspect completed normally.
+		ClearSuspect(fingerprint string)
+		// StartDrain tells the leader that the instances of this daemon are leaving.
+		StartDrain()
+	}
+
+	// TokenVerdict is TokenTaken, TokenRefused or TokenUnavailable.
+	TokenVerdict interface{ tokenVerdict() }
+
+	// TokenTaken allows one request.
+	TokenTaken struct{}
+
+	// TokenRefused says that the client account is above its rate and burst.
+	TokenRefused struct{}
+
+	// TokenUnavailable says that the owner of the tokens did not answer in time.
+	TokenUnavailable struct{}
+)
+
+func (TokenTaken) tokenVerdict()       {}
+func (TokenRefused) tokenVerdict()     {}
+func (TokenUnavailable) tokenVerdict() {}
--- /dev/null
+++ b/internal/root/call/once.go
@@ -0,0 +1,107 @@
+package call
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"strconv"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+)
+
+// runOnce runs a non-idempotent request that carries an Idempotency-Key at most once, over all resends
+// through any daemon.
+func (h *Handler) runOnce(ctx context.Context, w http.ResponseWriter, request *Request, key string) result {
+	scope := state.OnceScope{Account: request.Account, Route: request.Route.Name, Key: key}
+	waiting, cancel := context.WithTimeout(ctx, onceWait)
+	attempt, verdict := h.Control.BeginOnce(waiting, scope, requestHash(request))
+	cancel()
+	switch verdict := verdict.(type) {
+	case *state.OnceBegun:
+		return h.runRecorded(ctx, w, request, &state.OnceFinish{Scope: scope, Attempt: attempt})
+	case *state.OnceReplay:
+		h.Meter.Replay()
+		replay(w, verdict.Answer)
+		return delivered{Status: int32(verdict.Answer.Status)}
+	case *state.OnceRunning:
+		return h.finish(w, request, failed{Failure: retry.InProgress{}, Final: true})
+	case *state.OnceUnknown, *state.OnceStale:
+		return h.finish(w, request, failed{Failure: retry.EarlierUnknown{}, Final: true})
+	case *state.OnceReuse:
+		return h.finish(w, request, failed{Failure: retry.KeyReuse{}, Final: true})
+	}
+	return h.finish(w, request, failed{Failure: retry.RecordUnavailable{}, Final: true})
+}
+
+// runRecorded forwards a request whose record is durable and stores its outcome.
+func (h *Handler) runRecorded(ctx context.Context, w http.ResponseWriter, request *Request, finish *state.OnceFinish) result {
+	// The outcome is stored even when the caller has gone, because its resend will ask for it.
+	storing := context.WithoutCancel(ctx)
+	to := &holder{next: newStream(w), store: func(answer *state.Answer) {
+		finish.Outcome, finish.Answer = state.Answered, answer
+		h.storeOnce(storing, request, finish)
+	}}
+	outcome := h.Forwarder.Forward(ctx, request, to)
+	if !to.stored {
+		finish.Outcome = state.Unknown
+		if end, ok := outcome.(failed); ok && retry.Describe(end.Failure).Outcome == retry.NotRun {
+			finish.Outcome = state.NotRun
+		}
+		h.storeOnce(storing, request, finish)
+	}
+	return h.finish(w, request, outcome)
+}
+
+// storeOnce stores an outcome; when that fails, a resend finds the outcome unknown.
+func (h *Handler) storeOnce(ctx context.Context, request *Request, finish *state.OnceFinish) {
+	waiting, cancel := context.WithTimeout(ctx, onceWait)
+	defer cancel()
+	if err := h.Control.FinishOnce(waiting, finish); err != nil {
+		h.Log.Warn().Str("request", request.ID).Err(err).Msg("once-finish-failed")
+	}
+}
+
+// requestHash tells different requests under one Idempotency-Key apart.
+func requestHash(r *Request) []byte {
+	hash := sha256.New()
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Target), r.Prefix} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		hash.Write(size[:])
+		hash.Write(part)
+	}
+	hash.Write([]byte(strconv.FormatInt(r.ContentLength, 10)))
+	return hash.Sum(nil)
+}
+
+// storedAnswer returns what an idempotency record keeps of an answer. An answer that is too large is
+// replaced by one that says truthfully that the request has run.
+func storedAnswer(answer *Answer, body []byte, whole bool) *state.Answer {
+	stored := &state.Answer{Status: uint32(answer.Status), Body: body}
+	for _, field := range answer.Header {
+		stored.Headers = append(stored.Headers, state.Header{Name: field.Name, Value: field.Value})
+	}
+	if whole && stored.Check() == nil {
+		return stored
+	}
+	return &state.Answer{
+		Status: http.StatusConflict,
+		Headers: []state.Header{
+			{Name: HeaderOutcome, Value: string(retry.Ran)},
+			{Name: HeaderReason, Value: "answer-not-kept"},
+		},
+	}
+}
+
+// replay writes the kept answer of an earlier run.
+func replay(w http.ResponseWriter, answer *state.Answer) {
+	for _, field := range answer.Headers {
+		w.Header().Add(field.Name, field.Value)
+	}
+	w.Header().Set(HeaderReplay, "true")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(int(answer.Status))
+	_, _ = w.Write(answer.Body)
+}
