--- /dev/null
+++ b/internal/root/ctrl/limit/replay_test.go
@@ -0,0 +1,125 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type (
+	// demand is one account's arrivals: a rate in requests per second that moves between holders.
+	demand struct {
+		limit Limit
+		rate  float64
+		// spread is the number of holders that share the demand at any time.
+		spread int
+		// moves is how often the demand moves to other holders; zero means never.
+		moves time.Duration
+		// surge adds this many requests at one holder every two seconds.
+		surge int
+	}
+
+	tally struct {
+		arrived, ideal, admitted, wrongful int
+		bucket                             conformance
+		allowed                            map[uint64]bool
+		at                                 []int
+	}
+)
+
+// Guards M4: a request that a single bucket would have admitted must not be refused, when the demand of an
+// account is uneven, surges and moves between 60 holders, while one account sends five times its rate. That
+// account must still get its own rate, and its messages stay bounded.
+func TestWrongfulRefusals(t *testing.T) {
+	demands := []demand{
+		{Limit{"even", 600, 600}, 500, 60, 0, 0},
+		{Limit{"uneven", 400, 400}, 350, 3, 0, 0},
+		{Limit{"moving", 300, 300}, 270, 5, 500 * time.Millisecond, 0},
+		{Limit{"jumping", 200, 200}, 150, 1, 200 * time.Millisecond, 0},
+		{Limit{"surging", 200, 400}, 60, 60, 0, 200},
+		{Limit{"small", 5, 10}, 3, 60, time.Second, 0},
+		{Limit{"tight", 300, 60}, 200, 20, time.Second, 0},
+		{Limit{"greedy", 200, 400}, 1000, 60, time.Second, 0},
+	}
+	replay(t, demands, 60, 2*time.Millisecond, func(d demand, v *tally) {
+		assert.Assert(t, float64(v.admitted) >= 0.99*float64(v.ideal), "%s was admitted %d times, ideally %d", d.limit.Account, v.admitted, v.ideal)
+		if d.limit.Account != "greedy" {
+			assert.Equal(t, v.wrongful, 0, d.limit.Account)
+		}
+	})
+}
+
+// replay runs 20 s of demand after the buckets have filled; the network takes the given time each way.
+func replay(t testing.TB, demands []demand, holders int, delay time.Duration, check func(demand, *tally)) {
+	const length, step = 20 * time.Second, time.Millisecond
+	r := rand.New(rand.NewPCG(1, 2))
+	limits := make([]Limit, len(demands))
+	tallies := make(map[string]*tally)
+	for i, d := range demands {
+		limits[i] = d.limit
+		tallies[d.limit.Account] = &tally{
+			bucket:  conformance{level: float64(d.limit.Burst), rate: float64(d.limit.Rate), burst: float64(d.limit.Burst)},
+			allowed: make(map[uint64]bool), at: r.Perm(holders),
+		}
+	}
+	f, id, owned := newFleet(holders, limits), uint64(0), make(map[uint64]string)
+	f.deliver = func() []time.Duration { return []time.Duration{delay} }
+	f.spent = func(account string, request uint64) { tallies[account].admitted++; delete(owned, request) }
+	f.refused = func(request uint64) {
+		if v := tallies[owned[request]]; v.allowed[request] {
+			v.wrongful++
+		}
+		delete(owned, request)
+	}
+	f.advance(10*time.Second, false)
+	start, sent, bytes := f.now, f.messages, f.bytes
+	for f.now < start+length {
+		f.advance(step, false)
+		for _, d := range demands {
+			v, passed := tallies[d.limit.Account], f.now-start
+			if d.moves > 0 && passed%d.moves == 0 {
+				v.at = r.Perm(holders)
+			}
+			arrive := func(holder int) {
+				id++
+				v.arrived++
+				owned[id] = d.limit.Account
+				if v.bucket.refill(f.now); v.bucket.level >= 1 {
+					v.bucket.level--
+					v.ideal++
+					v.allowed[id] = true
+				}
+				f.request(holder, d.limit.Account, id)
+			}
+			for rest := d.rate * step.Seconds(); rest > 0; rest-- {
+				if r.Float64() < rest {
+					arrive(v.at[int(float64(d.spread)*r.Float64()*r.Float64())])
+				}
+			}
+			if d.surge > 0 && passed%(2*time.Second) == time.Second {
+				for range d.surge {
+					arrive(v.at[0])
+				}
+			}
+		}
+	}
+	for f.now < start+length+4*time.Second { // the use estimates fade and all lots are returned
+		f.advance(step, false)
+	}
+	for _, d := range demands {
+		v := tallies[d.limit.Account]
+		t.Logf("%-8s arrived %6d, ideal %6d, admitted %6d, wrongfully refused %4d", d.limit.Account, v.arrived, v.ideal, v.admitted, v.wrongful)
+	}
+	perSecond := length.Seconds() * float64(holders)
+	t.Logf("%.1f messages and %.0f bytes per holder and second in both directions", float64(f.messages-sent)/perSecond, float64(f.bytes-bytes)/perSecond)
+	assert.Assert(t, float64(f.bytes-bytes)/perSecond <= 8<<10, "control costs more than 8 KB/s per daemon")
+	sent = f.messages
+	f.advance(time.Second, false)
+	f.advance(time.Second, false)
+	assert.Equal(t, f.messages, sent, "holders without traffic send messages")
+	for _, d := range demands {
+		check(d, tallies[d.limit.Account])
+	}
+}
