--- a/internal/replay/path.go
+++ b/internal/replay/path.go
@@ -195,6 +195,7 @@
 	e.state = stateWorking
 	sv.working++
 	factor := sv.slow * max(1, float64(sv.working)/(sv.service.Knee*float64(sv.service.Slots)))
+	factor *= 1 + sv.service.Strain*float64(max(0, sv.held-sv.service.Slots))
 	if e.s.now.Before(sv.coldUntil) {
 		factor *= coldFactor
 	}
@@ -320,12 +321,13 @@
 	f = retry.Merge(c.failure, f)
 	c.failure = f
 	var verdict retry.Verdict = retry.GiveUp{}
+	pause, mayResend := c.from.suspects.ResendAfter(s.now, a.fingerprint)
 	switch {
 	case s.mechanism.RetriesPerHop:
 		if retry.MayResend(f, !a.route.Once) && (!final || !a.route.Once) && c.budget.Take() {
 			verdict = retry.Again{After: 5 * time.Millisecond}
 		}
-	case !c.from.suspects.MayResend(s.now, a.fingerprint):
+	case !mayResend:
 	default:
 		verdict = c.from.planner.Decide(s.now, c.budget, retry.Attempt{
 			Service: service, Failure: f, Idempotent: !a.route.Once, Final: final, Sent: c.sent, Deadline: a.deadline,
@@ -333,7 +335,13 @@
 	}
 	switch v := verdict.(type) {
 	case retry.Again:
-		s.after(v.After, c.send)
+		s.after(v.After+pause, func() {
+			if s.quarantined[a.fingerprint] {
+				c.done(retry.BackendLost{}, final)
+				return
+			}
+			c.send()
+		})
 	case retry.GiveUp:
 		c.done(f, final)
 	}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -46,6 +46,7 @@
 		Slots       int
 		Connections int
 		Knee        float64 // part of the slots above which concurrent work slows down in proportion
+		Strain      float64 // slowdown of all work by each request accepted beyond the slots
 	}
 
 	// Account is a client account; Share is its part of the demand.
@@ -161,6 +162,7 @@
 	case "service":
 		t.Services = append(t.Services, Service{
 			Name: l.word(), Servers: int(l.number()), Slots: int(l.number()), Connections: int(l.number()), Knee: l.number(),
+			Strain: l.number(),
 		})
 	case "account":
 		t.Accounts = append(t.Accounts, Account{Name: l.word(), Share: l.number(), Rate: l.number(), Burst: l.number()})
--- a/internal/root/call/admit/account.go
+++ b/internal/root/call/admit/account.go
@@ -76,3 +76,10 @@
 	c.update(now)
 	return (c.used + float64(c.inFlight)*0.01) / c.weight
 }
+
+// claim returns the mean of the slots used recently and the places in the queue, for the weight of the
+// account; extra counts places that it asks for.
+func (c *account) claim(now time.Time, extra float64) float64 {
+	c.update(now)
+	return (c.used/fairWindow.Seconds() + float64(c.waiting) + extra) / c.weight
+}
--- a/internal/root/call/admit/adaptive.go
+++ b/internal/root/call/admit/adaptive.go
@@ -91,13 +91,12 @@
 	r.add(now, latency)
 }
 
-// tick closes the window if it is over and reports whether the limit has grown.
+// tick closes the window if it is over and reports whether it did.
 func (a *adaptive) tick(now time.Time, inFlight int) bool {
 	passed := now.Sub(a.opened)
 	if passed < window || (a.samples < windowSamples && passed < windowLongest) {
 		return false
 	}
-	before := a.value
 	a.busiest = max(a.busiest, inFlight)
 	known := a.compared >= windowSamples
 	relative := a.relative / max(1, float64(a.compared))
@@ -119,7 +118,7 @@
 	if known {
 		a.relative, a.compared = 0, 0
 	}
-	return a.whole() > int(before)
+	return true
 }
 
 func (a *adaptive) raise(relative float64) {
--- a/internal/root/call/admit/levels.go
+++ b/internal/root/call/admit/levels.go
@@ -61,9 +61,8 @@
 	}
 }
 
-// shrink lowers reserves that were not used since the last call and reports whether it lowered any.
-func (v *levels) shrink(now time.Time) bool {
-	lowered := false
+// shrink lowers reserves that were not used since the last call.
+func (v *levels) shrink(now time.Time) {
 	for i := 1; i <= v.highest; i++ {
 		before := v.reserve[i]
 		if now.Sub(v.last[i]) > levelMemory {
@@ -73,10 +72,8 @@
 			v.reserve[i] = min(before, v.reserve[i])
 		}
 		v.peak[i] = v.inFlight[i]
-		lowered = lowered || v.reserve[i] < before
 	}
 	for v.highest > 0 && v.reserve[v.highest] == 0 {
 		v.highest--
 	}
-	return lowered
 }
--- a/internal/root/call/admit/limiter.go
+++ b/internal/root/call/admit/limiter.go
@@ -67,11 +67,12 @@
 	l.nested.seen(now, t.Held)
 	if l.fits(t) {
 		l.admit(now, t)
+		l.dispatch(now) // a critical nested call leaves two reserves at once
 		return Admitted{}
 	}
 	l.limit.saturated = true
 	l.nested.grow(t.Held, l.limit.whole())
-	if len(l.queue) >= max(queueMinimum, int(queueShare*l.limit.value)) && !l.evictFor(t) {
+	if len(l.queue) >= max(queueMinimum, int(queueShare*l.limit.value)) && !l.evictFor(now, t) {
 		return Refused{Failure: retry.QueueFull{}}
 	}
 	t.phase, t.verdict = queued, make(chan Decision, 1)
@@ -155,14 +156,15 @@
 
 // tick closes the measuring windows that have passed.
 func (l *Limiter) tick(now time.Time) {
-	grown := l.limit.tick(now, l.inFlight)
+	changed := l.limit.tick(now, l.inFlight)
 	if now.Sub(l.swept) >= sweepInterval {
 		l.swept = now
 		l.accounts.sweep(now)
-		grown = l.nested.shrink(now) || grown
+		l.nested.shrink(now)
+		changed = true
 		l.critical = max(float64(l.byClass[Critical]), l.critical*reserveDecay)
 	}
-	if grown {
+	if changed {
 		l.dispatch(now)
 	}
 }
@@ -222,15 +224,15 @@
 }
 
 // evictFor makes room in a full queue for a ticket, if one that matters less is waiting.
-func (l *Limiter) evictFor(t *Ticket) bool {
+func (l *Limiter) evictFor(now time.Time, t *Ticket) bool {
 	var worst *Ticket
 	for _, q := range l.queue {
 		// Among equals the newest goes, because it has waited least.
-		if worst == nil || !worst.lessUrgent(q, 0) {
+		if worst == nil || !worst.lessUrgent(now, q, 0) {
 			worst = q
 		}
 	}
-	if worst == nil || !worst.lessUrgent(t, 1) {
+	if worst == nil || !worst.lessUrgent(now, t, 1) {
 		return false
 	}
 	l.remove(worst)
@@ -263,8 +265,9 @@
 }
 
 // lessUrgent reports whether t leaves a full queue before u; extra is 1 if u is not queued yet. The
-// account with the longest queue for its weight loses first, so that no account fills the queue.
-func (t *Ticket) lessUrgent(u *Ticket, extra int) bool {
+// account with the most slots and places in the queue for its weight loses first, so that no account
+// fills the queue.
+func (t *Ticket) lessUrgent(now time.Time, u *Ticket, extra float64) bool {
 	switch {
 	case t.Importance != u.Importance:
 		return t.Importance > u.Importance
@@ -273,5 +276,5 @@
 	case t.account == u.account:
 		return false
 	}
-	return float64(t.account.waiting)/t.account.weight > float64(u.account.waiting+extra)/u.account.weight
+	return t.account.claim(now, 0) > u.account.claim(now, extra)
 }
--- /dev/null
+++ b/internal/root/call/admit/limiter_test.go
@@ -0,0 +1,320 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ticket(account string, importance Importance) *Ticket {
+	return &Ticket{Account: account, Weight: 1, Route: "r", Importance: importance, Deadline: start.Add(time.Hour)}
+}
+
+// warm returns a limiter whose limit is all of its slots.
+func warm(slots int) *Limiter {
+	l := NewLimiter(start, slots)
+	l.limit.value = float64(slots)
+	return l
+}
+
+func fill(t *testing.T, l *Limiter, account string, n int) []*Ticket {
+	var of []*Ticket
+	for range n {
+		tk := ticket(account, Normal)
+		_, ok := l.Offer(start, tk).(Admitted)
+		assert.Assert(t, ok)
+		of = append(of, tk)
+	}
+	return of
+}
+
+func granted(tk *Ticket) bool {
+	select {
+	case d := <-tk.verdict:
+		_, ok := d.(Admitted)
+		return ok
+	default:
+		return false
+	}
+}
+
+// Guards against a queue without bound, and against shedding important requests before others.
+func TestQueueEvictsLeastImportant(t *testing.T) {
+	l := warm(10)
+	fill(t, l, "a", 10)
+	var bulk []*Ticket
+	for range 5 {
+		tk := ticket("a", Bulk)
+		_, ok := l.Offer(start, tk).(Queued)
+		assert.Assert(t, ok)
+		bulk = append(bulk, tk)
+	}
+	assert.Equal(t, l.Offer(start, ticket("a", Bulk)), Decision(Refused{Failure: retry.QueueFull{}}))
+	normal, critical := ticket("a", Normal), ticket("a", Critical)
+	_, ok := l.Offer(start, normal).(Queued)
+	assert.Assert(t, ok)
+	assert.Equal(t, <-bulk[4].verdict, Decision(Refused{Failure: retry.QueueFull{}}))
+	assert.Equal(t, l.Expire(start, bulk[4]), Decision(Refused{Failure: retry.QueueFull{}}))
+	_, ok = l.Offer(start, critical).(Queued)
+	assert.Assert(t, ok)
+	assert.Equal(t, l.Load(), Load{Limit: 10, InFlight: 10, Waiting: 5})
+	first := fill(t, warm(20), "a", 1)[0]
+	l.Done(start, first, Completed{}) // a ticket of another limiter's request must not free a slot twice
+	l.inFlight++
+	for _, want := range []*Ticket{critical, normal, bulk[0]} {
+		l.Done(start, l.anyRunning(t), Completed{})
+		assert.Assert(t, granted(want))
+	}
+}
+
+// anyRunning returns a ticket that stands for one admitted by fill.
+func (l *Limiter) anyRunning(t *testing.T) *Ticket {
+	assert.Assert(t, l.inFlight > 0)
+	tk := ticket("a", Normal)
+	tk.phase, tk.account = running, l.accounts["a"]
+	return tk
+}
+
+// Guards against a ticket that waits longer than its share of the deadline, or whose slot is lost when
+// the grant and the end of the wait cross.
+func TestQueueTimeoutAndCancel(t *testing.T) {
+	l := warm(10)
+	held := fill(t, l, "a", 10)
+	late, short, gone := ticket("a", Normal), ticket("a", Normal), ticket("a", Normal)
+	short.Deadline = start.Add(60 * time.Millisecond)
+	assert.Equal(t, l.Offer(start, late).(Queued).Until, start.Add(100*time.Millisecond))
+	assert.Equal(t, l.Offer(start, short).(Queued).Until, start.Add(30*time.Millisecond))
+	assert.Assert(t, l.Offer(start, gone).(Queued).Verdict != nil)
+	passed := ticket("a", Normal)
+	passed.Deadline = start
+	assert.Equal(t, l.Offer(start, passed), Decision(Refused{Failure: retry.DeadlineBefore{}}))
+	assert.Equal(t, l.Expire(start, short), Decision(Refused{Failure: retry.QueueTimeout{}}))
+	l.Done(start, held[0], Completed{})
+	assert.Equal(t, l.Expire(start, late), Decision(Admitted{}), "the grant came first")
+	l.Cancel(start, gone)
+	l.Cancel(start, late)
+	l.Cancel(start, late)
+	assert.Equal(t, l.Load(), Load{Limit: 10, InFlight: 9})
+}
+
+// Guards against an account that fills the queue or takes every free slot of an overloaded server: one
+// account offers five times as much as each of the others, which ask for less than their part.
+func TestOneAccountAtFiveTimesItsShare(t *testing.T) {
+	l := warm(20)
+	random := rand.New(rand.NewPCG(1, 1))
+	const tick = time.Millisecond
+	ends := map[int][]*Ticket{} // by tick
+	var waiting []*Ticket
+	asked, refused := map[string]int{}, map[string]int{}
+	run := func(tk *Ticket, at int) { at += 1 + int(random.ExpFloat64()*40); ends[at] = append(ends[at], tk) }
+	for at := range 20_000 {
+		now := start.Add(time.Duration(at) * tick)
+		for _, tk := range ends[at] {
+			l.Done(now, tk, Completed{Latency: 40 * time.Millisecond})
+		}
+		still := waiting[:0]
+		for _, tk := range waiting {
+			switch {
+			case granted(tk):
+				run(tk, at)
+			case tk.phase == refusedPhase:
+				refused[tk.Account]++
+			case now.Sub(tk.Deadline.Add(-time.Hour)) >= queueWait:
+				if _, ok := l.Expire(now, tk).(Admitted); ok {
+					run(tk, at)
+				} else {
+					refused[tk.Account]++
+				}
+			default:
+				still = append(still, tk)
+			}
+		}
+		waiting = still
+		// 20 slots of 41 ms can do 488/s; four accounts ask for 80/s each and one for 400/s.
+		for _, account := range []string{"a", "b", "c", "d", "big", "big", "big", "big", "big"} {
+			if random.Float64() >= 0.08 {
+				continue
+			}
+			asked[account]++
+			tk := ticket(account, Normal)
+			tk.Deadline = now.Add(time.Hour)
+			switch l.Offer(now, tk).(type) {
+			case Admitted:
+				run(tk, at)
+			case Queued:
+				waiting = append(waiting, tk)
+			case Refused:
+				refused[account]++
+			}
+		}
+	}
+	for _, account := range []string{"a", "b", "c", "d"} {
+		assert.Assert(t, refused[account] <= asked[account]/100, "%s: %d of %d refused", account, refused[account], asked[account])
+	}
+	assert.Assert(t, refused["big"] > 1000, "the trace has to overload the server, %d refused", refused["big"])
+}
+
+// refusedPhase is the phase of a ticket that was evicted.
+const refusedPhase = refused
+
+// Guards against a service that calls itself and waits for its own slots: chains of ten calls share 24
+// slots, arrive faster than they can finish, and every chain that got its first slot has to finish.
+func TestChainThroughOneServiceDoesNotBlock(t *testing.T) {
+	l := warm(24)
+	type chain struct {
+		tickets []*Ticket
+		waits   *Ticket
+	}
+	var live []*chain
+	finished, failed := 0, 0
+	for step := range 4000 {
+		now := start.Add(time.Duration(step) * time.Millisecond)
+		outer := ticket("a", Normal)
+		outer.Deadline = now.Add(time.Hour)
+		if _, ok := l.Offer(now, outer).(Admitted); ok {
+			live = append(live, &chain{tickets: []*Ticket{outer}})
+		} else {
+			l.Cancel(now, outer)
+		}
+		still := live[:0]
+		for _, c := range live {
+			end := func(r Result) {
+				for i := len(c.tickets) - 1; i >= 0; i-- {
+					l.Done(now, c.tickets[i], r)
+				}
+			}
+			if c.waits != nil {
+				if granted(c.waits) {
+					c.tickets, c.waits = append(c.tickets, c.waits), nil
+				} else if now.Sub(c.waits.Deadline.Add(-time.Hour)) >= queueWait {
+					if _, ok := l.Expire(now, c.waits).(Admitted); !ok {
+						failed++
+						end(Completed{Latency: time.Millisecond})
+						continue
+					}
+					c.tickets, c.waits = append(c.tickets, c.waits), nil
+				}
+				still = append(still, c)
+				continue
+			}
+			if len(c.tickets) == 10 {
+				finished++
+				end(Completed{Latency: time.Millisecond})
+				continue
+			}
+			nested := ticket("a", Normal)
+			nested.Held, nested.Deadline = uint8(len(c.tickets)), now.Add(time.Hour)
+			switch l.Offer(now, nested).(type) {
+			case Admitted:
+				c.tickets = append(c.tickets, nested)
+			case Queued:
+				c.waits = nested
+			case Refused:
+				failed++
+				end(Completed{Latency: time.Millisecond})
+				continue
+			}
+			still = append(still, c)
+		}
+		live = still
+	}
+	// 24 slots hold two whole chains of ten calls that take 10 ms each: 4 s are enough for 500 of them.
+	assert.Assert(t, finished >= 250, "%d finished, %d failed", finished, failed)
+	assert.Assert(t, failed <= finished/10, "%d finished, %d failed", finished, failed)
+}
+
+// Guards against normal requests that take the slots kept for critical ones, and against a reserve that
+// stays empty where there are no critical requests.
+func TestCriticalReserve(t *testing.T) {
+	l := warm(100)
+	fill(t, l, "a", 100)
+	l = warm(100)
+	l.Done(start, func() *Ticket { tk := ticket("a", Critical); l.Offer(start, tk); return tk }(), Completed{})
+	for range 10 {
+		tk := ticket("a", Critical)
+		l.Offer(start, tk)
+		defer l.Done(start, tk, Completed{})
+	}
+	fill(t, l, "a", 90)
+	_, ok := l.Offer(start, ticket("a", Normal)).(Queued)
+	assert.Assert(t, ok)
+	assert.Equal(t, l.reserve(), 10)
+}
+
+// Guards against lost or doubled slots: after any sequence of operations every request is in one state,
+// no waiting ticket fits, and when all end nothing is left.
+func TestRandomOperations(t *testing.T) {
+	for seed := range uint64(60) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		l := NewLimiter(start, 1+random.IntN(40))
+		now := start
+		var open []*Ticket
+		for range 3000 {
+			now = now.Add(time.Duration(random.IntN(3_000_000)))
+			if random.IntN(2) == 0 {
+				tk := ticket(fmt.Sprint(random.IntN(5)), Importance(random.IntN(classes)))
+				tk.Held, tk.Deadline = uint8(max(0, random.IntN(12)-8)), now.Add(time.Duration(random.IntN(400))*time.Millisecond)
+				if _, ok := l.Offer(now, tk).(Refused); !ok {
+					open = append(open, tk)
+				}
+			} else if len(open) > 0 {
+				i := random.IntN(len(open))
+				tk := open[i]
+				switch {
+				case tk.phase == queued && random.IntN(2) == 0:
+					l.Expire(now, tk)
+				case random.IntN(9) == 0:
+					l.Cancel(now, tk)
+				default:
+					l.Done(now, tk, []Result{Completed{Latency: time.Duration(random.IntN(1e8))}, Shed{}, Expired{Latency: time.Second}, Lost{}}[random.IntN(4)])
+				}
+				if tk.phase != running {
+					open = append(open[:i], open[i+1:]...)
+				}
+			}
+			inFlight := 0
+			for _, tk := range open {
+				if tk.phase == running {
+					inFlight++
+				}
+			}
+			assert.Equal(t, l.inFlight, inFlight, "seed %d", seed)
+			assert.Assert(t, inFlight <= l.limit.slots && l.limit.whole() >= 1)
+			for _, tk := range l.queue {
+				assert.Assert(t, tk.phase == queued && !l.fits(tk), "seed %d: a waiting ticket fits", seed)
+			}
+		}
+		for _, tk := range open {
+			l.Cancel(now, tk)
+		}
+		assert.Equal(t, l.Load(), Load{Limit: l.limit.whole()})
+	}
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	for _, waiting := range []int{0, 50} {
+		b.Run(fmt.Sprint(waiting, "-waiting"), func(b *testing.B) {
+			l := warm(110)
+			now := start
+			if waiting > 0 {
+				for i := range 110 + waiting {
+					l.Offer(now, ticket(fmt.Sprint("a", i%8), Normal))
+				}
+			}
+			tk := Ticket{Account: "a1", Weight: 1, Route: "r", Deadline: start.Add(time.Hour)}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				l.Offer(now, &tk)
+				l.Done(now, &tk, Completed{Latency: time.Millisecond})
+			}
+		})
+	}
+}
--- a/internal/root/call/crash/suspects.go
+++ b/internal/root/call/crash/suspects.go
@@ -9,8 +9,9 @@
 	crashWindow  = 10 * time.Minute // crashes further apart are not counted together
 	crashLimit   = 3                // crashes of different incarnations that make a quarantine
 	quarantine   = 10 * time.Minute
-	resendLimit  = 2     // a suspect in this many crashes is not resent by the daemon itself
-	maxSuspects  = 4_096 // bounds the memory of a daemon; the oldest suspect is dropped
+	resendLimit  = 2                      // a suspect in this many crashes is not resent by the daemon itself
+	resendPause  = 300 * time.Millisecond // a crash report reaches the leader and a quarantine all daemons
+	maxSuspects  = 4_096                  // bounds the memory of a daemon; the oldest suspect is dropped
 	maxDocketed  = 65_536
 	maxPerReport = 1_024 // above the connections of any backend server of today
 )
@@ -100,12 +101,20 @@
 	s.known.add(now, fingerprint, incarnation)
 }
 
-// MayResend reports whether the daemon itself may send the request again. Without this bound the
-// retries of one request could crash as many instances as make a quarantine.
-func (s *Suspects) MayResend(now time.Time, fingerprint string) bool {
+// ResendAfter returns the pause before the daemon itself may send the request again, or false if it may
+// not. Without the bound, the retries of one request could crash as many instances as make a quarantine;
+// without the pause, they could crash more before the quarantine arrives, which the caller checks again
+// after the pause.
+func (s *Suspects) ResendAfter(now time.Time, fingerprint string) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known.count(now, fingerprint) < resendLimit
+	switch count := s.known.count(now, fingerprint); {
+	case count == 0:
+		return 0, true
+	case count < resendLimit:
+		return resendPause, true
+	}
+	return 0, false
 }
 
 func newLedger(limit int) ledger { return ledger{limit: limit, entries: map[string]*entry{}} }
--- a/internal/root/call/picker/instance.go
+++ b/internal/root/call/picker/instance.go
@@ -12,7 +12,8 @@
 	errorWindow   = 5 * time.Second // time constant of the error rate
 	loadWindow    = time.Second     // a reported load is forgotten with this time constant
 	refusalWeight = 0.5             // error of a refusal, which proves that the instance is alive
-	sampleWeight  = 0.1             // least weight of one sample, so that few calls count as well
+	leastWeight   = 0.1             // of one sample, so that many calls in a short time count as well
+	mostWeight    = 0.3             // of one error, so that a single failure after a pause is not a rate of 1
 	ejectFailures = 5               // consecutive failures
 	ejectShortest = time.Second     // doubled by each ejection in a row
 	ejectLongest  = 30 * time.Second
@@ -65,8 +66,6 @@
 	if latency == 0 {
 		latency = fallback
 	}
-	// A rate that is not renewed by calls fades, so that the instance is tried again.
-	rate := in.errors * math.Exp(-float64(now.Sub(in.judged))/float64(errorWindow))
 	weight := 1.0
 	if !in.started.IsZero() {
 		if age := now.Sub(in.started); age < slowStart {
@@ -75,7 +74,7 @@
 			in.started = time.Time{}
 		}
 	}
-	return latency * (1 + errorWeight*rate) / weight
+	return latency * (1 + errorWeight*in.errorRate(now)) / weight
 }
 
 func (in *instance) score(now time.Time, fallback float64) float64 {
@@ -126,20 +125,26 @@
 }
 
 func (in *instance) sample(now time.Time, latency time.Duration) {
-	in.latency = average(in.latency, float64(latency), now.Sub(in.sampled), latencyWindow, in.latency == 0)
+	if in.latency == 0 {
+		in.latency = float64(latency)
+	}
+	in.latency = average(in.latency, float64(latency), now.Sub(in.sampled), latencyWindow, 1)
 	in.sampled = now
 }
 
 func (in *instance) judge(now time.Time, failed float64) {
-	in.errors = average(in.errors, failed, now.Sub(in.judged), errorWindow, false)
+	in.errors = average(in.errorRate(now), failed, now.Sub(in.judged), errorWindow, mostWeight)
 	in.judged = now
 }
 
+// errorRate returns the error rate; one that is not renewed by calls fades, so that the instance is
+// tried again.
+func (in *instance) errorRate(now time.Time) float64 {
+	return in.errors * math.Exp(-float64(now.Sub(in.judged))/float64(errorWindow))
+}
+
 // average moves an average towards a sample by the weight of the time since the last one.
-func average(old, sample float64, passed, constant time.Duration, first bool) float64 {
-	if first {
-		return sample
-	}
-	weight := max(sampleWeight, 1-math.Exp(-float64(passed)/float64(constant)))
+func average(old, sample float64, passed, constant time.Duration, most float64) float64 {
+	weight := min(most, max(leastWeight, 1-math.Exp(-float64(passed)/float64(constant))))
 	return old + weight*(sample-old)
 }
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -15,6 +15,8 @@
 	zoneQuality   = 2.0  // an own instance this much worse than one elsewhere loses its preference
 	slowStart     = 10 * time.Second
 	slowStartLow  = 0.1 // weight at the start of an incarnation
+	exploration   = 128 // one call in this many goes to another zone to learn its latency; fewer than 1 in 100 keep the 99th percentile
+	nearlyEqual   = 0.9 // scores closer than this are equal; otherwise an instance that is a trace worse gets nothing at low load
 	drainingPause = 10 * time.Second
 )
 
@@ -150,6 +152,9 @@
 	near := p.best(now, local)
 	far := remote[p.random.IntN(len(remote))]
 	fallback := p.fallback()
+	if p.random.IntN(exploration) == 0 {
+		return far
+	}
 	if near.quality(now, fallback) > zoneQuality*far.quality(now, fallback) && far.score(now, fallback) < near.score(now, fallback) {
 		return far
 	}
@@ -167,7 +172,7 @@
 		j++
 	}
 	fallback := p.fallback()
-	if among[j].score(now, fallback) < among[i].score(now, fallback) {
+	if among[j].score(now, fallback) < nearlyEqual*among[i].score(now, fallback) {
 		return among[j]
 	}
 	return among[i]
--- /dev/null
+++ b/internal/root/call/picker/picker_test.go
@@ -0,0 +1,236 @@
+package picker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet returns n instances, spread over availability zones a, b and c in turn.
+func fleet(n int) []snap.Endpoint {
+	var of []snap.Endpoint
+	for i := range n {
+		of = append(of, snap.Endpoint{ID: fmt.Sprint(i), Zone: string(rune('a' + i%3)), Slots: 100, Connections: 500, Incarnation: 1})
+	}
+	return of
+}
+
+func newPicker(zone string, endpoints []snap.Endpoint) *Picker {
+	p := New(zone, 1)
+	p.Update(start, endpoints)
+	return p
+}
+
+// spread picks n times, answers each call by answer, and counts the picks.
+func spread(p *Picker, now time.Time, n int, answer func(id string) Result) map[string]int {
+	picks := map[string]int{}
+	for range n {
+		endpoint, ok := p.Pick(now, nil)
+		if ok {
+			picks[endpoint.ID]++
+			p.Done(now, endpoint.ID, answer(endpoint.ID))
+		}
+		now = now.Add(time.Millisecond)
+	}
+	return picks
+}
+
+func fine(string) Result { return Answered{Latency: 10 * time.Millisecond, Load: 0.5} }
+
+// Guards against work for an instance that leaves, as the registry says or as the instance itself says.
+func TestLeavingIsNeverChosen(t *testing.T) {
+	endpoints := fleet(3)
+	endpoints[0].Leaving = true
+	p := newPicker("a", endpoints)
+	p.Done(start, "1", Refused{Draining: true})
+	assert.DeepEqual(t, spread(p, start, 100, fine), map[string]int{"2": 100})
+	endpoints[1].Leaving, endpoints[2].Leaving = true, true
+	p.Update(start, endpoints)
+	_, ok := p.Pick(start, nil)
+	assert.Assert(t, !ok, "no instance may be chosen if all leave")
+	_, ok = New("a", 1).Pick(start, nil)
+	assert.Assert(t, !ok)
+}
+
+// Guards against an instance that fails and stays in use, and against ejecting so many that the rest
+// is overloaded.
+func TestEjectionOfAtMostHalf(t *testing.T) {
+	p := newPicker("x", fleet(4))
+	for _, id := range []string{"0", "1", "2", "3"} {
+		for range ejectFailures {
+			p.Done(start, id, Failed{})
+		}
+	}
+	picks := spread(p, start, 200, fine)
+	assert.Equal(t, picks["2"]+picks["3"], 200, "picks %v", picks)
+
+	one := newPicker("x", fleet(1))
+	for range 3 * ejectFailures {
+		one.Done(start, "0", Failed{})
+	}
+	assert.Equal(t, spread(one, start, 10, fine)["0"], 10, "a single instance is never ejected")
+}
+
+// Guards against an ejected instance that gets full traffic before it has answered once, and against
+// ejections that do not grow or exceed 30 s.
+func TestEjectionDoublesAndProbes(t *testing.T) {
+	p := newPicker("x", fleet(2))
+	in := p.instances[0]
+	now := start
+	for _, seconds := range []int{1, 2, 4, 8, 16, 30, 30} {
+		for range ejectFailures {
+			p.Done(now, "0", Failed{})
+		}
+		assert.Equal(t, in.ejected.Sub(now), time.Duration(seconds)*time.Second)
+		assert.Equal(t, spread(p, now, 50, fine)["0"], 0)
+		now = in.ejected
+	}
+	probes := 0
+	for range 100 {
+		if endpoint, _ := p.Pick(now, []string{"1"}); endpoint.ID == "0" {
+			probes++
+		}
+	}
+	assert.Equal(t, probes, 1, "one call at a time until the first answer")
+	p.Done(now, "0", fine(""))
+	assert.Assert(t, !in.probation && in.ejections == 0)
+}
+
+// Guards against refusing calls when no instance looks healthy or all were tried.
+func TestLastResortChoosesAmongAll(t *testing.T) {
+	endpoints := fleet(4)
+	p := newPicker("x", endpoints)
+	for _, id := range []string{"0", "1"} {
+		for range ejectFailures {
+			p.Done(start, id, Failed{})
+		}
+	}
+	p.Update(start, endpoints[:2])
+	assert.Equal(t, len(spread(p, start, 100, func(string) Result { return Canceled{} })), 2, "all are ejected")
+	endpoint, ok := newPicker("x", endpoints).Pick(start, []string{"0", "1", "3"})
+	assert.Assert(t, ok && endpoint.ID == "2")
+	_, ok = newPicker("x", endpoints).Pick(start, []string{"0", "1", "2", "3"})
+	assert.Assert(t, ok, "all were tried")
+}
+
+// Guards against statistics of a dead incarnation that are held against the new one, and against full
+// load on cold caches.
+func TestNewIncarnationStartsSlowly(t *testing.T) {
+	endpoints := fleet(2)
+	p := newPicker("x", endpoints)
+	for range ejectFailures {
+		p.Done(start, "0", Failed{Latency: time.Second})
+	}
+	endpoints[0].Incarnation, endpoints[0].Started = 2, snap.UnixNano(start.UnixNano())
+	p.Update(start, endpoints)
+	count := func(now time.Time) (picks int) {
+		for range 200 { // calls that stay in flight, so that the score divides them
+			endpoint, _ := p.Pick(now, nil)
+			if endpoint.ID == "0" {
+				picks++
+			}
+		}
+		for range 200 {
+			p.Done(now, "0", Canceled{})
+			p.Done(now, "1", Canceled{})
+		}
+		return picks
+	}
+	assert.Assert(t, p.instances[0].failures == 0 && p.instances[0].latency == 0)
+	early, half, late := count(start.Add(time.Second)), count(start.Add(5*time.Second)), count(start.Add(slowStart))
+	assert.Assert(t, early < 30 && half > 50 && half < 90 && late > 90, "picks %d, %d, %d of 200", early, half, late)
+	p.Update(start, endpoints[:1])
+	assert.Assert(t, p.instances[0].endpoint.ID == "0" && !p.instances[0].judged.After(start), "the rest is kept")
+}
+
+// Guards against needless calls to other availability zones, and against an own zone that is
+// overloaded or unwell while others are not.
+func TestOwnZoneFirst(t *testing.T) {
+	p := newPicker("b", fleet(6))
+	picks := spread(p, start, 300, fine)
+	assert.Assert(t, picks["1"]+picks["4"] >= 290, "picks %v", picks) // the rest explores
+
+	busy := func(id string) Result {
+		if id == "1" || id == "4" {
+			return Answered{Latency: 10 * time.Millisecond, Load: 0.95}
+		}
+		return fine(id)
+	}
+	picks = spread(p, start, 600, busy)
+	assert.Assert(t, picks["1"]+picks["4"] < 450, "picks %v", picks)
+
+	slow := newPicker("b", fleet(3))
+	slowOne := func(id string) Result {
+		if id == "1" {
+			return Answered{Latency: 200 * time.Millisecond, Load: 0.1}
+		}
+		return fine(id)
+	}
+	spread(slow, start, 10*exploration, slowOne) // learns the latency of the other zones
+	picks = spread(slow, start.Add(2*time.Second), 600, slowOne)
+	assert.Assert(t, picks["1"] < 60, "picks %v", picks)
+}
+
+// Guards against instances that refuse or fail getting as many calls as those that answer.
+func TestErrorsWeighDown(t *testing.T) {
+	p := newPicker("x", fleet(3))
+	picks := spread(p, start, 600, func(id string) Result {
+		if id == "0" {
+			return Refused{Load: 1}
+		}
+		return fine(id)
+	})
+	assert.Assert(t, picks["0"] > 0 && picks["0"] < 60, "picks %v", picks)
+	assert.Assert(t, spread(p, start.Add(time.Minute), 300, fine)["0"] > 60, "errors are forgotten")
+}
+
+// Guards against more connections than the backend server accepts.
+func TestConnectionLimit(t *testing.T) {
+	endpoints := fleet(2)
+	endpoints[0].Connections, endpoints[1].Connections = 5, 7
+	p := newPicker("x", endpoints)
+	picks := map[string]int{}
+	for range 12 {
+		endpoint, _ := p.Pick(start, nil)
+		picks[endpoint.ID]++
+	}
+	assert.DeepEqual(t, picks, map[string]int{"0": 5, "1": 7})
+}
+
+// Guards against a change of the subset that forgets what is known of the instances that stay.
+func TestSubsetKeepsStatistics(t *testing.T) {
+	endpoints := fleet(30)
+	p := newPicker("x", endpoints[:24])
+	spread(p, start, 500, fine)
+	p.Done(start, "20", Failed{})
+	p.Update(start, endpoints[6:])
+	assert.Equal(t, len(p.instances), 24)
+	for _, in := range p.instances {
+		if in.endpoint.ID == "20" {
+			assert.Equal(t, in.failures, 1)
+		}
+	}
+	assert.Equal(t, len(spread(p, start.Add(time.Minute), 3000, fine)), 24)
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	for _, n := range []int{3, 24} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := newPicker("a", fleet(n))
+			exclude := []string{"7"}
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				endpoint, _ := p.Pick(now, exclude)
+				p.Done(now, endpoint.ID, fine(""))
+				now = now.Add(time.Microsecond)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/root/call/retry/retry_test.go
@@ -0,0 +1,188 @@
+package retry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against a failure that tells the caller something else than the design page promises.
+func TestOutcomesRowByRow(t *testing.T) {
+	text, err := os.ReadFile("testdata/outcomes.txt")
+	assert.NilError(t, err)
+	var want []string
+	for line := range strings.Lines(string(text)) {
+		if !strings.HasPrefix(line, "#") {
+			want = append(want, strings.Join(strings.Fields(line), " "))
+		}
+	}
+	assert.Equal(t, len(want), len(All()))
+	for i, f := range All() {
+		row := Describe(f)
+		name := strings.TrimSuffix(strings.TrimPrefix(fmt.Sprintf("%T%+v", f, f), "retry."), "{}")
+		resend := [...]string{"never", "if-idempotent", "always"}[row.Resend]
+		assert.Equal(t, fmt.Sprintf("%s %d %s %s %s", row.Reason, row.Status, row.Outcome, resend, name), want[i])
+		assert.Assert(t, row.Outcome == NotRun || !MayResend(f, false), "%T: a request that may have run is sent again", f)
+		parsed, err := Parse(row.Reason, row.Outcome)
+		assert.NilError(t, err)
+		assert.Equal(t, Describe(parsed).Status, row.Status)
+	}
+	_, err = Parse("no-such-reason", NotRun)
+	assert.Assert(t, errors.Is(err, ErrReason))
+}
+
+// Guards against a refusal that hides an earlier send of unknown outcome.
+func TestMergeKeepsUnknown(t *testing.T) {
+	assert.Equal(t, Merge(BackendLost{}, QueueFull{}), Failure(BackendLost{}))
+	assert.Equal(t, Merge(QueueFull{}, BackendLost{}), Failure(BackendLost{}))
+	assert.Equal(t, Merge(nil, QueueFull{}), Failure(QueueFull{}))
+}
+
+// tree is a call graph in which every hop fails: each service calls the next one and fails because its
+// nested calls failed, and the last one fails by itself.
+type tree struct {
+	planner  *Planner
+	random   *rand.Rand
+	depth    int
+	width    int  // nested calls that each service makes
+	lossy    bool // some responses are lost together with the retries lent
+	sends    int
+	retries  int
+	services int
+}
+
+// call sends a request until it succeeds or is given up, as the daemon of the caller does.
+func (tr *tree) call(hop int, budget *Budget) {
+	now := start
+	for sent := 1; ; sent++ {
+		tr.sends++
+		loan := budget.Lend()
+		inner := NewBudget(loan.Retries)
+		failure := []Failure{QueueFull{}, Unreached{}, BackendLost{}, Draining{}}[tr.random.IntN(4)]
+		if hop < tr.depth {
+			for range tr.width {
+				tr.call(hop+1, inner)
+			}
+			inner.MarkFinal()
+		}
+		unspent, final := inner.Left(), inner.Final()
+		if tr.lossy && tr.random.IntN(4) == 0 {
+			failure, unspent = BackendLost{}, 0
+		}
+		budget.Settle(loan, unspent)
+		verdict := tr.planner.Decide(now, budget, Attempt{
+			Service: fmt.Sprint(hop % tr.services), Failure: failure, Idempotent: true, Final: final, Sent: sent, Deadline: start.Add(time.Minute),
+		})
+		again, ok := verdict.(Again)
+		if !ok {
+			return
+		}
+		tr.retries++
+		now = now.Add(again.After)
+	}
+}
+
+// Guards against retries that multiply at each hop (R1).
+func TestChainOfTenWhereEveryHopFails(t *testing.T) {
+	for retries := range uint32(6) {
+		for seed := range uint64(200) {
+			tr := &tree{planner: NewPlanner(seed), random: rand.New(rand.NewPCG(seed, 1)), depth: 10, width: 1, lossy: seed%2 == 1, services: 1 + int(seed%10)}
+			for hop := range 10 {
+				tr.planner.SetShare(fmt.Sprint(hop), 1000)
+				tr.planner.Success(start, fmt.Sprint(hop))
+			}
+			tr.call(1, NewBudget(retries))
+			assert.Assert(t, tr.sends <= 10+int(retries), "seed %d: %d sends with %d retries", seed, tr.sends, retries)
+			if !tr.lossy {
+				assert.Equal(t, tr.sends, 10+int(retries), "the budget has to be usable at the last hop")
+			}
+		}
+	}
+}
+
+// Guards against parallel nested calls that each spend the whole budget.
+func TestTreeKeepsOneBudget(t *testing.T) {
+	for seed := range uint64(100) {
+		tr := &tree{planner: NewPlanner(seed), random: rand.New(rand.NewPCG(seed, 2)), depth: 5, width: 3, lossy: true, services: 5}
+		for hop := range 5 {
+			tr.planner.SetShare(fmt.Sprint(hop), 1000)
+			tr.planner.Success(start, fmt.Sprint(hop))
+		}
+		tr.call(1, NewBudget(3))
+		assert.Assert(t, tr.retries <= 3, "seed %d: %d retries", seed, tr.retries)
+	}
+	budget := NewBudget(2)
+	first, second := budget.Lend(), budget.Lend()
+	assert.Equal(t, first.Retries, uint32(2))
+	assert.Equal(t, second.Retries, uint32(0))
+	assert.Assert(t, !budget.Take(), "a lent retry is spent")
+	budget.Settle(second, 2)
+	assert.Equal(t, budget.Left(), uint32(0))
+	budget.Settle(first, 9)
+	assert.Equal(t, budget.Left(), uint32(2))
+}
+
+// Guards against retries that are not allowed by the failure, the final mark, the deadline, the retry
+// share or the budget.
+func TestDecideGivesUp(t *testing.T) {
+	planner := NewPlanner(1)
+	good := Attempt{Service: "reader", Failure: QueueFull{}, Sent: 1, Deadline: start.Add(time.Second)}
+	_, again := planner.Decide(start, NewBudget(1), good).(Again)
+	assert.Assert(t, again)
+	for _, tc := range []struct {
+		change func(*Attempt)
+		left   uint32
+		why    Why
+	}{
+		{func(a *Attempt) { a.Final = true }, 1, MarkedFinal},
+		{func(a *Attempt) { a.Failure = BackendLost{} }, 1, NotAllowed},
+		{func(a *Attempt) { a.Failure = Rate{} }, 1, NotAllowed},
+		{func(a *Attempt) { a.Deadline = start }, 1, NoTime},
+		{func(*Attempt) {}, 0, NoBudget},
+	} {
+		a := good
+		tc.change(&a)
+		assert.Equal(t, planner.Decide(start, NewBudget(tc.left), a), Verdict(GiveUp{Why: tc.why, Final: true}))
+	}
+}
+
+// Guards against a service that gets more than its share of retries, and against a share that never
+// comes back.
+func TestRetryShare(t *testing.T) {
+	planner := NewPlanner(1)
+	count := func(now time.Time) (allowed int) {
+		for range 1000 {
+			if _, ok := planner.Decide(now, NewBudget(1), Attempt{Service: "reader", Failure: QueueFull{}, Sent: 1, Deadline: now.Add(time.Second)}).(Again); ok {
+				allowed++
+			}
+		}
+		return allowed
+	}
+	for range 500 {
+		planner.Success(start, "reader")
+	}
+	assert.Equal(t, count(start), 50+shareMinimum)
+	assert.Equal(t, count(start.Add(time.Second)), 0)
+	assert.Equal(t, count(start.Add(10*time.Minute)), shareMinimum)
+}
+
+// Guards against retries that come in step or wait longer than stated.
+func TestBackoffIsJitteredAndRepeatable(t *testing.T) {
+	one, two := NewPlanner(7), NewPlanner(7)
+	seen := map[time.Duration]bool{}
+	for sent := 1; sent < 40; sent++ {
+		pause := one.backoff(sent)
+		assert.Equal(t, pause, two.backoff(sent))
+		assert.Assert(t, pause >= backoffBase/2 && pause <= backoffLimit, "pause %v", pause)
+		seen[pause] = true
+	}
+	assert.Assert(t, len(seen) > 30)
+}
