--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -14,6 +14,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 // wantTimeout bounds the wait for the first list of a service's instances.
@@ -69,6 +70,7 @@
 		exchange *exchange // open while the answer's body has not been read
 		latency  time.Duration
 		pick     picker.Result
+		crashed  bool // the backend server died with the request in flight
 	}
 )
 
@@ -92,14 +94,15 @@
 		return failed{Failure: retry.NoBackend{}, Final: true}
 	}
 	var tried []string
+	var earlier retry.Failure // of the attempts so far; an attempt that may have run is not forgotten
 	for sent := 1; ; sent++ {
 		now := f.Clock.Now()
 		if !now.Before(r.Deadline) {
-			return failed{Failure: retry.DeadlineBefore{}, Final: true}
+			return failed{Failure: retry.Merge(earlier, retry.DeadlineBefore{}), Final: true}
 		}
 		endpoint, ok := instances.Pick(now, tried)
 		if !ok {
-			return failed{Failure: retry.NoBackend{}, Final: true}
+			return failed{Failure: retry.Merge(earlier, retry.NoBackend{}), Final: true}
 		}
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
@@ -111,15 +114,17 @@
 		}
 		instances.Done(f.Clock.Now(), endpoint.ID, got.pick)
 		r.Budget.Settle(loan, got.report.Unspent)
+		earlier = retry.Merge(earlier, got.failureOrLost())
 		verdict := f.decide(r, got, sent)
 		again, ok := verdict.(retry.Again)
 		if !ok {
-			return f.giveUp(ctx, r, to, got, verdict)
+			return f.giveUp(ctx, r, to, got, earlier, verdict)
 		}
 		got.close()
 		f.Meter.Retry(r.Route.Service)
-		if !f.pause(ctx, again.After) {
-			return failed{Failure: got.failureOrLost(), Final: true}
+		// The quarantine is read again after the pause, because the crash may have set it.
+		if !f.pause(ctx, again.After) || quarantined(f.Control.Snapshot(), r, f.Clock.Now()) {
+			return failed{Failure: earlier, Final: true}
 		}
 	}
 }
@@ -182,6 +187,9 @@
 	context.AfterFunc(sending, cancel)
 	got := f.receiveHead(sending, r, x)
 	got.latency = f.Clock.Now().Sub(started)
+	if got.crashed {
+		f.Suspects.Learn(f.Clock.Now(), to.Incarnation, r.Fingerprint)
+	}
 	got.pick = pickResult(ctx, got)
 	if got.failure != nil {
 		x.close()
@@ -235,10 +243,7 @@
 				}()
 			}
 		case refused:
-			if message.Crashed {
-				f.Suspects.Learn(f.Clock.Now(), 0, r.Fingerprint)
-			}
-			return attempt{failure: failureOf(&message.RefusedCall), report: message.Report}
+			return attempt{failure: failureOf(&message.RefusedCall), report: message.Report, crashed: message.Crashed}
 		case answered:
 			return attempt{answer: &message.Answer, report: message.Report}
 		case data, ended:
@@ -282,10 +287,11 @@
 	}
 	now := f.Clock.Now()
 	failure := got.failureOrLost()
-	if _, lost := failure.(retry.BackendLost); lost && !f.Suspects.MayResend(now, r.Fingerprint) {
+	pause, ok := f.Suspects.ResendAfter(now, r.Fingerprint)
+	if !ok {
 		return retry.GiveUp{Why: retry.NotAllowed, Final: true}
 	}
-	return f.Planner.Decide(now, r.Budget, retry.Attempt{
+	verdict := f.Planner.Decide(now, r.Budget, retry.Attempt{
 		Service:    r.Route.Service,
 		Failure:    failure,
 		Idempotent: r.idempotent(),
@@ -293,10 +299,14 @@
 		Sent:       sent,
 		Deadline:   r.Deadline,
 	})
+	if again, ok := verdict.(retry.Again); ok {
+		return retry.Again{After: again.After + pause}
+	}
+	return verdict
 }
 
 // giveUp passes on the last answer, or the failure when there was none.
-func (f *Forwarder) giveUp(ctx context.Context, r *Request, to sink, got attempt, verdict retry.Verdict) result {
+func (f *Forwarder) giveUp(ctx context.Context, r *Request, to sink, got attempt, failure retry.Failure, verdict retry.Verdict) result {
 	if got.failure == nil {
 		return f.relay(ctx, r, to, got, nil)
 	}
@@ -304,7 +314,13 @@
 	if end, ok := verdict.(retry.GiveUp); ok {
 		final = end.Final
 	}
-	return failed{Failure: got.failure, Final: final, Overloaded: got.report.Overloaded || overloadFailure(got.failure)}
+	return failed{Failure: failure, Final: final, Overloaded: got.report.Overloaded || overloadFailure(got.failure)}
+}
+
+// quarantined reports whether the request's fingerprint is quarantined at now.
+func quarantined(snapshot *snap.Snapshot, r *Request, now time.Time) bool {
+	until, ok := snapshot.Quarantine[r.Fingerprint]
+	return ok && wire.StampOf(now) < until
 }
 
 func (f *Forwarder) pause(ctx context.Context, d time.Duration) bool {
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -167,7 +167,7 @@
 		}
 		return h.finish(w, request, failed{Failure: failure, Final: true})
 	}
-	if until, ok := h.Control.Snapshot().Quarantine[request.Fingerprint]; ok && started.UnixNano() < int64(until) {
+	if quarantined(h.Control.Snapshot(), request, started) {
 		return h.finish(w, request, failed{Failure: retry.Quarantined{}, Final: true})
 	}
 	key := request.Header.Get(HeaderIdempotencyKey)
