--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"math"
 	"os"
 	"time"
 
@@ -168,7 +167,8 @@
 	for name, account := range set.Accounts {
 		limits = append(limits, limit.Limit{
 			Account: name,
-			Rate:    uint32(math.Max(1, account.Rate.PerSecond())),
+			Rate:    uint32(account.Rate.Count),
+			Per:     account.Rate.Per,
 			Burst:   uint32(account.Burst),
 		})
 	}
--- a/internal/root/ctrl/limit/message.go
+++ b/internal/root/ctrl/limit/message.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// MaxRate is the largest rate in tokens per second and the largest burst in tokens.
-	MaxRate = 10_000_000
+	// MaxRate is the largest rate in tokens per period and the largest burst in tokens; a full bucket with
+	// a period of one hour then fits into 64 bits.
+	MaxRate = 1_000_000
 
 	maxAccount = 128
 	maxReports = 64
@@ -23,8 +24,10 @@
 	// Limit is the rate and burst of one client account.
 	Limit struct {
 		Account string
-		// Rate is in tokens per second.
+		// Rate is in tokens per period.
 		Rate uint32
+		// Per is the period, at most one hour; zero means one second.
+		Per time.Duration
 		// Burst is in tokens.
 		Burst uint32
 	}
@@ -84,9 +87,20 @@
 	if l.Rate == 0 || l.Rate > MaxRate || l.Burst == 0 || l.Burst > MaxRate {
 		return fmt.Errorf("%w: rate %d and burst %d, want 1 to %d", ErrMessage, l.Rate, l.Burst, MaxRate)
 	}
+	if l.Per < 0 || l.Per > time.Hour {
+		return fmt.Errorf("%w: period %v, want up to %v", ErrMessage, l.Per, time.Hour)
+	}
 	return nil
 }
 
+// unit returns the period in nanoseconds.
+func (l *Limit) unit() int64 {
+	if l.Per == 0 {
+		return int64(time.Second)
+	}
+	return int64(l.Per)
+}
+
 // Check returns an error that names the first invalid field.
 func (a *TokenAsk) Check() error {
 	switch {
--- a/internal/root/ctrl/limit/owner.go
+++ b/internal/root/ctrl/limit/owner.go
@@ -24,10 +24,6 @@
 	// stockShare is the part of the level that one ask may take as stock, so that no holder empties the
 	// bucket for others by demand alone.
 	stockShare = 4
-
-	// unit is one token in the fixed-point numbers of a bucket; with it a rate in tokens per second is
-	// also a rate in units per nanosecond, so that refilling has no rounding errors.
-	unit = int64(time.Second)
 )
 
 type (
@@ -91,6 +87,10 @@
 	return o
 }
 
+// unit is one token in the fixed-point numbers of a bucket; with it a rate in tokens per period is also
+// a rate in units per nanosecond, so that refilling has no rounding errors.
+func (b *bucket) unit() int64 { return b.limit.unit() }
+
 // Step applies one event and returns the messages to send.
 func (o *Owner) Step(now time.Time, ev OwnerEvent) []OwnerAction {
 	at := o.at(now)
@@ -147,10 +147,10 @@
 	next := b.line[0].parkedAt + int64(MaxWait)
 	rate := int64(b.limit.Rate)
 	switch {
-	case b.level >= unit:
+	case b.level >= b.unit():
 		next = b.served + int64(serveGap)
 	case b.outstanding < int64(b.limit.Burst):
-		next = min(next, b.refilled+(unit-b.level+rate-1)/rate)
+		next = min(next, b.refilled+(b.unit()-b.level+rate-1)/rate)
 	case len(b.queue) > 0:
 		next = min(next, b.queue[0].granted+int64(OwnerLife))
 	}
@@ -182,7 +182,7 @@
 		return
 	}
 	b.refilled = at
-	room := (int64(b.limit.Burst)-b.outstanding)*unit - b.level
+	room := (int64(b.limit.Burst)-b.outstanding)*b.unit() - b.level
 	if rate := int64(b.limit.Rate); passed <= room/rate {
 		b.level += passed * rate
 	} else {
@@ -217,7 +217,7 @@
 	if r.Closed {
 		returned := l.tokens - spent
 		o.end(b, l)
-		b.level += min(returned*unit, max(0, (int64(b.limit.Burst)-b.outstanding)*unit-b.level))
+		b.level += min(returned*b.unit(), max(0, (int64(b.limit.Burst)-b.outstanding)*b.unit()-b.level))
 	}
 }
 
@@ -258,7 +258,7 @@
 
 // answer grants what it can, parks what can be expected soon, and refuses the rest for a while.
 func (o *Owner) answer(b *bucket, h *asker, ask *TokenAsk, at int64, out []OwnerAction) []OwnerAction {
-	need, stock, level := int64(ask.Need), int64(0), b.level/unit
+	need, stock, level := int64(ask.Need), int64(0), b.level/b.unit()
 	granted := int64(0)
 	if others := b.parkedNeed - h.need; others == 0 {
 		granted = min(need, level)
@@ -272,7 +272,7 @@
 		return append(out, o.grant(b, h, granted+stock, stock > 0, 0, at))
 	}
 	rate := int64(b.limit.Rate)
-	expected := max(1, rate*int64(parkFor)/unit) + b.outstanding
+	expected := max(1, rate*int64(parkFor)/b.unit()) + b.outstanding
 	others := int64(len(b.line))
 	if h.need == 0 {
 		others++
@@ -281,7 +281,7 @@
 	retry := time.Duration(0)
 	if rest > share {
 		rest = share
-		retry = min(maxRetryAfter, max(minRetryAfter, time.Duration(b.parkedNeed*unit/rate)))
+		retry = min(maxRetryAfter, max(minRetryAfter, time.Duration(b.parkedNeed*b.unit()/rate)))
 	}
 	o.park(b, h, rest, at)
 	out = append(out, o.grant(b, h, granted, false, retry, at))
@@ -298,7 +298,7 @@
 		o.lastLot++
 		g.Lot = o.lastLot
 		l := &ownedLot{id: g.Lot, holder: h, tokens: tokens, granted: at, stocked: stocked}
-		b.level -= tokens * unit
+		b.level -= tokens * b.unit()
 		b.outstanding += tokens
 		b.lots[l.id] = l
 		b.queue = append(b.queue, l)
@@ -340,12 +340,12 @@
 		out = append(out, o.grant(b, h, 0, false, minRetryAfter, at))
 		b.forget(h)
 	}
-	if len(b.line) == 0 || b.level < unit || at < b.served+int64(serveGap) {
+	if len(b.line) == 0 || b.level < b.unit() || at < b.served+int64(serveGap) {
 		return out
 	}
 	b.served = at
 	var served []*asker
-	for level := b.level / unit; level > 0 && b.parkedNeed > 0; {
+	for level := b.level / b.unit(); level > 0 && b.parkedNeed > 0; {
 		share := max(1, level/int64(len(b.line)))
 		for _, h := range b.line {
 			n := min(share, level, h.need)
@@ -415,12 +415,13 @@
 		}
 		if b.limit.Rate > 0 {
 			o.refill(b, at)
+			b.level = b.level / b.unit() * l.unit() // the units of a token change with the period
 		}
 		if b.withdrawn {
 			b.withdrawn, b.level = false, 0
 		}
 		b.limit = l
-		b.level = min(b.level, max(0, (int64(l.Burst)-b.outstanding)*unit))
+		b.level = min(b.level, max(0, (int64(l.Burst)-b.outstanding)*b.unit()))
 	}
 	for _, account := range slices.Sorted(maps.Keys(o.buckets)) {
 		b := o.buckets[account]
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -10,7 +10,7 @@
 	maxNameLength  = 64
 	maxSlots       = 100_000
 	maxConnections = 1_000_000
-	maxBurst       = 10_000_000
+	maxBurst       = 1_000_000
 	maxRetries     = 10
 )
 
