--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -24,6 +24,10 @@
 	// answerTimeout ends a control stream on which a beat stays unanswered: a control instance that was
 	// silently cut off neither answers nor closes the connection.
 	answerTimeout = 700 * time.Millisecond
+
+	// maxBehindLeases is the number of leases for a newer revision after which a daemon asks for a full
+	// copy, because it must have missed the change.
+	maxBehindLeases = 3
 )
 
 var errDraining = errors.New("this daemon is draining")
@@ -37,6 +41,7 @@
 	beats      map[uint64]time.Time // when unanswered beats were sent
 	nextBeat   time.Time
 	freshUntil time.Time
+	behind     int // leases in a row that were for another revision
 
 	rules rulesInForce
 
@@ -129,7 +134,7 @@
 	if d.session != nil {
 		d.session.close()
 	}
-	d.session = s
+	d.session, d.behind = s, 0
 	clear(d.beats)
 	l.sendUp(&Join{
 		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
@@ -210,11 +215,16 @@
 	}
 	maps.DeleteFunc(d.beats, func(seq uint64, _ time.Time) bool { return seq <= lease.Seq })
 	if lease.Revision != d.rules.revision() {
+		d.behind++
 		if lease.Revision < d.rules.revision() {
 			l.log.Error().Uint64("own", d.rules.revision()).Uint64("leader", lease.Revision).Msg("leader-is-behind")
+		} else if d.behind >= maxBehindLeases {
+			l.log.Warn().Uint64("own", d.rules.revision()).Uint64("leader", lease.Revision).Msg("config-missed")
+			l.rejoin()
 		}
 		return
 	}
+	d.behind = 0
 	if until := sent.Add(leaseLife); until.After(d.freshUntil) {
 		d.freshUntil = until
 		l.dirty = true
--- /dev/null
+++ b/internal/root/ctrl/loop_test.go
@@ -0,0 +1,346 @@
+package ctrl
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/watch"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+func fileOf(text, folder string) watch.File {
+	return watch.File{Path: filepath.Join(folder, "rules"), Text: []byte(text)}
+}
+
+// Guards R5 and R12: a daemon that is silently cut off must stop serving within 3 s, because it cannot
+// know whether a key was withdrawn meanwhile.
+func TestCutOffDaemonStopsServing(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	f.run(time.Second)
+	f.cut["d1"] = true
+	since := f.clock.Now()
+	withdrawn := strings.Replace(rulesText(2, "Lou", ""), rules.HashKey("reader-key").String(), rules.HashKey("reader-key").String()+" state=withdrawn", 1)
+	f.accept(withdrawn)
+	for f.clock.Now().Sub(since) < leaseLife {
+		f.step(10 * time.Millisecond)
+	}
+	assert.Assert(t, !f.loops["d1"].Snapshot().Fresh(f.clock.Now()), "the daemon serves on old rules after %s", leaseLife)
+	assert.Equal(t, f.loops["d1"].daemon.rules.revision(), uint64(1))
+	f.cut["d1"] = false
+	f.until("revision 2 on the daemon", func() bool { return f.inForce(2) })
+	_, active := f.loops["d1"].Snapshot().Rules.KeyFor("reader-key")
+	assert.Assert(t, !active)
+}
+
+// Guards against a lease under an older configuration: a beat that was answered for revision 2 must not
+// keep a daemon serving revision 1.
+func TestLeaseCountsOnlyForTheRevisionInForce(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	l := f.loops["d1"]
+	before := l.daemon.freshUntil
+	l.beat(f.clock.Now())
+	lease := leaseDown{leaseOf(l.daemon.beatSeq, 2)}
+	f.clock.Advance(time.Millisecond)
+	l.handle(f.clock.Now(), leaderSent{session: l.daemon.session, message: lease})
+	assert.Equal(t, l.daemon.freshUntil, before)
+}
+
+// Guards R12: a frozen or cut-off leader must not answer beats after its lease, and no revision reverts
+// when it comes back.
+func TestOldLeaderIsLeftAndNothingReverts(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	old := f.leader()
+	f.cut[old] = true
+	took := f.until("another leader", func() bool { return f.leader() != "" && f.leader() != old })
+	assert.Assert(t, took < leaseLife, "failover took %s, longer than the lease of a daemon", took)
+	f.accept(rulesText(2, "Lou", ""))
+	f.run(time.Second)
+	assert.Assert(t, !f.loops[old].voter.node.LeaseHeld(f.clock.Now()))
+	f.cut[old] = false
+	f.until("the old leader follows", func() bool { return f.inForce(2) && f.loops[old].voter.lead == nil })
+	f.run(2 * time.Second)
+	assert.Assert(t, f.inForce(2))
+}
+
+// Guards against going back to an older configuration by a message that comes late.
+func TestOlderConfigIsIgnored(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	f.accept(rulesText(2, "Lou", ""))
+	l := f.loops["d1"]
+	text := []byte(rulesText(1, "Ana", ""))
+	hash := sha256.Sum256(text)
+	l.handle(f.clock.Now(), leaderSent{session: l.daemon.session, message: &Config{Number: 1, Hash: hash[:], Text: text}})
+	assert.Equal(t, l.daemon.rules.revision(), uint64(2))
+}
+
+// Guards against a daemon that stays on a wrong text when a difference does not fit its own.
+func TestDifferenceForAnotherTextLeadsToFullCopy(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	l := f.loops["d1"]
+	l.daemon.rules.text = []byte(rulesText(1, "Ana", "# not what the leader has\n"))
+	f.accept(rulesText(2, "Lou", ""))
+	assert.Equal(t, string(l.daemon.rules.text), rulesText(2, "Lou", ""))
+}
+
+// Guards against a resend after a lost answer that is taken for a second change.
+func TestLostVerdictIsAnsweredAgain(t *testing.T) {
+	f := newTestFleet(t, 3, 1)
+	f.dropDown["d1"] = true
+	f.propose("d1", rulesText(2, "Lou", ""))
+	f.run(200 * time.Millisecond)
+	assert.Assert(t, f.loops["d1"].daemon.proposal != nil)
+	f.cut[f.leader()] = true
+	f.until("another leader", func() bool { return f.leader() != "" })
+	f.dropDown["d1"] = false
+	f.until("the verdict", func() bool { return f.loops["d1"].daemon.proposal == nil })
+	f.until("revision 2", func() bool { return f.inForce(2) })
+}
+
+// Guards against two accepted texts under one number, in any order of arrival.
+func TestEqualNumbersHaveOneWinner(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	folders := map[string]string{"d1": t.TempDir(), "d2": t.TempDir()}
+	for name, folder := range folders {
+		text := rulesText(2, name, "# by "+name+"\n")
+		f.loops[name].readRules(f.clock.Now(), rulesRead{file: fileOf(text, folder)})
+	}
+	f.until("revision 2", func() bool { return f.inForce(2) })
+	f.run(time.Second)
+	accepted := 0
+	for _, folder := range folders {
+		verdict, err := os.ReadFile(filepath.Join(folder, "rules.verdict"))
+		assert.NilError(t, err)
+		if strings.HasPrefix(string(verdict), "accepted") {
+			accepted++
+		} else {
+			assert.Assert(t, strings.Contains(string(verdict), "was accepted from d"), string(verdict))
+		}
+	}
+	assert.Equal(t, accepted, 1)
+}
+
+// Guards R9: a command whose answer was lost with the leader is repeated as the same attempt, and a
+// second daemon under the same key does not run meanwhile.
+func TestOnceSurvivesLostAnswerAndLeader(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	f.dropDown["d1"] = true
+	first := f.begin("d1", "payout-1")
+	f.run(100 * time.Millisecond)
+	f.cut[f.leader()] = true
+	f.until("another leader", func() bool { return f.leader() != "" })
+	f.dropDown["d1"] = false
+	f.until("the verdict", func() bool { return len(first) == 1 })
+	begun := received(t, first)
+	_, ok := begun.verdict.(*state.OnceBegun)
+	assert.Assert(t, ok, "got %T", begun.verdict)
+	second := f.begin("d2", "payout-1")
+	f.run(100 * time.Millisecond)
+	_, ok = received(t, second).verdict.(*state.OnceRunning)
+	assert.Assert(t, ok)
+}
+
+// Guards against a record that blocks its resends because its first request was refused before dispatch.
+func TestAbandonedOnceMayRunAgain(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	f.dropDown["d1"] = true
+	first := f.begin("d1", "booking-1")
+	f.run(50 * time.Millisecond)
+	l := f.loops["d1"]
+	l.handle(f.clock.Now(), onceAbandoned{reply: first})
+	f.run(50 * time.Millisecond)
+	second := f.begin("d2", "booking-1")
+	f.run(50 * time.Millisecond)
+	_, ok := received(t, second).verdict.(*state.OnceBegun)
+	assert.Assert(t, ok)
+}
+
+// Guards R9: the records of a daemon that is gone turn unknown, so that a resend is not run again.
+func TestGoneDaemonLeavesUnknown(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	first := f.begin("d1", "kudos-1")
+	f.run(50 * time.Millisecond)
+	_, ok := received(t, first).verdict.(*state.OnceBegun)
+	assert.Assert(t, ok)
+	f.cut["d1"] = true
+	f.cut[f.leader()] = true // the next leader has to find the record by itself
+	f.until("another leader", func() bool { return f.leader() != "" })
+	f.run(12 * time.Second)
+	second := f.begin("d2", "kudos-1")
+	f.run(100 * time.Millisecond)
+	_, ok = received(t, second).verdict.(*state.OnceUnknown)
+	assert.Assert(t, ok)
+}
+
+// Guards R6: two daemons that both take as much as they get stay under burst plus rate times the window,
+// over a change of leader as well.
+func TestRateHoldsAcrossDaemonsAndLeaders(t *testing.T) {
+	f := newTestFleet(t, 3, 2)
+	var taken []time.Time
+	var waiting []chan call.TokenVerdict
+	for passed := range 800 {
+		for range 3 {
+			waiting = append(waiting, f.take("d1"), f.take("d2"))
+		}
+		if passed == 300 {
+			f.cut[f.leader()] = true
+		}
+		f.step(10 * time.Millisecond)
+		waiting = slices.DeleteFunc(waiting, func(reply chan call.TokenVerdict) bool {
+			if len(reply) == 0 {
+				return false
+			}
+			if _, ok := (<-reply).(call.TokenTaken); ok {
+				taken = append(taken, f.clock.Now())
+			}
+			return true
+		})
+	}
+	assert.Assert(t, len(taken) > 300, "only %d of about 800 tokens were spent", len(taken))
+	const rate, burst = 100, 50
+	for i := range taken {
+		for j := i; j < len(taken); j++ {
+			allowed := burst + rate*taken[j].Sub(taken[i]).Seconds()
+			assert.Assert(t, float64(j-i+1) <= allowed+1e-6, "%d tokens within %s", j-i+1, taken[j].Sub(taken[i]))
+		}
+	}
+}
+
+// Guards R10: other daemons stop choosing the instances of a daemon that drains or falls silent.
+func TestLeavingInstancesDisappear(t *testing.T) {
+	f := newTestFleet(t, 1, 3)
+	f.announce("d1", "127.0.0.1:1", "1")
+	f.announce("d2", "127.0.0.1:2", "1")
+	reply := make(chan *snap.Endpoints, 1)
+	f.loops["d3"].handle(f.clock.Now(), serviceWanted{service: "library", reply: reply})
+	f.until("two instances", func() bool { return instances(f.loops["d3"]) == 2 })
+	f.loops["d1"].handle(f.clock.Now(), drainStarted{})
+	took := f.until("one instance", func() bool { return instances(f.loops["d3"]) == 1 })
+	assert.Assert(t, took <= 3*time.Second, "a leaving instance was listed for %s", took)
+	f.cut["d2"] = true
+	took = f.until("no instance", func() bool { return instances(f.loops["d3"]) == 0 })
+	assert.Assert(t, took <= 4*time.Second, "a lost instance was listed for %s", took)
+}
+
+// Guards against a request that crashes every instance: three crashes of different incarnations, reported
+// by different daemons, quarantine it everywhere, and the quarantine ends.
+func TestQuarantineReachesEveryDaemon(t *testing.T) {
+	f := newTestFleet(t, 3, 3)
+	for i, name := range []string{"d1", "d2", "d3"} {
+		f.loops[name].handle(f.clock.Now(), crashSeen{report: &CrashReport{Incarnation: uint64(i + 1), Fingerprints: []string{"f1"}}})
+		f.step(10 * time.Millisecond)
+	}
+	quarantined := func() bool {
+		for _, l := range f.loops {
+			until, ok := l.Snapshot().Quarantine["f1"]
+			if !ok || until <= wire.StampOf(f.clock.Now()) {
+				return false
+			}
+		}
+		return true
+	}
+	f.until("quarantine everywhere", quarantined)
+	f.clock.Advance(11 * time.Minute)
+	f.until("its end", func() bool { return f.leader() != "" && len(f.loops["d1"].Snapshot().Quarantine) == 0 })
+}
+
+// Guards against a dump or report that shows a key, its hash's origin or the shared secret.
+func TestReportsHoldNoKeys(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	for _, request := range []ReportRequest{StatusRequest{}, DumpRequest{}, RulesRequest{}} {
+		reply := make(chan reportResult, 1)
+		f.loops["c1"].handle(f.clock.Now(), reportWanted{request: request, reply: reply})
+		result := received(t, reply)
+		assert.NilError(t, result.err)
+		assert.Assert(t, !strings.Contains(string(result.body), "reader-key"))
+	}
+}
+
+// Guards against a wait that ends before a revision is in force on every daemon with a live lease.
+func TestInForceWaitsForEveryDaemon(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	f.dropDown["d2"] = true
+	f.propose("c1", rulesText(2, "Lou", ""))
+	f.run(300 * time.Millisecond)
+	reply := make(chan reportResult, 1)
+	query := Query{Kind: QueryInForce, Revision: 2, Wait: 20 * time.Second}
+	f.loops["d1"].handle(f.clock.Now(), reportWanted{request: LeaderRequest{Query: query}, reply: reply})
+	f.run(300 * time.Millisecond)
+	assert.Equal(t, len(reply), 0)
+	f.dropDown["d2"] = false
+	f.until("the answer", func() bool { return len(reply) == 1 })
+	report := &admin.InForce{}
+	assert.NilError(t, json.Unmarshal(received(t, reply).body, report))
+	assert.Assert(t, report.InForce && report.Behind == 0, fmt.Sprint(report))
+}
+
+// Guards against a token wait that outlives its request.
+func TestAbandonedTokenWait(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	l := f.loops["d1"]
+	f.cut["c1"] = true
+	reply := make(chan call.TokenVerdict, 1)
+	l.handle(f.clock.Now(), tokenNeeded{account: "reader", waiter: 1, reply: reply})
+	assert.Equal(t, len(l.daemon.waiting), 1)
+	l.handle(f.clock.Now(), tokenAbandoned{account: "reader", waiter: 1})
+	assert.Equal(t, len(l.daemon.waiting), 0)
+}
+
+// Guards against a difference that does not lead to the new text.
+func TestDifferenceRoundTrip(t *testing.T) {
+	line := rapid.SampledFrom([]string{"a\n", "b\n", "c\n", "d\n", "e", ""})
+	rapid.Check(t, func(t *rapid.T) {
+		before := []byte(strings.Join(rapid.SliceOf(line).Draw(t, "before"), ""))
+		after := []byte(strings.Join(rapid.SliceOf(line).Draw(t, "after"), ""))
+		hunks, ok := difference(before, after)
+		if !ok {
+			return
+		}
+		hash := sha256.Sum256(after)
+		got, err := patch(before, hunks, hash[:])
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), string(after))
+	})
+	_, err := patch([]byte("abc"), []Hunk{{Keep: 4}}, nil)
+	assert.Assert(t, errors.Is(err, errPatch))
+	_, err = patch([]byte("abc"), []Hunk{{Keep: 2, Drop: 1 << 63}}, nil)
+	assert.Assert(t, errors.Is(err, errPatch))
+}
+
+// FuzzDecode guards against control messages that crash a daemon or the leader.
+func FuzzDecode(f *testing.F) {
+	for _, message := range []Up{&Join{Daemon: "d", Boot: 1}, &CrashReport{Fingerprints: []string{"f"}}, &Propose{Number: 1, Text: []byte("x")}} {
+		frame, err := encodeUp(message)
+		assert.NilError(f, err)
+		f.Add(uint8(frame.Kind), frame.Body)
+	}
+	for _, message := range []Down{&Config{Number: 2, Base: 1, Hunks: []Hunk{{Keep: 1}}}, &Redirect{Leader: "c"}} {
+		frame, err := encodeDown(message)
+		assert.NilError(f, err)
+		f.Add(uint8(frame.Kind), frame.Body)
+	}
+	f.Fuzz(func(_ *testing.T, kind uint8, body []byte) {
+		frame := wire.Frame{Kind: wire.Kind(kind), Body: body}
+		if up, err := decodeUp(frame); err == nil {
+			_, _ = encodeUp(up)
+		}
+		if down, err := decodeDown(frame); err == nil {
+			_, _ = encodeDown(down)
+		}
+	})
+}
