--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -14,13 +14,19 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
-const verdictSuffix = ".verdict"
+const (
+	verdictSuffix = ".verdict"
 
-// pendingProposal is a rules text that waits for the leader's verdict; it is sent again on each new
-// control stream until the verdict arrives.
+	// proposeAgain is the time after which a proposal without a verdict is sent again.
+	proposeAgain = 5 * time.Second
+)
+
+// pendingProposal is a rules text that waits for the leader's verdict; it is sent again until the verdict
+// arrives, because a busy leader may have dropped it.
 type pendingProposal struct {
 	message *Propose
 	path    string
+	again   time.Time
 }
 
 // ValidateRules checks a rules text as every voter does before it accepts one.
@@ -38,7 +44,7 @@
 }
 
 // readRules checks a changed rules file and proposes it.
-func (l *Loop) readRules(_ time.Time, event rulesRead) {
+func (l *Loop) readRules(now time.Time, event rulesRead) {
 	file := event.file
 	if file.Err != nil {
 		l.rejectFile(file.Path, file.Err)
@@ -55,7 +61,15 @@
 		message: &Propose{Number: set.Revision, Text: file.Text, Author: set.Author, Hash: hash[:]},
 	}
 	l.log.Info().Uint64("revision", set.Revision).Str("author", set.Author).Msg("rules-proposed")
-	l.sendUp(l.daemon.proposal.message)
+	l.sendProposal(now)
+}
+
+// sendProposal sends the pending proposal, if there is one.
+func (l *Loop) sendProposal(now time.Time) {
+	if pending := l.daemon.proposal; pending != nil {
+		pending.again = now.Add(proposeAgain)
+		l.sendUp(pending.message)
+	}
 }
 
 func (l *Loop) rejectFile(path string, err error) {
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -147,9 +147,7 @@
 	l.sendWant()
 	l.stepHolder(now, &limit.Connected{})
 	d.once.resend(l)
-	if d.proposal != nil {
-		l.sendUp(d.proposal.message)
-	}
+	l.sendProposal(now)
 }
 
 func (l *Loop) closeUplink(s *session) {
@@ -356,6 +354,9 @@
 	if due, ok := d.holder.Deadline(); ok && !due.After(now) {
 		l.stepHolder(now, &limit.Wake{})
 	}
+	if d.session != nil && d.proposal != nil && !d.proposal.again.After(now) {
+		l.sendProposal(now)
+	}
 	if due, ok := d.local.Deadline(); ok && !due.After(now) {
 		for _, leave := range d.local.Expire(now) {
 			l.log.Warn().Str("instance", leave.ID).Msg("backend-server-lease-ended")
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -197,6 +197,9 @@
 	for _, action := range d.owner.Step(now, event) {
 		switch action := action.(type) {
 		case *limit.SendGrant:
+			if !l.voter.node.LeaseHeld(now) {
+				continue // another leader may grant already; the tokens count as outstanding here
+			}
 			d.grants++
 			if s := d.daemons[action.Holder]; s != nil {
 				l.sendDown(s, grantDown{action.Grant})
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -12,8 +12,8 @@
 	MaxName = 128
 	// MaxPeers is the largest number of members: five voters, one of them being replaced, and learners.
 	MaxPeers = 16
-	// MaxData is the largest proposal in bytes.
-	MaxData = 1 << 20
+	// MaxData is the largest proposal in bytes: a rules file of 2 MiB and its envelope.
+	MaxData = 2<<20 + 64<<10
 	// MaxAppend bounds the entry bytes of one message, except that one entry is always sent. An entry of
 	// MaxData on top of it stays below wire.MaxFrame.
 	MaxAppend = 1 << 20
--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -5,12 +5,13 @@
 	"fmt"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 const (
-	// MaxText is the largest rules text in bytes; an encoded proposal fits into one frame.
-	MaxText = 2 << 20
+	// MaxText is the largest rules text in bytes.
+	MaxText = rules.MaxFile
 	// MaxBody is the largest stored response body in bytes.
 	MaxBody = 64 << 10
 	// MaxCommand is the largest encoded command in bytes.
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -24,9 +25,17 @@
 		proposals    map[uint64]proposal
 		nextProposal uint64
 
+		encoder chan frozenState // to the goroutine that encodes snapshots
+
 		lead *leaderState // nil while this member does not lead
 	}
 
+	// frozenState is a copy of the state machine after the entry at index.
+	frozenState struct {
+		index  uint64
+		frozen *state.Frozen
+	}
+
 	// proposal says who waits for the result of a proposed command.
 	proposal interface{ proposal() }
 
@@ -65,6 +74,7 @@
 		links:     map[string]*raftLink{},
 		sessions:  map[*session]struct{}{},
 		proposals: map[uint64]proposal{},
+		encoder:   make(chan frozenState, 1), // the member asks for one snapshot at a time
 	}
 	names := make([]string, 0, len(cfg.Voters))
 	for name, address := range cfg.Voters {
@@ -82,7 +92,9 @@
 	for name, link := range v.links {
 		children = append(children, super.Child{Name: "raft-" + name, Run: link.run})
 	}
-	return append(children, super.Child{Name: "writer", Run: v.writer.run})
+	return append(children,
+		super.Child{Name: "encoder", Run: l.runEncoder},
+		super.Child{Name: "writer", Run: v.writer.run})
 }
 
 // handleVoter handles the events of a control instance.
@@ -121,7 +133,7 @@
 		case raft.Restore:
 			l.restore(action.Snapshot)
 		case raft.TakeSnapshot:
-			l.takeSnapshot(now)
+			l.takeSnapshot()
 		case raft.Dropped:
 			l.dropped(action)
 		case raft.BecameLeader:
@@ -235,14 +247,28 @@
 	l.voter.machine = machine
 }
 
-func (l *Loop) takeSnapshot(now time.Time) {
+// takeSnapshot copies the state for the encoder: encoding 100,000 records takes longer than the leader's
+// lease, so that the loop must not wait for it.
+func (l *Loop) takeSnapshot() {
 	v := l.voter
-	data, err := v.machine.Snapshot()
-	if err != nil {
-		l.log.Error().Err(err).Msg("snapshot-failed")
-		return
+	v.encoder <- frozenState{index: v.node.Status().Applied, frozen: v.machine.Freeze()}
+}
+
+// runEncoder encodes snapshots until ctx ends.
+func (l *Loop) runEncoder(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case copied := <-l.voter.encoder:
+			data, err := copied.frozen.Encode()
+			if err != nil {
+				l.log.Error().Err(err).Msg("snapshot-failed")
+				continue
+			}
+			l.post(ctx, consensus{input: raft.SnapshotTaken{Index: copied.index, Data: data}})
+		}
 	}
-	l.stepRaft(now, raft.SnapshotTaken{Index: v.node.Status().Applied, Data: data})
 }
 
 // revision returns the accepted revision, zero before the first.
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -23,5 +23,8 @@
 	Instances []Endpoint
 }
 
-// Fresh reports whether the daemon's lease holds at now.
-func (s *Snapshot) Fresh(now time.Time) bool { return now.Before(s.FreshUntil) }
+// Fresh reports whether the daemon's lease holds at now. The wall clock counts too, because the monotonic
+// clock stands still while a machine is suspended.
+func (s *Snapshot) Fresh(now time.Time) bool {
+	return now.Before(s.FreshUntil) && now.Round(0).Before(s.FreshUntil.Round(0))
+}
--- a/pkg/rules/parse.go
+++ b/pkg/rules/parse.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// MaxFile is the largest rules file in bytes.
-	MaxFile = 4 << 20
+	// MaxFile is the largest rules file in bytes; a proposal with it fits into one log entry.
+	MaxFile = 2 << 20
 	// MaxLine is the longest line of a rules file in bytes.
 	MaxLine = 4 << 10
 
