--- a/internal/root/ctrl/disk/disk.go
+++ b/internal/root/ctrl/disk/disk.go
@@ -72,6 +72,7 @@
 		base      uint64 // the log holds the entries after base up to last
 		last      uint64
 		reset     *point // goes into the next record
+		seq       uint64 // of the latest batch
 		buf       []byte
 		stopped   error
 	}
@@ -156,6 +157,10 @@
 }
 
 func (d *Disk) save(batch raft.Batch) error {
+	if batch.Seq != d.seq+1 {
+		return fmt.Errorf("batch %d does not follow batch %d", batch.Seq, d.seq)
+	}
+	d.seq = batch.Seq
 	r := record{Hard: batch.Hard, Reset: d.reset, Entries: batch.Entries}
 	if batch.Install != nil {
 		if err := d.writeSnapshot(batch.Install); err != nil {
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -153,7 +153,8 @@
 	return n.lead.leaseEnd
 }
 
-func (n *Node) advanceCommit() {
+// advanceCommit commits what a majority has synced and reports whether that is new.
+func (n *Node) advanceCommit() bool {
 	m := n.membership()
 	match := make([]uint64, 0, len(m.Voters))
 	for _, v := range m.Voters {
@@ -166,9 +167,11 @@
 	slices.Sort(match)
 	index := match[(len(match)-1)/2]
 	// Only entries of the own term are committed by counting: an older entry on a majority can still be replaced.
-	if term, _ := n.log.termAt(index); index > n.commit && term == n.hard.Term {
-		n.commit = index
+	if term, _ := n.log.termAt(index); index <= n.commit || term != n.hard.Term {
+		return false
 	}
+	n.commit = index
+	return true
 }
 
 func (n *Node) replicateAll() {
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -135,9 +135,20 @@
 	}
 	out := n.out
 	n.out = nil
+	// Writes come first: a loop that calls Step again while it executes another action must not submit a
+	// later batch before an earlier one.
+	slices.SortStableFunc(out, func(a, b Action) int { return rank(a) - rank(b) })
 	return out
 }
 
+func rank(a Action) int {
+	switch a.(type) {
+	case Persist, PersistSnapshot:
+		return 0
+	}
+	return 1
+}
+
 func (n *Node) handle(ev Event) {
 	switch ev := ev.(type) {
 	case Tick:
@@ -157,6 +168,9 @@
 }
 
 func (n *Node) receive(m Message) {
+	if n.isDiskStalled() {
+		return // as if it were lost
+	}
 	switch m := m.(type) {
 	case *Hello:
 		n.onHello(m)
@@ -187,13 +201,16 @@
 	if !n.hard.Fenced {
 		n.form()
 		n.runTimers()
-		if n.role == Leader {
-			n.advanceCommit()
-		}
 		n.apply()
-		if n.role == Leader {
+		// A change of the voters can change what a majority holds, so the step goes on until nothing does:
+		// a proposal made while the loop executes an Apply must not find more to apply.
+		for n.role == Leader {
 			n.changeMembership()
-			n.replicateAll()
+			if !n.advanceCommit() {
+				n.replicateAll()
+				break
+			}
+			n.apply()
 		}
 	}
 	n.flush()
@@ -218,6 +235,10 @@
 	n.elapsed += min(gap, quietStep)
 }
 
+// isDiskStalled reports whether so many batches wait for the disk that nothing may add to them. One step
+// issues a few batches at most, hence the margin.
+func (n *Node) isDiskStalled() bool { return len(n.writes.waiting) >= MaxWrites-16 }
+
 func (n *Node) runTimers() {
 	if n.role == Leader {
 		n.updateLease()
@@ -225,7 +246,7 @@
 			n.stepDown()
 		}
 	}
-	if n.role != Leader && n.isAdmittedTo(n.membership()) {
+	if n.role != Leader && !n.isDiskStalled() && n.isAdmittedTo(n.membership()) {
 		if n.sole() {
 			if n.role == Follower {
 				n.campaign()
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -27,6 +27,9 @@
 	MaxLineage = 1024
 	// MaxRemoved is the number of removed disks that a group remembers.
 	MaxRemoved = 64
+	// MaxWrites bounds the Persist and PersistSnapshot actions that have no answer yet; a queue to the disk
+	// with this room never blocks the control loop.
+	MaxWrites = 48
 	// MaxBoots is the number of disks whose starts a member remembers.
 	MaxBoots = 64
 )
