--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -4,7 +4,7 @@
 const (
 	// DroppedNotLeader: the proposal was not appended.
 	DroppedNotLeader DropReason = iota
-	// DroppedBusy: too many entries are uncommitted; the proposal was not appended.
+	// DroppedBusy: too many entries are uncommitted or not on the leader's own disk; the proposal was not appended.
 	DroppedBusy
 	// DroppedTooLarge: the proposal exceeds MaxData; it was not appended.
 	DroppedTooLarge
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -114,7 +114,7 @@
 	case len(ev.Data) > MaxData:
 		n.out = append(n.out, Dropped{ID: ev.ID, Reason: DroppedTooLarge})
 		return
-	case n.log.last()-n.commit >= n.cfg.MaxUncommitted, n.lead.uncommittedBytes+len(ev.Data) > maxUncommittedBytes:
+	case n.log.last()-min(n.commit, n.writes.durable) >= n.cfg.MaxUncommitted, n.lead.uncommittedBytes+len(ev.Data) > maxUncommittedBytes:
 		n.out = append(n.out, Dropped{ID: ev.ID, Reason: DroppedBusy})
 		return
 	}
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -298,3 +298,24 @@
 		assert.Assert(t, !r.n.Status().Replacing && !slices.Contains(r.n.Status().Voters, Voter{"c", "dc"}))
 	}
 }
+
+// Guards against a compaction that removes entries before the leader's own slow disk has received them:
+// it would never sync anything again. Found by seed 438 of the random schedules.
+func TestCompactionWaitsForOwnDisk(t *testing.T) {
+	r := newRig(t)
+	r.n.cfg.KeepEntries, r.n.cfg.SnapshotEvery = 2, 8
+	r.lead()
+	r.hold = true
+	first := r.n.writes.seq + 1
+	for id := uint64(1); id <= 12; id++ {
+		r.step(Propose{ID: id, Data: []byte("x")})
+		r.answer(id+2, 0)
+		r.receive(&AppendReply{Header: r.from("c", 2), Match: id + 2})
+	}
+	r.step(SnapshotTaken{Index: 14, Data: []byte("state")})
+	r.step(SnapshotPersisted{Index: 14})
+	r.hold = false
+	r.step(Persisted{Seq: first})
+	r.step(Persisted{Seq: r.n.writes.seq})
+	assert.Equal(t, r.n.writes.durable, uint64(14))
+}
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -81,7 +81,8 @@
 		SnapshotEvery uint64
 		// KeepEntries is the number of entries kept behind a snapshot for slow followers.
 		KeepEntries uint64
-		// MaxUncommitted is the number of entries that a leader holds before it refuses proposals.
+		// MaxUncommitted is the number of entries, uncommitted or not yet on its own disk, that a leader holds
+		// before it refuses proposals.
 		MaxUncommitted uint64
 		// MaxOutstanding is the number of batches with entries that wait for the disk at the same time.
 		MaxOutstanding int
--- a/internal/root/ctrl/raft/write.go
+++ b/internal/root/ctrl/raft/write.go
@@ -169,7 +169,8 @@
 	if n.snapshot == nil || n.snapshot.Index < index {
 		n.snapshot = n.taken
 		if index > n.cfg.KeepEntries {
-			n.log.compact(index - n.cfg.KeepEntries)
+			// The majority can commit without this disk; what it has not been given yet must stay.
+			n.log.compact(min(index-n.cfg.KeepEntries, n.writes.saved))
 		}
 	}
 	n.taken, n.taking = nil, false
