--- a/internal/root/call/admit/adaptive.go
+++ b/internal/root/call/admit/adaptive.go
@@ -9,7 +9,9 @@
 	lowestShare   = 1.0 / 8 // part of the slots below which the limit does not fall
 	coldShare     = 1.0 / 2 // part of the slots at the start of a backend server
 	window        = 100 * time.Millisecond
-	windowSamples = 30                     // fewer samples give a mean too uncertain to compare with
+	windowSamples = 30 // fewer samples give a mean too uncertain to compare with
+	clearSamples  = 10 // enough to tell a latency of clearFactor times the reference from chance
+	clearFactor   = 4.0
 	windowLongest = 500 * time.Millisecond // a window with few samples is closed anyway
 	latencyFactor = 2.0                    // of the reference; above it the limit falls
 	shedShare     = 0.01                   // part of the samples above which shedding lowers the limit
@@ -98,8 +100,8 @@
 		return false
 	}
 	a.busiest = max(a.busiest, inFlight)
-	known := a.compared >= windowSamples
 	relative := a.relative / max(1, float64(a.compared))
+	known := a.compared >= windowSamples || (a.compared >= clearSamples && relative > clearFactor)
 	switch {
 	case a.samples == 0:
 	case float64(a.sheds) > shedShare*float64(a.samples), float64(a.expired) > expiredShare*float64(a.samples):
@@ -157,7 +159,7 @@
 
 const (
 	referenceWindow  = time.Second
-	referenceSamples = 100 // per window; the lowest of 60 such means of exponential times is about 0.77 of their mean
+	referenceSamples = 50 // per window; the lowest of 60 such means of exponential times is about 0.7 of their mean
 	referenceWindows = 60
 )
 
