--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -370,3 +370,5 @@
 func echo(w http.ResponseWriter, r *http.Request) {
 	_ = json.NewEncoder(w).Encode(map[string]string{"path": r.URL.Path, "account": r.Header.Get("Buckthorn-Account")})
 }
+
+func hashOf(key string) string { return rules.HashKey(key).String() }
--- /dev/null
+++ b/internal/daemon/limits_test.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards R6: a client account that sends through every daemon at once gets no more than its rate and
+// burst across all of them, and work is done for every request that was not refused.
+func TestRateAcrossDaemons(t *testing.T) {
+	const rate, burst = 50, 20
+	extra := fmt.Sprintf("account slow rate=%d/s burst=%d # requested by Lou\nkey slow %s # requested by Lou\n", rate, burst, hashOf("slow-key"))
+	f := newFleet(t, 3, 3, testRules(1, "Ana", extra))
+	library := newBackend(t, f.daemons["d1"], "library", echo)
+	f.eventually("an answer", func() bool {
+		return newCaller().send(f.daemons["d2"], "GET", "/works/1", "", "").status == http.StatusOK
+	})
+	var mu sync.Mutex
+	var admitted []time.Time
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 90 { // far more than may wait for tokens
+		wg.Go(func() {
+			c := newCaller()
+			for range 6 {
+				got := c.send(f.daemons[fmt.Sprint("d", i%3+1)], "POST", "/kudos/slow", "slow-key", "")
+				switch {
+				case got.status == http.StatusOK:
+					mu.Lock()
+					admitted = append(admitted, time.Now())
+					mu.Unlock()
+				case got.status == http.StatusTooManyRequests:
+					refused.Add(1)
+					assert.Check(t, got.outcome() == "not-run")
+				}
+			}
+		})
+	}
+	started := time.Now()
+	wg.Wait()
+	// The bound holds for the time that really passed, however slow the machine is.
+	allowed := burst + rate*time.Since(started).Seconds()
+	assert.Assert(t, float64(len(admitted)) <= allowed, "%d requests admitted, %.0f allowed", len(admitted), allowed)
+	assert.Assert(t, len(admitted) > 0 && refused.Load() > 0, "%d admitted, %d refused", len(admitted), refused.Load())
+	assert.Equal(t, library.count("POST", "/kudos/slow"), len(admitted))
+}
+
+// Guards against a request that is resent by its caller and crashes one backend server after another: it
+// is quarantined after three crashes and no further instance dies.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	f := newFleet(t, 3, 3, testRules(1, "Ana", ""))
+	var crashes atomic.Int64
+	for _, name := range []string{"d1", "d2", "d3"} {
+		newFragile(t, f.daemons[name], &crashes)
+	}
+	c := newCaller()
+	f.eventually("three instances", func() bool {
+		return c.send(f.daemons["c1"], "GET", "/works/1", "", "").status == http.StatusOK
+	})
+	f.eventually("the quarantine", func() bool {
+		return newCaller().send(f.daemons["c1"], "GET", "/works/crash", "", "").reason() == "quarantined"
+	})
+	// Daemons that have not heard yet may let one more request through; the fleet then refuses it.
+	for _, name := range []string{"d1", "d2", "d3", "c2", "c3"} {
+		f.eventually("the quarantine at "+name, func() bool {
+			return newCaller().send(f.daemons[name], "GET", "/works/crash", "", "").reason() == "quarantined"
+		})
+	}
+	before := crashes.Load()
+	for _, name := range []string{"d1", "d2", "d3", "c1", "c2", "c3"} {
+		got := newCaller().send(f.daemons[name], "GET", "/works/crash", "", "")
+		assert.Equal(t, got.status, http.StatusUnprocessableEntity)
+		assert.Equal(t, got.outcome(), "not-run")
+	}
+	assert.Equal(t, crashes.Load(), before)
+	f.eventually("other requests", func() bool {
+		return c.send(f.daemons["c1"], "GET", "/works/2", "", "").status == http.StatusOK
+	})
+}
+
+// fragile is a backend server that dies when it runs /works/crash and is started again by its supervisor.
+type fragile struct {
+	t       *testing.T
+	daemon  *process
+	address string
+	crashes *atomic.Int64
+
+	mu     sync.Mutex
+	server *http.Server
+	start  int
+	ended  bool
+}
+
+func newFragile(t *testing.T, daemon *process, crashes *atomic.Int64) {
+	b := &fragile{t: t, daemon: daemon, address: freePorts(t, 1)[0], crashes: crashes}
+	b.run()
+	t.Cleanup(func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ended = true
+		if b.server != nil {
+			_ = b.server.Close()
+		}
+	})
+}
+
+// run starts an incarnation and announces it until it dies.
+func (b *fragile) run() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listener, err := net.Listen("tcp", b.address)
+	if b.ended || err != nil {
+		return
+	}
+	b.start++
+	start, server := b.start, &http.Server{Handler: b}
+	b.server = server
+	go func() { _ = server.Serve(listener) }()
+	go func() {
+		other := &backend{address: b.address}
+		for b.current(start) {
+			_ = post(b.daemon.local, "/buckthorn/announce", other.announcement("library", fmt.Sprint(start)))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+}
+
+func (b *fragile) current(start int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.ended && b.start == start && b.server != nil
+}
+
+// ServeHTTP dies on the crashing request: all connections and the listener end at once.
+func (b *fragile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/works/crash" {
+		echo(w, r)
+		return
+	}
+	b.crashes.Add(1)
+	b.mu.Lock()
+	server := b.server
+	b.server = nil
+	b.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+		time.AfterFunc(100*time.Millisecond, b.run)
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -16,6 +16,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/opctl"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -253,3 +255,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(history.Revisions), changes)
 }
+
+// Guards against a client that cannot tell an operator whether the own text or another one was accepted.
+func TestOperatorsClientAgainstRunningDaemon(t *testing.T) {
+	f := newFleet(t, 1, 1, testRules(1, "Ana", ""))
+	wait := func(file string) (int, string) {
+		var out strings.Builder
+		client := opctl.Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &out, Clock: clock.Real{}}
+		status := opctl.Run(t.Context(), client, []string{"--admin", f.daemons["d1"].admin, "wait", "--file", file})
+		return status, out.String()
+	}
+	own := filepath.Join(f.daemons["c1"].folder, "rules")
+	status, text := wait(own)
+	assert.Equal(t, status, 0, text)
+	other := filepath.Join(t.TempDir(), "rules")
+	assert.NilError(t, os.WriteFile(other, []byte(testRules(1, "Lou", "")), 0o644))
+	status, text = wait(other)
+	assert.Equal(t, status, 1, text)
+	assert.Assert(t, strings.Contains(text, "revision 1 by Ana"), text)
+}
--- a/internal/daemon/quick.go
+++ b/internal/daemon/quick.go
@@ -50,6 +50,9 @@
 		defer func() { _ = os.RemoveAll(created) }()
 		folder = created
 	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return fail(stderr, exitFailed, fmt.Errorf("create folder: %w", err))
+	}
 	settings, err := quickSettings(folder, command.Port)
 	if err != nil {
 		return fail(stderr, exitFailed, err)
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -46,6 +47,7 @@
 	proposalRefusal struct {
 		author string
 		number uint64
+		hash   []byte
 		at     time.Time
 		cause  string
 	}
@@ -303,11 +305,17 @@
 	return list
 }
 
-func (d *leaderState) noteRefusal(now time.Time, author string, refused *state.ConfigRefused) {
+// noteRefusal keeps a refusal for the operators; a repeated proposal replaces its earlier refusal.
+func (d *leaderState) noteRefusal(now time.Time, proposed configProposal, refused *state.ConfigRefused) {
+	d.refusals = slices.DeleteFunc(d.refusals, func(known proposalRefusal) bool {
+		return known.number == proposed.number && bytes.Equal(known.hash, proposed.hash)
+	})
 	if len(d.refusals) >= maxRefusalsKept {
 		d.refusals = d.refusals[1:]
 	}
-	d.refusals = append(d.refusals, proposalRefusal{author: author, number: refused.Number, at: now, cause: refusalText(refused)})
+	d.refusals = append(d.refusals, proposalRefusal{
+		author: proposed.author, number: refused.Number, hash: proposed.hash, at: now, cause: refusalText(refused),
+	})
 }
 
 // settle does what is due on the leader and returns when something is due next.
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -150,7 +150,7 @@
 	}
 	return encoded(&admin.Revision{
 		Number: current.set.Revision, Author: current.set.Author, Reason: current.set.Reason,
-		Hash: "sha256:" + hex.EncodeToString(current.hash), Text: string(current.text),
+		Hash: hashText(current.hash), Text: string(current.text),
 	})
 }
 
@@ -208,6 +208,9 @@
 		Daemons: daemons, Behind: len(behind), List: []admin.DaemonRevision{},
 	}
 	report.InForce = report.Accepted && report.Behind == 0
+	if accepted := l.voter.machine.Revision(revision); accepted != nil {
+		report.Author, report.Hash = accepted.Author, hashText(accepted.Hash)
+	}
 	late := make(map[string]bool, len(behind))
 	for _, daemon := range behind {
 		late[daemon] = true
@@ -227,12 +230,17 @@
 	}
 	for _, refusal := range d.refusals {
 		if refusal.number == revision {
-			report.Refusals = append(report.Refusals, admin.ProposalRefusal{Author: refusal.author, Time: refusal.at, Cause: refusal.cause})
+			report.Refusals = append(report.Refusals, admin.ProposalRefusal{
+				Author: refusal.author, Time: refusal.at, Cause: refusal.cause, Hash: hashText(refusal.hash),
+			})
 		}
 	}
 	return report
 }
 
+// hashText returns the form in which reports show the hash of a rules text.
+func hashText(hash []byte) string { return "sha256:" + hex.EncodeToString(hash) }
+
 func historyOf(machine *state.Machine, limit int) *admin.History {
 	history := &admin.History{Revisions: []admin.Revision{}}
 	for i := len(machine.Revisions) - 1; i >= 0; i-- {
@@ -248,7 +256,7 @@
 func revisionOf(revision *state.Revision, withText bool) *admin.Revision {
 	report := &admin.Revision{
 		Number: revision.Number, Author: revision.Author, Time: revision.Since.Time(),
-		Hash: "sha256:" + hex.EncodeToString(revision.Hash),
+		Hash: hashText(revision.Hash),
 	}
 	if withText {
 		report.Text = string(revision.Text)
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -189,7 +189,7 @@
 		l.log.Info().Uint64("revision", waiting.number).Str("author", waiting.author).
 			Str("verdict", verdictText(result)).Msg("config-decided")
 		if refused, ok := result.(*state.ConfigRefused); ok && l.voter.lead != nil {
-			l.voter.lead.noteRefusal(l.clock.Now(), waiting.author, refused)
+			l.voter.lead.noteRefusal(l.clock.Now(), waiting, refused)
 		}
 		l.sendDown(waiting.session, &ProposeReply{Number: waiting.number, Hash: waiting.hash, Verdict: verdict})
 	case ownProposal:
