--- a/internal/root/ctrl/member/local.go
+++ b/internal/root/ctrl/member/local.go
@@ -1,51 +1,147 @@
 package member
 
 import (
+	"maps"
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-// InstanceLease is how long an announcement of a backend server is valid.
-const InstanceLease = 10 * time.Second
+const (
+	// InstanceLease is how long an announcement of a backend server is valid.
+	InstanceLease = 10 * time.Second
+
+	// maxInstances bounds the instances beside one daemon, which is meant to have one.
+	maxInstances = 16
+)
 
 type (
 	// Local holds the instances beside one daemon; the control loop owns it.
 	Local struct {
-		// Instances holds the leased instances by address.
+		// Instances holds the leased instances by address; it is replaced, never modified, so that it may
+		// be published to traffic goroutines.
 		Instances map[string]snap.Endpoint
+
+		daemon, zone string
+		boot         uint64
+		// seq is that of the last message to the leader, started the number of incarnations so far.
+		seq, started uint64
+		leases       map[string]*lease
 	}
 
-	// Views holds a daemon's views; the control loop owns it.
-	Views struct {
-		// Services is replaced, never modified, so that it may be published to traffic goroutines.
-		Services map[string][]snap.Endpoint
+	lease struct {
+		start string
+		until time.Time
+		// refused is set when the backend server refused a connection since its last announcement.
+		refused bool
 	}
 )
 
 // NewLocal returns an empty set of instances beside the daemon with this peer address.
-func NewLocal(daemon, zone string, boot uint64) *Local { return &Local{} }
+func NewLocal(daemon, zone string, boot uint64) *Local {
+	return &Local{daemon: daemon, zone: zone, boot: boot, leases: make(map[string]*lease)}
+}
 
-// Announce leases an instance and returns the message for the leader, nil when nothing changed.
-func (l *Local) Announce(now time.Time, a *Announcement) (*Announce, error) { return nil, nil }
+// Announce leases an instance and returns the message for the leader, nil when nothing changed. Errors
+// wrap ErrMessage.
+func (l *Local) Announce(now time.Time, a *Announcement) (*Announce, error) {
+	if err := a.Check(); err != nil {
+		return nil, err
+	}
+	known := l.leases[a.Address]
+	if known == nil && len(l.leases) >= maxInstances {
+		return nil, tooMany(l.daemon)
+	}
+	e := snap.Endpoint{
+		ID: l.daemon + "/" + a.Address, Service: a.Service, Daemon: l.daemon, Address: a.Address,
+		Zone: l.zone, Slots: a.Slots, Connections: a.Connections,
+	}
+	if known != nil && known.start == a.Start && !known.refused {
+		old := l.Instances[a.Address]
+		e.Incarnation, e.Started = old.Incarnation, old.Started
+		known.until = now.Add(InstanceLease)
+		if e == old {
+			return nil, nil
+		}
+	} else {
+		l.started++
+		e.Incarnation = l.incarnation()
+		e.Started = wire.StampOf(now)
+		l.leases[a.Address] = &lease{start: a.Start, until: now.Add(InstanceLease)}
+	}
+	l.set(a.Address, &e)
+	l.seq++
+	return &Announce{Instance: e, Seq: l.seq}, nil
+}
 
 // Refused records that the backend server refused a connection; its next announcement is a new incarnation.
-func (l *Local) Refused(address string) {}
+func (l *Local) Refused(address string) {
+	if known := l.leases[address]; known != nil {
+		known.refused = true
+	}
+}
 
 // Leave ends an instance and returns the message for the leader, nil when there is no such instance.
-func (l *Local) Leave(address string) *Leave { return nil }
+func (l *Local) Leave(address string) *Leave {
+	if l.leases[address] == nil {
+		return nil
+	}
+	id := l.Instances[address].ID
+	delete(l.leases, address)
+	l.set(address, nil)
+	l.seq++
+	return &Leave{ID: id, Seq: l.seq}
+}
 
 // Expire ends the leases that are over and returns the messages for the leader.
-func (l *Local) Expire(now time.Time) []*Leave { return nil }
+func (l *Local) Expire(now time.Time) []*Leave {
+	var ended []*Leave
+	for _, address := range slices.Sorted(maps.Keys(l.leases)) {
+		if !now.Before(l.leases[address].until) {
+			ended = append(ended, l.Leave(address))
+		}
+	}
+	return ended
+}
 
 // Deadline returns when the next Expire is due; false means that none is.
-func (l *Local) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (l *Local) Deadline() (time.Time, bool) {
+	var next time.Time
+	for _, known := range l.leases {
+		if next.IsZero() || known.until.Before(next) {
+			next = known.until
+		}
+	}
+	return next, !next.IsZero()
+}
 
 // All returns the messages that announce every instance on a new control stream.
-func (l *Local) All() []*Announce { return nil }
+func (l *Local) All() []*Announce {
+	var all []*Announce
+	for _, address := range slices.Sorted(maps.Keys(l.Instances)) {
+		l.seq++
+		all = append(all, &Announce{Instance: l.Instances[address], Seq: l.seq})
+	}
+	return all
+}
 
-// NewViews returns a daemon's views before any change arrived.
-func NewViews() *Views { return &Views{} }
+// incarnation returns a number that no other start of any instance has, except by a collision of hashes.
+func (l *Local) incarnation() uint64 {
+	return max(1, xxhash.Sum64String(l.daemon+"/"+strconv.FormatUint(l.boot, 16)+"/"+strconv.FormatUint(l.started, 16)))
+}
 
-// Apply applies a change; false means that a change was missed and the daemon must send Want again.
-func (v *Views) Apply(c *Change) bool { return false }
+func (l *Local) set(address string, e *snap.Endpoint) {
+	next := maps.Clone(l.Instances)
+	if next == nil {
+		next = make(map[string]snap.Endpoint)
+	}
+	if delete(next, address); e != nil {
+		next[address] = *e
+	}
+	l.Instances = next
+}
--- /dev/null
+++ b/internal/root/ctrl/member/member_test.go
@@ -0,0 +1,305 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func init() {
+	// Every run of the property tests uses the same seed unless a flag names another.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// Guards against an instance that keeps its incarnation over a restart, or changes it without one.
+func TestIncarnations(t *testing.T) {
+	l := NewLocal("127.0.0.1:7400", "az1", 9)
+	a := Announcement{Service: "reader", Address: "127.0.0.1:9001", Slots: 110, Connections: 750, Start: "1"}
+	announce := func(after time.Duration) *Announce {
+		m, err := l.Announce(epoch.Add(after), &a)
+		assert.NilError(t, err)
+		return m
+	}
+	first := announce(0)
+	assert.Assert(t, announce(time.Second) == nil, "an unchanged announcement only renews the lease")
+	a.Slots = 90
+	changed := announce(2 * time.Second)
+	assert.Equal(t, changed.Instance.Incarnation, first.Instance.Incarnation)
+	assert.Equal(t, changed.Instance.Started, first.Instance.Started)
+	a.Start = "2"
+	restarted := announce(3 * time.Second)
+	assert.Assert(t, restarted.Instance.Incarnation != first.Instance.Incarnation)
+	assert.Equal(t, restarted.Instance.ID, first.Instance.ID)
+	l.Refused(a.Address)
+	refused := announce(4 * time.Second)
+	assert.Assert(t, refused.Instance.Incarnation != restarted.Instance.Incarnation)
+	other := NewLocal("127.0.0.2:7400", "az1", 9)
+	m, err := other.Announce(epoch, &a)
+	assert.NilError(t, err)
+	assert.Assert(t, m.Instance.Incarnation != first.Instance.Incarnation)
+
+	assert.Equal(t, len(l.Expire(epoch.Add(4*time.Second+InstanceLease-1))), 0)
+	ended := l.Expire(epoch.Add(4*time.Second + InstanceLease))
+	assert.Equal(t, len(ended), 1)
+	assert.Assert(t, ended[0].Seq > refused.Seq)
+	assert.Equal(t, len(l.Instances), 0)
+	assert.Assert(t, l.Leave(a.Address) == nil)
+	assert.Assert(t, announce(time.Minute).Instance.Incarnation != refused.Instance.Incarnation)
+}
+
+// Guards R10 and the leases: whatever is lost with a control stream, and in whatever order daemons die,
+// restart and reconnect, every daemon's views end up with exactly the instances that live, are leased and
+// were chosen for it, and a start of a daemon is reported as gone once, after 10 s or when it is replaced.
+func TestViewsFollowInstances(t *testing.T) {
+	type node struct {
+		local     *Local
+		views     *Views
+		boot      uint64
+		beat      uint64
+		connected bool
+		alive     bool
+	}
+	services := []string{"reader", "bindery"}
+	rapid.Check(t, func(t *rapid.T) {
+		r, now, nodes, boots := NewRegistry(), epoch, make([]*node, 40), uint64(0)
+		died, gone := make(map[Gone]time.Time), make(map[Gone]bool)
+		name := func(i int) string { return fmt.Sprintf("127.0.0.%d:7400", i) }
+		zone := func(i int) string { return fmt.Sprintf("az%d", i%2) }
+		connect := func(i int) {
+			n := nodes[i]
+			n.connected = true
+			r.Join(now, name(i), zone(i), n.boot)
+			for _, m := range n.local.All() {
+				assert.NilError(t, r.Announce(now, name(i), copied(t, m)))
+			}
+			r.Want(name(i), copied(t, &Want{Services: services}))
+		}
+		start := func(i int) {
+			boots++
+			nodes[i] = &node{local: NewLocal(name(i), zone(i), boots), views: NewViews(), boot: boots, alive: true}
+			_, err := nodes[i].local.Announce(now, &Announcement{Service: services[i%4/3], Address: "127.0.0.1:9001", Slots: 1, Start: "1"})
+			assert.NilError(t, err)
+			connect(i)
+		}
+		deliver := func() {
+			for more := true; more; {
+				var sends []Send
+				if sends, more = r.Changes(7); len(sends) > 7 {
+					t.Fatalf("%d changes", len(sends))
+				}
+				for _, s := range sends {
+					for i, n := range nodes {
+						if name(i) == s.Daemon && n.connected && !n.views.Apply(copied(t, &s.Change)) {
+							r.Want(name(i), &Want{Services: services})
+							more = true
+						}
+					}
+				}
+			}
+		}
+		second := func() {
+			now = now.Add(time.Second)
+			for i, n := range nodes {
+				if n.beat++; n.alive && n.connected {
+					if _, ok := r.Beat(now, name(i), copied(t, &Beat{Seq: n.beat})); !ok {
+						connect(i)
+					}
+				}
+			}
+			for _, g := range r.Expire(now) {
+				at, dead := died[g]
+				assert.Assert(t, !gone[g], "%v is gone twice", g)
+				i := slices.IndexFunc(nodes, func(n *node) bool { return n.boot == g.Boot })
+				assert.Assert(t, i < 0 || dead && now.Sub(at) >= GoneAfter-time.Second, "%v is gone too early", g)
+				gone[g] = true
+			}
+			deliver()
+		}
+		for i := range nodes {
+			start(i)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "daemon")
+			n := nodes[i]
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				if n.alive {
+					n.alive, n.connected = false, false
+					died[Gone{name(i), n.boot}] = now
+				}
+			case 1:
+				start(i)
+			case 2:
+				n.connected = false // its messages are lost until it reconnects
+			case 3:
+				if n.alive {
+					connect(i)
+				}
+			case 4:
+				if m := n.local.Leave("127.0.0.1:9001"); m != nil && n.connected {
+					r.Leave(now, name(i), copied(t, m))
+				}
+			case 5:
+				second()
+			}
+		}
+		for i, n := range nodes {
+			if n.alive && !n.connected {
+				connect(i)
+			}
+		}
+		for range 12 {
+			second()
+		}
+		expected := make(map[string]map[string]snap.Endpoint)
+		for _, n := range nodes {
+			for _, e := range n.local.Instances {
+				if n.alive {
+					if expected[e.Service] == nil {
+						expected[e.Service] = make(map[string]snap.Endpoint)
+					}
+					expected[e.Service][e.ID] = e
+				}
+			}
+		}
+		for i, n := range nodes {
+			if !n.alive {
+				assert.Assert(t, gone[Gone{name(i), n.boot}], "%s is not gone", name(i))
+				continue
+			}
+			for _, s := range services {
+				view := slices.Clone(n.views.Services[s])
+				assert.Equal(t, len(view), min(MaxView, len(expected[s])))
+				own, ownLive := 0, 0
+				for _, e := range view {
+					assert.DeepEqual(t, e, expected[s][e.ID])
+					own += btoi(e.Zone == zone(i))
+				}
+				for _, e := range expected[s] {
+					ownLive += btoi(e.Zone == zone(i))
+				}
+				assert.Equal(t, own, min(MaxView, ownLive), "the own availability zone comes first")
+				byID := func(a, b snap.Endpoint) int { return compareIDs(a.ID, b.ID) }
+				slices.SortFunc(view, byID)
+				assert.DeepEqual(t, view, slices.SortedFunc(slices.Values(r.View(s, name(i), zone(i))), byID))
+			}
+		}
+	})
+}
+
+// Guards against a subset that moves as a whole when one instance joins or leaves.
+func TestSubsetIsStable(t *testing.T) {
+	r := NewRegistry()
+	view := func() map[string]bool {
+		ids := make(map[string]bool)
+		for _, e := range r.View("reader", "caller", "az9") {
+			ids[e.ID] = true
+		}
+		return ids
+	}
+	for i := range 300 {
+		before := view()
+		announce(t, r, i, "reader")
+		after := view()
+		for id := range before {
+			delete(after, id)
+		}
+		assert.Assert(t, len(after) <= 1, "one more instance changed %d of the subset", len(after))
+	}
+	before, id := view(), r.View("reader", "caller", "az9")[0].ID
+	r.Leave(epoch, daemonOf(id), &Leave{ID: id, Seq: 2})
+	after := view()
+	assert.Equal(t, len(after), MaxView)
+	maps.DeleteFunc(after, func(id string, _ bool) bool { return before[id] })
+	assert.Equal(t, len(after), 1)
+	// A message that was overtaken does not bring the instance back.
+	assert.NilError(t, r.Announce(epoch, daemonOf(id), &Announce{Instance: instanceOf(daemonOf(id), "reader"), Seq: 1}))
+	assert.Assert(t, !view()[id])
+}
+
+func announce(t testing.TB, r *Registry, i int, service string) string {
+	name := fmt.Sprintf("10.%d.%d.%d:7400", i>>16, i>>8&255, i&255)
+	r.Join(epoch, name, fmt.Sprintf("az%d", i%6), 1)
+	assert.NilError(t, r.Announce(epoch, name, &Announce{Instance: instanceOf(name, service), Seq: 1}))
+	return name
+}
+
+func instanceOf(daemon, service string) snap.Endpoint {
+	return snap.Endpoint{
+		ID: daemon + "/127.0.0.1:9001", Service: service, Daemon: daemon, Address: "127.0.0.1:9001",
+		Zone: "az" + daemon[len(daemon)-6:len(daemon)-5], Slots: 110, Connections: 750, Incarnation: 1, Started: wire.StampOf(epoch),
+	}
+}
+
+func daemonOf(id string) string { return id[:len(id)-len("/127.0.0.1:9001")] }
+
+func compareIDs(a, b string) int { return slices.Compare([]byte(a), []byte(b)) }
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// copied passes a message through the codec.
+func copied[T any, M wire.Message[T]](t interface{ Fatalf(string, ...any) }, m M) M {
+	body, err := wire.Encode[T](m)
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	back, err := wire.Decode[T, M](body)
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	return back
+}
+
+// FuzzDecode guards against a panic on bytes that no peer has sent.
+func FuzzDecode(f *testing.F) {
+	e := instanceOf("10.0.0.1:7400", "reader")
+	for _, m := range []func() ([]byte, error){
+		func() ([]byte, error) { return wire.Encode(&Announce{Instance: e, Seq: 1}) },
+		func() ([]byte, error) { return wire.Encode(&Leave{ID: e.ID, Seq: 2}) },
+		func() ([]byte, error) { return wire.Encode(&Want{Services: []string{"reader"}}) },
+		func() ([]byte, error) {
+			return wire.Encode(&Change{Service: "reader", Version: 1, Set: []snap.Endpoint{e}, Removed: []string{"x"}})
+		},
+	} {
+		body, err := m()
+		assert.NilError(f, err)
+		f.Add(body)
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		r, v := NewRegistry(), NewViews()
+		r.Join(epoch, "10.0.0.1:7400", "az1", 1)
+		if m, err := wire.Decode[Announce](body); err == nil {
+			_ = r.Announce(epoch, "10.0.0.1:7400", m)
+		}
+		if m, err := wire.Decode[Want](body); err == nil {
+			r.Want("10.0.0.1:7400", m)
+			r.Changes(1000)
+		}
+		if m, err := wire.Decode[Leave](body); err == nil {
+			r.Leave(epoch, "10.0.0.1:7400", m)
+		}
+		if m, err := wire.Decode[Change](body); err == nil {
+			v.Apply(m)
+		}
+		_, _ = wire.Decode[Beat](body)
+		_, _ = wire.Decode[Lease](body)
+		_, _ = wire.Decode[snap.Endpoint](body)
+	})
+}
