--- a/internal/root/ctrl/member/local.go
+++ b/internal/root/ctrl/member/local.go
@@ -3,117 +3,118 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-// InstanceLease is how long an announcement of a backend server is valid.
-const InstanceLease = 10 * time.Second
+const (
+	// InstanceLease is how long an announcement of a backend server is valid.
+	InstanceLease = 10 * time.Second
+
+	// maxInstances bounds the instances beside one daemon, which is meant to have one.
+	maxInstances = 16
+)
 
 type (
 	// Local holds the instances beside one daemon; the control loop owns it.
 	Local struct {
-		// Instances holds the leased instances by address.
+		// Instances holds the leased instances by address; it is replaced, never modified, so that it may
+		// be published to traffic goroutines.
 		Instances map[string]snap.Endpoint
 
 		daemon, zone string
-		seq          uint64
-		incarnation  uint64
-		leases       map[string]lease
+		boot         uint64
+		// seq is that of the last message to the leader, started the number of incarnations so far.
+		seq, started uint64
+		leases       map[string]*lease
 	}
 
-	// lease is what the daemon knows about an instance besides its endpoint.
 	lease struct {
-		until   time.Time
-		start   string
-		refused bool // the backend server refused a connection since its last announcement
-	}
-
-	// Views holds a daemon's views; the control loop owns it.
-	Views struct {
-		// Services is replaced, never modified, so that it may be published to traffic goroutines.
-		Services map[string][]snap.Endpoint
-
-		versions map[string]uint64
+		start string
+		until time.Time
+		// refused is set when the backend server refused a connection since its last announcement.
+		refused bool
 	}
 )
 
 // NewLocal returns an empty set of instances beside the daemon with this peer address.
 func NewLocal(daemon, zone string, boot uint64) *Local {
-	// The random boot number keeps incarnations of different starts and daemons apart.
-	return &Local{
-		Instances: map[string]snap.Endpoint{}, daemon: daemon, zone: zone,
-		incarnation: boot, leases: map[string]lease{},
-	}
+	return &Local{daemon: daemon, zone: zone, boot: boot, leases: make(map[string]*lease)}
 }
 
-// Announce leases an instance and returns the message for the leader, nil when nothing changed.
+// Announce leases an instance and returns the message for the leader, nil when nothing changed. Errors
+// wrap ErrMessage.
 func (l *Local) Announce(now time.Time, a *Announcement) (*Announce, error) {
 	if err := a.Check(); err != nil {
 		return nil, err
 	}
-	current, known := l.Instances[a.Address]
-	held := l.leases[a.Address]
-	next := snap.Endpoint{
-		ID: l.daemon + "/" + a.Address, Service: a.Service, Daemon: l.daemon, Address: a.Address, Zone: l.zone,
-		Slots: a.Slots, Connections: a.Connections, Incarnation: current.Incarnation, Started: current.Started,
+	known := l.leases[a.Address]
+	if known == nil && len(l.leases) >= maxInstances {
+		return nil, tooMany(l.daemon)
 	}
-	if !known || held.start != a.Start || held.refused {
-		l.incarnation++
-		next.Incarnation, next.Started = l.incarnation, wire.StampOf(now)
+	e := snap.Endpoint{
+		ID: l.daemon + "/" + a.Address, Service: a.Service, Daemon: l.daemon, Address: a.Address,
+		Zone: l.zone, Slots: a.Slots, Connections: a.Connections,
 	}
-	l.leases[a.Address] = lease{until: now.Add(InstanceLease), start: a.Start}
-	if known && next == current {
-		return nil, nil
+	if known != nil && known.start == a.Start && !known.refused {
+		old := l.Instances[a.Address]
+		e.Incarnation, e.Started = old.Incarnation, old.Started
+		known.until = now.Add(InstanceLease)
+		if e == old {
+			return nil, nil
+		}
+	} else {
+		l.started++
+		e.Incarnation = l.incarnation()
+		e.Started = wire.StampOf(now)
+		l.leases[a.Address] = &lease{start: a.Start, until: now.Add(InstanceLease)}
 	}
-	l.Instances[a.Address] = next
-	return l.message(next), nil
-}
-
-func (l *Local) message(instance snap.Endpoint) *Announce {
+	l.set(a.Address, &e)
 	l.seq++
-	return &Announce{Instance: instance, Seq: l.seq}
+	return &Announce{Instance: e, Seq: l.seq}, nil
 }
 
 // Refused records that the backend server refused a connection; its next announcement is a new incarnation.
 func (l *Local) Refused(address string) {
-	if held, ok := l.leases[address]; ok {
-		held.refused = true
-		l.leases[address] = held
+	if known := l.leases[address]; known != nil {
+		known.refused = true
 	}
 }
 
 // Leave ends an instance and returns the message for the leader, nil when there is no such instance.
 func (l *Local) Leave(address string) *Leave {
-	instance, ok := l.Instances[address]
-	if !ok {
+	if l.leases[address] == nil {
 		return nil
 	}
-	delete(l.Instances, address)
+	id := l.Instances[address].ID
 	delete(l.leases, address)
+	l.set(address, nil)
 	l.seq++
-	return &Leave{ID: instance.ID, Seq: l.seq}
+	return &Leave{ID: id, Seq: l.seq}
 }
 
 // Expire ends the leases that are over and returns the messages for the leader.
 func (l *Local) Expire(now time.Time) []*Leave {
-	var out []*Leave
+	var ended []*Leave
 	for _, address := range slices.Sorted(maps.Keys(l.leases)) {
-		if !l.leases[address].until.After(now) {
-			out = append(out, l.Leave(address))
+		if !now.Before(l.leases[address].until) {
+			ended = append(ended, l.Leave(address))
 		}
 	}
-	return out
+	return ended
 }
 
 // Deadline returns when the next Expire is due; false means that none is.
 func (l *Local) Deadline() (time.Time, bool) {
 	var next time.Time
-	for _, held := range l.leases {
-		if next.IsZero() || held.until.Before(next) {
-			next = held.until
+	for _, known := range l.leases {
+		if next.IsZero() || known.until.Before(next) {
+			next = known.until
 		}
 	}
 	return next, !next.IsZero()
@@ -121,41 +122,26 @@
 
 // All returns the messages that announce every instance on a new control stream.
 func (l *Local) All() []*Announce {
-	out := make([]*Announce, 0, len(l.Instances))
+	var all []*Announce
 	for _, address := range slices.Sorted(maps.Keys(l.Instances)) {
-		out = append(out, l.message(l.Instances[address]))
+		l.seq++
+		all = append(all, &Announce{Instance: l.Instances[address], Seq: l.seq})
 	}
-	return out
+	return all
 }
 
-// NewViews returns a daemon's views before any change arrived.
-func NewViews() *Views {
-	return &Views{Services: map[string][]snap.Endpoint{}, versions: map[string]uint64{}}
+// incarnation returns a number that no other start of any instance has, except by a collision of hashes.
+func (l *Local) incarnation() uint64 {
+	return max(1, xxhash.Sum64String(l.daemon+"/"+strconv.FormatUint(l.boot, 16)+"/"+strconv.FormatUint(l.started, 16)))
 }
 
-// Apply applies a change; false means that a change was missed and the daemon must send Want again.
-func (v *Views) Apply(c *Change) bool {
-	if c.Base != 0 && v.versions[c.Service] != c.Base {
-		return false
-	}
-	byID := map[string]snap.Endpoint{}
-	if c.Base != 0 {
-		for _, instance := range v.Services[c.Service] {
-			byID[instance.ID] = instance
-		}
-	}
-	for _, id := range c.Removed {
-		delete(byID, id)
-	}
-	for _, instance := range c.Set {
-		byID[instance.ID] = instance
+func (l *Local) set(address string, e *snap.Endpoint) {
+	next := maps.Clone(l.Instances)
+	if next == nil {
+		next = make(map[string]snap.Endpoint)
 	}
-	list := make([]snap.Endpoint, 0, len(byID))
-	for _, id := range slices.Sorted(maps.Keys(byID)) {
-		list = append(list, byID[id])
+	if delete(next, address); e != nil {
+		next[address] = *e
 	}
-	services := maps.Clone(v.Services)
-	services[c.Service] = list
-	v.Services, v.versions[c.Service] = services, c.Version
-	return true
+	l.Instances = next
 }
