--- a/internal/root/ctrl/member/member_test.go
+++ b/internal/root/ctrl/member/member_test.go
@@ -227,6 +227,10 @@
 	// A message that was overtaken does not bring the instance back.
 	assert.NilError(t, r.Announce(epoch, daemonOf(id), &Announce{Instance: instanceOf(daemonOf(id), "reader"), Seq: 1}))
 	assert.Assert(t, !view()[id])
+	// Neither does a leave that was overtaken remove an instance that was announced again.
+	assert.NilError(t, r.Announce(epoch, daemonOf(id), &Announce{Instance: instanceOf(daemonOf(id), "reader"), Seq: 4}))
+	r.Leave(epoch, daemonOf(id), &Leave{ID: id, Seq: 3})
+	assert.Assert(t, view()[id])
 }
 
 func announce(t testing.TB, r *Registry, i int, service string) string {
