--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -104,7 +104,7 @@
 	reply := make(chan onceResult, 1)
 	result, err := await(ctx, l, onceStarted{scope: scope, hash: requestHash, reply: reply}, reply)
 	if err != nil {
-		l.notify(onceAbandoned{reply: reply})
+		l.notify(onceAbandoned{scope: scope, reply: reply})
 		return state.Attempt{}, nil
 	}
 	return result.attempt, result.verdict
--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -29,7 +29,10 @@
 	again   time.Time
 }
 
-// ValidateRules checks a rules text as every voter does before it accepts one.
+// acceptText is the state machine's check of a text that the leader has checked already.
+func acceptText([]byte) error { return nil }
+
+// ValidateRules checks a rules text as the leader does before it proposes one.
 func ValidateRules(text []byte) error {
 	_, err := rules.Parse("rules", text)
 	return err
--- a/internal/root/ctrl/event.go
+++ b/internal/root/ctrl/event.go
@@ -66,7 +66,10 @@
 	}
 
 	// onceAbandoned tells that nobody waits for the verdict of an attempt any more.
-	onceAbandoned struct{ reply chan<- onceResult }
+	onceAbandoned struct {
+		scope state.OnceScope
+		reply chan onceResult
+	}
 
 	onceResult struct {
 		attempt state.Attempt
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -218,19 +218,28 @@
 func (l *Loop) proposeOnce(now time.Time, s *session, message *OnceCall) {
 	waiting := onceProposal{session: s, id: message.ID}
 	if begin := message.Begin; begin != nil {
-		begin.At = wire.StampOf(now)
+		begin.At = l.voter.machine.Stamp(now)
 		l.propose(now, begin, waiting)
 		return
 	}
-	message.Finish.At = wire.StampOf(now)
+	message.Finish.At = l.voter.machine.Stamp(now)
 	l.propose(now, message.Finish, waiting)
 }
 
+// proposeConfig checks a text before it is proposed. The state machine does not check it again, because
+// voters that run different versions of the check would then hold different states.
 func (l *Loop) proposeConfig(now time.Time, s *session, message *Propose) {
+	waiting := configProposal{session: s, number: message.Number, hash: message.Hash, author: message.Author}
+	if err := ValidateRules(message.Text); err != nil {
+		l.answerProposal(waiting, &state.ConfigRefused{
+			Reason: state.TextInvalid, Number: message.Number, InForce: l.voter.revision(), Detail: err.Error(),
+		})
+		return
+	}
 	l.propose(now, &state.ProposeConfig{
 		Number: message.Number, Text: message.Text, Author: message.Author,
-		Origin: s.peer, Hash: message.Hash, At: wire.StampOf(now),
-	}, configProposal{session: s, number: message.Number, hash: message.Hash, author: message.Author})
+		Origin: s.peer, Hash: message.Hash, At: l.voter.machine.Stamp(now),
+	}, waiting)
 }
 
 func (d *leaderState) crashed(now time.Time, l *Loop, report *CrashReport) {
@@ -245,7 +254,7 @@
 		}
 		l.log.Warn().Str("fingerprint", fingerprint).Time("until", quarantine.Until.Time()).Msg("request-quarantined")
 		l.propose(now, &state.QuarantineAdd{
-			Fingerprint: fingerprint, For: quarantine.Until.Sub(wire.StampOf(now)), At: wire.StampOf(now),
+			Fingerprint: fingerprint, For: quarantine.Until.Sub(wire.StampOf(now)), At: l.voter.machine.Stamp(now),
 		}, ownProposal{})
 	}
 }
@@ -342,7 +351,7 @@
 	if due, ok := d.registry.Deadline(); ok && !due.After(now) {
 		for _, gone := range d.registry.Expire(now) {
 			l.log.Warn().Str("daemon", gone.Daemon).Msg("daemon-gone")
-			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: wire.StampOf(now)}, ownProposal{})
+			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: l.voter.machine.Stamp(now)}, ownProposal{})
 		}
 	}
 	sends, more := d.registry.Changes(changesPerStep)
@@ -366,7 +375,7 @@
 		return
 	}
 	d.nextExpiry = now.Add(expiryInterval)
-	if due, ok := l.voter.machine.NextExpiry(); ok && due <= wire.StampOf(now) {
-		l.propose(now, &state.Tick{At: wire.StampOf(now)}, ownProposal{})
+	if due, ok := l.voter.machine.NextExpiry(); ok && due <= l.voter.machine.Stamp(now) {
+		l.propose(now, &state.Tick{At: l.voter.machine.Stamp(now)}, ownProposal{})
 	}
 }
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -170,6 +170,36 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against the same when the verdict arrives just as its request gives up.
+func TestUnclaimedVerdictMayRunAgain(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	first := f.begin("d1", "booking-2")
+	f.run(50 * time.Millisecond)
+	scope := state.OnceScope{Account: "reader", Route: "POST/kudos", Key: "booking-2"}
+	f.loops["d1"].handle(f.clock.Now(), onceAbandoned{scope: scope, reply: first})
+	f.run(50 * time.Millisecond)
+	second := f.begin("d2", "booking-2")
+	f.run(50 * time.Millisecond)
+	_, ok := received(t, second).verdict.(*state.OnceBegun)
+	assert.Assert(t, ok)
+}
+
+// Guards against a text that the leader cannot read and that would yet become the configuration.
+func TestLeaderRefusesInvalidText(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	l := f.loops["d1"]
+	folder := t.TempDir()
+	text := []byte("revision 2 # requested by Lou\nservice library slots=0 # requested by Lou\n")
+	hash := sha256.Sum256(text)
+	l.daemon.proposal = &pendingProposal{path: filepath.Join(folder, "rules"), message: &Propose{Number: 2, Text: text, Author: "Lou", Hash: hash[:]}}
+	l.sendProposal(f.clock.Now())
+	f.until("the verdict", func() bool { return l.daemon.proposal == nil })
+	verdict, err := os.ReadFile(filepath.Join(folder, "rules.verdict"))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(verdict), "refused: "), string(verdict))
+	assert.Assert(t, f.inForce(1))
+}
+
 // Guards R9: the records of a daemon that is gone turn unknown, so that a resend is not run again.
 func TestGoneDaemonLeavesUnknown(t *testing.T) {
 	f := newTestFleet(t, 3, 2)
--- a/internal/root/ctrl/oncequeue.go
+++ b/internal/root/ctrl/oncequeue.go
@@ -67,6 +67,14 @@
 		}
 		return
 	}
+	select {
+	case result := <-event.reply: // the verdict arrived when nobody waited any more
+		if _, begun := result.verdict.(*state.OnceBegun); begun {
+			finish := &state.OnceFinish{Scope: event.scope, Attempt: result.attempt, Outcome: state.NotRun, At: wire.StampOf(now)}
+			q.add(l, &onceCall{message: &OnceCall{Finish: finish}, attempt: result.attempt})
+		}
+	default:
+	}
 }
 
 func (q *onceQueue) add(l *Loop, c *onceCall) {
