--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -138,7 +138,7 @@
 	clear(d.beats)
 	l.sendUp(&Join{
 		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
-		Revision: d.rules.revision(), Hash: d.rules.hash,
+		Revision: d.rules.revision(), Hash: d.rules.hash, Views: len(d.views.Services) > 0,
 	})
 	for _, announce := range d.local.All() {
 		l.sendUp(announceUp{announce})
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -18,6 +18,10 @@
 	changesPerStep  = 512
 	expiryInterval  = time.Second
 	maxRefusalsKept = 32
+
+	// warmUp is how long a new leader waits for daemons to announce their instances before it replaces the
+	// views that daemons have from its predecessor; until then the registry is incomplete.
+	warmUp = 2 * time.Second
 )
 
 type (
@@ -32,6 +36,7 @@
 		waits      []inForceWait
 		refusals   []proposalRefusal
 		nextExpiry time.Time
+		warmUntil  time.Time // zero once the registry counts as complete
 		grants     uint64
 		recalls    uint64
 	}
@@ -63,6 +68,7 @@
 		daemons:    map[string]*session{},
 		beats:      map[string]daemonBeat{},
 		nextExpiry: now.Add(expiryInterval),
+		warmUntil:  now.Add(warmUp),
 	}
 	for _, running := range v.machine.Running() {
 		lead.registry.Expect(now, running.Daemon, running.Boot)
@@ -143,6 +149,7 @@
 	case leaveUp:
 		lead.registry.Leave(now, daemon, message.Leave)
 	case wantUp:
+		s.want = message.Want
 		lead.registry.Want(daemon, message.Want)
 	case askUp:
 		lead.stepOwner(now, l, &limit.Asked{Holder: daemon, Ask: message.TokenAsk})
@@ -342,6 +349,9 @@
 		}
 	}
 	next = earliest(next, d.settleRegistry(now, l))
+	if !d.warmUntil.IsZero() {
+		next = earliest(next, d.warmUntil)
+	}
 	d.settleExpiry(now, l)
 	d.answerWaits(now, l)
 	return earliest(next, d.nextExpiry)
@@ -354,11 +364,14 @@
 			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: l.voter.machine.Stamp(now)}, ownProposal{})
 		}
 	}
+	d.endWarmUp(now)
 	sends, more := d.registry.Changes(changesPerStep)
 	for i := range sends {
-		if s := d.daemons[sends[i].Daemon]; s != nil {
-			l.sendDown(s, changeDown{&sends[i].Change})
+		s := d.daemons[sends[i].Daemon]
+		if s == nil || s.join.Views && !d.warmUntil.IsZero() {
+			continue // asked for again at the end of the warm-up
 		}
+		l.sendDown(s, changeDown{&sends[i].Change})
 	}
 	if more {
 		return now
@@ -369,6 +382,19 @@
 	return now.Add(idleWake)
 }
 
+// endWarmUp sends full views to the daemons that have waited for them.
+func (d *leaderState) endWarmUp(now time.Time) {
+	if d.warmUntil.IsZero() || now.Before(d.warmUntil) {
+		return
+	}
+	d.warmUntil = time.Time{}
+	for name, s := range d.daemons {
+		if s.join.Views && s.want != nil {
+			d.registry.Want(name, s.want)
+		}
+	}
+}
+
 // settleExpiry lets entries of the replicated state expire while nothing else is proposed.
 func (d *leaderState) settleExpiry(now time.Time, l *Loop) {
 	if now.Before(d.nextExpiry) {
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -267,6 +267,26 @@
 	assert.Assert(t, took <= 4*time.Second, "a lost instance was listed for %s", took)
 }
 
+// Guards M1: daemons keep their views over a change of leader, whose registry is empty at first.
+func TestNewLeaderDoesNotEmptyViews(t *testing.T) {
+	f := newTestFleet(t, 3, 3)
+	f.announce("d1", "127.0.0.1:1", "1")
+	f.announce("d2", "127.0.0.1:2", "1")
+	f.loops["d3"].handle(f.clock.Now(), serviceWanted{service: "library", reply: make(chan *snap.Endpoints, 1)})
+	f.until("two instances", func() bool { return instances(f.loops["d3"]) == 2 })
+	old := f.leader()
+	f.cut[old] = true
+	f.cut["d1"] = true // finds the new leader late
+	f.until("another leader", func() bool { return f.leader() != "" && f.leader() != old })
+	for passed := range 400 {
+		if passed == 100 {
+			f.cut["d1"] = false
+		}
+		f.step(10 * time.Millisecond)
+		assert.Equal(t, instances(f.loops["d3"]), 2, "%d0 ms after the election", passed)
+	}
+}
+
 // Guards against a request that crashes every instance: three crashes of different incarnations, reported
 // by different daemons, quarantine it everywhere, and the quarantine ends.
 func TestQuarantineReachesEveryDaemon(t *testing.T) {
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -60,6 +60,8 @@
 		Boot     uint64 `protobuf:"fixed64,3,opt,name=boot"` // differs for each start
 		Revision uint64 `protobuf:"varint,4,opt,name=revision"`
 		Hash     []byte `protobuf:"bytes,5,opt,name=hash"` // of the text of Revision
+		// Views tells that the daemon has views of services from an earlier leader.
+		Views bool `protobuf:"varint,6,opt,name=views"`
 	}
 
 	// OnceCall carries one idempotency command; ID is repeated in the reply.
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
@@ -25,8 +26,9 @@
 
 	// The fields below belong to the loop of a control instance.
 	join    *Join
-	sent    uint64 // revision sent last
-	traffic uint64 // bytes queued for the daemon
+	want    *member.Want // repeated at the end of the leader\'s warm-up
+	sent    uint64       // revision sent last
+	traffic uint64       // bytes queued for the daemon
 }
 
 func newSession(stream *link.Stream, remote string) *session {
