--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -243,10 +243,17 @@
 		})
 		return
 	}
-	l.propose(now, &state.ProposeConfig{
+	command := &state.ProposeConfig{
 		Number: message.Number, Text: message.Text, Author: message.Author,
 		Origin: s.peer, Hash: message.Hash, At: l.voter.machine.Stamp(now),
-	}, waiting)
+	}
+	// A difference keeps the log small: at thousands of changes a day whole texts would fill gigabytes.
+	if current := l.voter.machine.InForce(); current != nil && current.Number+1 == message.Number {
+		if hunks, ok := state.Difference(current.Text, message.Text); ok {
+			command.Hunks, command.Text = hunks, nil
+		}
+	}
+	l.propose(now, command, waiting)
 }
 
 func (d *leaderState) crashed(now time.Time, l *Loop, report *CrashReport) {
@@ -297,7 +304,7 @@
 	message := &Config{Number: current.Number, Hash: current.Hash}
 	known := machine.Revision(base)
 	if known != nil && known.Text != nil && current.Number-base <= maxBehind {
-		if hunks, ok := difference(known.Text, current.Text); ok {
+		if hunks, ok := state.Difference(known.Text, current.Text); ok {
 			message.Base, message.Hunks = base, hunks
 			return message
 		}
--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -53,6 +53,7 @@
 	// ProposeConfig proposes Text as revision Number.
 	ProposeConfig struct {
 		Number uint64 `protobuf:"varint,1,opt,name=number"`
+		// Text is the whole text; it is empty when Hunks turn the text of revision Number-1 into it.
 		Text   []byte `protobuf:"bytes,2,opt,name=text"`
 		Author string `protobuf:"bytes,3,opt,name=author"`
 		// Origin is the daemon that proposed.
@@ -60,6 +61,8 @@
 		// Hash is the SHA-256 of Text.
 		Hash []byte     `protobuf:"bytes,5,opt,name=hash"`
 		At   wire.Stamp `protobuf:"varint,6,opt,name=at"`
+		// Hunks are set instead of Text.
+		Hunks []Hunk `protobuf:"bytes,7,rep,name=hunks"`
 	}
 
 	// OnceScope identifies an idempotency record.
@@ -227,7 +230,11 @@
 	switch {
 	case c.Number == 0:
 		return fmt.Errorf("%w: revision 0", ErrCommand)
-	case len(c.Text) == 0 || len(c.Text) > MaxText:
+	case (len(c.Text) == 0) == (len(c.Hunks) == 0):
+		return fmt.Errorf("%w: want either a text or a difference", ErrCommand)
+	case len(c.Hunks) > MaxHunks:
+		return fmt.Errorf("%w: %d hunks, want at most %d", ErrCommand, len(c.Hunks), MaxHunks)
+	case len(c.Text) > MaxText:
 		return fmt.Errorf("%w: text of %d bytes, want 1 to %d", ErrCommand, len(c.Text), MaxText)
 	case len(c.Hash) != hashSize:
 		return fmt.Errorf("%w: hash of %d bytes, want %d", ErrCommand, len(c.Hash), hashSize)
--- a/internal/root/ctrl/state/machine.go
+++ b/internal/root/ctrl/state/machine.go
@@ -185,17 +185,18 @@
 		refused.Reason = NumberTooHigh
 		return &refused
 	}
-	if err := m.checkText(c); err != nil {
+	text, err := m.proposedText(c)
+	if err != nil {
 		refused.Reason, refused.Detail = TextInvalid, clip(err.Error(), maxDetail)
 		return &refused
 	}
 	accepted := &Revision{
 		Number: c.Number, Author: c.Author, Origin: c.Origin,
-		Hash: c.Hash, Since: m.Now, Text: c.Text,
+		Hash: c.Hash, Since: m.Now, Text: text,
 	}
 	m.Revisions = append(m.Revisions, accepted)
 	m.texts++
-	m.textBytes += len(c.Text)
+	m.textBytes += len(text)
 	m.trimRevisions()
 	return &ConfigAccepted{Revision: *header(accepted)}
 }
--- a/internal/root/ctrl/state/once.go
+++ b/internal/root/ctrl/state/once.go
@@ -198,11 +198,24 @@
 	}
 }
 
-func (m *Machine) checkText(c *ProposeConfig) error {
-	if sum := sha256.Sum256(c.Text); !bytes.Equal(sum[:], c.Hash) {
-		return errHash
+// proposedText returns the whole text of a proposal for the next revision.
+func (m *Machine) proposedText(c *ProposeConfig) ([]byte, error) {
+	text := c.Text
+	if len(c.Hunks) > 0 {
+		base := m.InForce()
+		if base == nil {
+			return nil, ErrPatch
+		}
+		patched, err := Patch(base.Text, c.Hunks, c.Hash)
+		if err != nil {
+			return nil, err
+		}
+		text = patched
+	}
+	if sum := sha256.Sum256(text); !bytes.Equal(sum[:], c.Hash) {
+		return nil, errHash
 	}
-	return m.validate(c.Text)
+	return text, m.validate(text)
 }
 
 func (a Attempt) sameBoot(b Attempt) bool { return a.Daemon == b.Daemon && a.Boot == b.Boot }
