--- a/internal/root/call/admit/adaptive.go
+++ b/internal/root/call/admit/adaptive.go
@@ -40,7 +40,7 @@
 		expired   int
 		total     time.Duration // sum of latencies
 		relative  float64       // sum of latencies, each relative to the reference of its route
-		compared  int           // samples in relative
+		compared  int           // samples in relative; both are carried over windows until there are enough
 		busiest   int           // highest number in flight in this window
 		saturated bool          // a request did not fit in this window
 		routes    map[string]*reference
--- a/internal/root/call/admit/limiter_test.go
+++ b/internal/root/call/admit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -234,6 +235,28 @@
 	}
 }
 
+// Guards against data races and against waiting requests that nobody wakes.
+func TestConcurrentCallers(t *testing.T) {
+	l := warm(3)
+	var callers sync.WaitGroup
+	for i := range 10 {
+		callers.Go(func() {
+			for range 200 {
+				tk := ticket(fmt.Sprint(i), Importance(i%classes))
+				d := l.Offer(start, tk)
+				if q, ok := d.(Queued); ok {
+					d = <-q.Verdict
+				}
+				if _, ok := d.(Admitted); ok {
+					l.Done(start, tk, Completed{Latency: time.Millisecond})
+				}
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, l.Load(), Load{Limit: 3})
+}
+
 func BenchmarkOfferDone(b *testing.B) {
 	for _, waiting := range []int{0, 50} {
 		b.Run(fmt.Sprint(waiting, "-waiting"), func(b *testing.B) {
