--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	maxBehind       = 64 // revisions; a daemon further behind gets the whole text
-	changesPerStep  = 512
-	expiryInterval  = time.Second
+	maxBehind      = 64 // revisions; a daemon further behind gets the whole text
+	changesPerStep = 512
+	expiryInterval = time.Second
+	// waitsInterval bounds how often the daemons are looked at for a pending wait, because that takes
+	// 0.1 ms at 8,800 daemons and 17,600 beats arrive in a second.
+	waitsInterval   = 20 * time.Millisecond
 	maxRefusalsKept = 32
 )
 
@@ -29,6 +32,7 @@
 		daemons    map[string]*session // joined daemons by peer address
 		beats      map[string]daemonBeat
 		waits      []inForceWait
+		nextWaits  time.Time // when the waits are looked at next
 		refusals   []proposalRefusal
 		nextExpiry time.Time
 		grants     uint64
@@ -180,7 +184,6 @@
 	d.beats[s.join.Daemon] = daemonBeat{name: s.peer, zone: s.join.Zone, revision: beat.Revision, at: now}
 	lease.Revision = l.voter.revision()
 	l.sendDown(s, leaseDown{&lease})
-	d.answerWaits(now, l)
 }
 
 // closed ends the stream of a daemon; its instances stay until its lease ends.
@@ -323,7 +326,7 @@
 	}
 	next = earliest(next, d.settleRegistry(now, l))
 	d.settleExpiry(now, l)
-	d.answerWaits(now, l)
+	next = earliest(next, d.answerWaits(now, l))
 	return earliest(next, d.nextExpiry)
 }
 
--- a/internal/root/ctrl/member/registry.go
+++ b/internal/root/ctrl/member/registry.go
@@ -32,6 +32,9 @@
 		queued  map[subscription]bool
 		callers map[string]map[string]bool // daemons that subscribe to a service
 		version uint64                     // of the change sent last
+		// due is no later than the end of the first lease. Beats only move ends back, so it holds until
+		// Expire computes it again; looking at every daemon after each beat took 13 cores at 8,800 daemons.
+		due time.Time
 		// replaced holds starts whose daemon is known under a later start.
 		replaced []Gone
 	}
@@ -97,6 +100,7 @@
 		r.daemons[name] = d
 	}
 	d.zone, d.joined, d.live, d.beat = zone, true, true, now
+	r.expireBy(now.Add(DaemonLease))
 	d.stale = maps.Clone(d.instances)
 	r.unsubscribe(name, d)
 	for id := range d.instances {
@@ -114,6 +118,7 @@
 		return
 	}
 	r.daemons[name] = &daemon{boot: boot, beat: now, instances: map[string]snap.Endpoint{}, views: map[string]*view{}}
+	r.expireBy(now.Add(GoneAfter))
 }
 
 // Beat renews the daemon's lease; false means that the daemon is not known and has to join again.
@@ -129,6 +134,7 @@
 	d.stale = nil
 	if !d.live {
 		d.live = true
+		r.expireBy(now.Add(DaemonLease))
 		for id := range d.instances {
 			r.list(d.instances[id])
 		}
@@ -184,6 +190,10 @@
 func (r *Registry) Expire(now time.Time) []Gone {
 	out := r.replaced
 	r.replaced = nil
+	if r.due.After(now) {
+		return out
+	}
+	r.due = time.Time{}
 	for _, name := range slices.Sorted(maps.Keys(r.daemons)) {
 		d := r.daemons[name]
 		silent := now.Sub(d.beat)
@@ -195,27 +205,30 @@
 			r.unsubscribe(name, d)
 			delete(r.daemons, name)
 			out = append(out, Gone{Daemon: name, Boot: d.boot})
+			continue
+		}
+		if d.live {
+			r.expireBy(d.beat.Add(DaemonLease))
+		} else {
+			r.expireBy(d.beat.Add(GoneAfter))
 		}
 	}
 	return out
 }
 
-// Deadline returns when the next Expire is due; false means that none is.
-func (r *Registry) Deadline() (time.Time, bool) {
-	var next time.Time
-	for _, d := range r.daemons {
-		due := d.beat.Add(GoneAfter)
-		if d.live {
-			due = d.beat.Add(DaemonLease)
-		}
-		if next.IsZero() || due.Before(next) {
-			next = due
-		}
+// expireBy makes Expire due no later than at.
+func (r *Registry) expireBy(at time.Time) {
+	if r.due.IsZero() || at.Before(r.due) {
+		r.due = at
 	}
+}
+
+// Deadline returns when the next Expire is due, at the latest when a lease ends; false means that none is.
+func (r *Registry) Deadline() (time.Time, bool) {
 	if len(r.replaced) > 0 {
 		return time.Time{}.Add(time.Nanosecond), true
 	}
-	return next, !next.IsZero()
+	return r.due, !r.due.IsZero()
 }
 
 // View returns the instances of service that the daemon learns, at most MaxView. Of a larger service
@@ -314,6 +327,17 @@
 	return behind, live
 }
 
+// Reached reports whether every daemon with a live lease has reported revision; it stops at the first
+// that has not.
+func (r *Registry) Reached(now time.Time, revision uint64) bool {
+	for _, d := range r.daemons {
+		if d.joined && d.revision < revision && now.Sub(d.beat) < DaemonLease {
+			return false
+		}
+	}
+	return true
+}
+
 // list makes an instance visible to the daemons that call its service.
 func (r *Registry) list(instance snap.Endpoint) {
 	if r.services[instance.Service] == nil {
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -163,6 +163,7 @@
 		d.waits = append(d.waits, inForceWait{
 			session: s, id: query.ID, revision: query.Revision, until: now.Add(min(query.Wait, admin.MaxWait)),
 		})
+		d.nextWaits = now
 		d.answerWaits(now, l)
 		return
 	case QueryHistory:
@@ -181,20 +182,30 @@
 	l.sendDown(s, reply)
 }
 
-// answerWaits answers the queries whose revision is in force everywhere or whose time is over.
-func (d *leaderState) answerWaits(now time.Time, l *Loop) {
+// answerWaits answers the queries whose revision is in force everywhere or whose time is over, and
+// returns when to look again.
+func (d *leaderState) answerWaits(now time.Time, l *Loop) time.Time {
 	if len(d.waits) == 0 {
-		return
+		return now.Add(idleWake)
+	}
+	if now.Before(d.nextWaits) {
+		return d.nextWaits
 	}
+	newest := l.voter.revision()
 	d.waits = slices.DeleteFunc(d.waits, func(wait inForceWait) bool {
-		report := d.inForce(now, l, wait.revision)
-		if !report.InForce && now.Before(wait.until) {
+		revision := wait.revision
+		if revision == 0 {
+			revision = newest
+		}
+		if now.Before(wait.until) && (revision == 0 || revision > newest || !d.registry.Reached(now, revision)) {
 			return false
 		}
-		body, _ := json.Marshal(report)
+		body, _ := json.Marshal(d.inForce(now, l, wait.revision))
 		l.sendDown(wait.session, &QueryReply{ID: wait.id, Body: body})
 		return true
 	})
+	d.nextWaits = now.Add(waitsInterval)
+	return d.nextWaits
 }
 
 func (d *leaderState) inForce(now time.Time, l *Loop, revision uint64) *admin.InForce {
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -10,19 +10,28 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-// sessionQueue bounds the frames that wait for a slow peer; a session whose queue is full is closed, and
-// the daemon opens another one.
-const sessionQueue = 4096
+const (
+	// sessionQueue bounds the frames that wait for a slow peer; a session whose queue is full is closed,
+	// and the daemon opens another one. The queue grows as needed: a channel of this size took 128 KiB
+	// for each session, which is 1.1 GiB on the leader of 8,800 daemons.
+	sessionQueue = 4096
+
+	// keptQueue is the largest queue, in frames, whose memory is used again.
+	keptQueue = 64
+)
 
 // session is one control stream. The loop sends on it; its own goroutines move the bytes.
 type session struct {
 	peer   string // name of the other daemon
 	remote string // address that was dialed; empty on accepted streams
 	stream *link.Stream
-	out    chan wire.Frame
+	filled chan struct{} // holds a token while frames wait
 	closed chan struct{}
 	once   sync.Once
 
+	mu    sync.Mutex
+	queue []wire.Frame
+
 	// The fields below belong to the loop of a control instance.
 	join    *Join
 	sent    uint64 // revision sent last
@@ -32,20 +41,41 @@
 func newSession(stream *link.Stream, remote string) *session {
 	return &session{
 		peer: stream.Peer, remote: remote, stream: stream,
-		out: make(chan wire.Frame, sessionQueue), closed: make(chan struct{}),
+		filled: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
 
 // send queues a frame without blocking; a full queue closes the session.
 func (s *session) send(frame wire.Frame) {
+	s.mu.Lock()
+	full := len(s.queue) >= sessionQueue
+	if !full {
+		s.queue = append(s.queue, frame)
+	}
+	s.mu.Unlock()
+	if full {
+		s.close()
+		return
+	}
 	select {
-	case s.out <- frame:
-	case <-s.closed:
+	case s.filled <- struct{}{}:
 	default:
-		s.close()
 	}
 }
 
+// take returns the frames that wait and leaves spare, whose frames have been written, as the new queue.
+func (s *session) take(spare []wire.Frame) []wire.Frame {
+	if cap(spare) > keptQueue {
+		spare = nil
+	}
+	clear(spare)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frames := s.queue
+	s.queue = spare[:0]
+	return frames
+}
+
 func (s *session) close() {
 	s.once.Do(func() {
 		close(s.closed)
@@ -75,20 +105,30 @@
 }
 
 func (s *session) write() {
-	writer := bufio.NewWriterSize(s.stream, 16<<10)
+	writer := bufio.NewWriterSize(s.stream, 4<<10)
+	var frames []wire.Frame
 	for {
 		select {
 		case <-s.closed:
 			return
-		case frame := <-s.out:
-			err := wire.WriteFrame(writer, frame.Kind, frame.Body)
-			if err == nil && len(s.out) == 0 {
-				err = writer.Flush()
-			}
-			if err != nil {
+		case <-s.filled:
+			frames = s.take(frames)
+			if err := s.writeAll(writer, frames); err != nil {
 				s.close()
 				return
 			}
 		}
 	}
 }
+
+func (s *session) writeAll(writer *bufio.Writer, frames []wire.Frame) error {
+	for _, frame := range frames {
+		if err := wire.WriteFrame(writer, frame.Kind, frame.Body); err != nil {
+			return fmt.Errorf("write control frame: %w", err)
+		}
+	}
+	if err := writer.Flush(); err != nil {
+		return fmt.Errorf("write control frames: %w", err)
+	}
+	return nil
+}
