--- a/internal/root/ctrl/member/registry.go
+++ b/internal/root/ctrl/member/registry.go
@@ -62,6 +62,18 @@
 
 	subscription struct{ daemon, service string }
 
+	// ranking keeps the MaxView candidates with the highest weights, highest first. Sorting all instances
+	// of a service for each of its callers took seconds of the loop when an availability zone returned.
+	ranking struct {
+		seen int // candidates
+		best [MaxView]ranked
+	}
+
+	ranked struct {
+		weight uint64
+		id     string
+	}
+
 	// Gone names a start of a daemon that was silent for GoneAfter or replaced by a later start.
 	Gone struct {
 		Daemon string
@@ -238,31 +250,49 @@
 	if len(all) <= MaxView {
 		return slices.SortedFunc(maps.Values(all), func(a, b snap.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	type ranked struct {
-		weight   uint64
-		instance snap.Endpoint
-	}
-	var own, other []ranked
+	var own, other ranking
 	for id, instance := range all {
-		candidate := ranked{weight: xxhash.Sum64String(name + "\x00" + id), instance: instance}
+		// The digest is that of name + "\x00" + id, without an allocation for each instance.
+		var digest xxhash.Digest
+		digest.Reset()
+		_, _ = digest.WriteString(name)
+		_, _ = digest.WriteString("\x00")
+		_, _ = digest.WriteString(id)
 		if instance.Zone == zone {
-			own = append(own, candidate)
+			own.add(digest.Sum64(), id)
 		} else {
-			other = append(other, candidate)
+			other.add(digest.Sum64(), id)
 		}
 	}
-	byWeight := func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) }
-	slices.SortFunc(own, byWeight)
-	slices.SortFunc(other, byWeight)
-	fromOther := max(min(len(other), minOtherZones), MaxView-len(own))
-	chosen := append(own[:MaxView-fromOther], other[:fromOther]...)
-	out := make([]snap.Endpoint, 0, len(chosen))
-	for _, candidate := range chosen {
-		out = append(out, candidate.instance)
+	fromOther := max(min(other.seen, minOtherZones), MaxView-own.seen)
+	out := make([]snap.Endpoint, 0, MaxView)
+	for _, candidate := range own.best[:MaxView-fromOther] {
+		out = append(out, all[candidate.id])
+	}
+	for _, candidate := range other.best[:fromOther] {
+		out = append(out, all[candidate.id])
 	}
 	return out
 }
 
+// add counts a candidate and keeps it where it is among the best.
+func (r *ranking) add(weight uint64, id string) {
+	kept := min(r.seen, MaxView)
+	r.seen++
+	if kept == MaxView {
+		if weight <= r.best[MaxView-1].weight {
+			return
+		}
+		kept--
+	}
+	at := kept
+	for at > 0 && r.best[at-1].weight < weight {
+		r.best[at] = r.best[at-1]
+		at--
+	}
+	r.best[at] = ranked{weight: weight, id: id}
+}
+
 // Changes returns the changes of at most limit views and whether more views have changed.
 func (r *Registry) Changes(limit int) ([]Send, bool) {
 	var out []Send
@@ -289,8 +319,12 @@
 		change.Base = 0
 		known.instances = map[string]snap.Endpoint{}
 	}
-	current := map[string]snap.Endpoint{}
-	for _, instance := range r.View(s.service, s.daemon, d.zone) {
+	view := r.View(s.service, s.daemon, d.zone)
+	if !known.full && known.shows(view) {
+		return Change{}, false
+	}
+	current := make(map[string]snap.Endpoint, len(view))
+	for _, instance := range view {
 		current[instance.ID] = instance
 		if known.instances[instance.ID] != instance {
 			change.Set = append(change.Set, instance)
@@ -301,15 +335,25 @@
 			change.Removed = append(change.Removed, id)
 		}
 	}
-	if !known.full && len(change.Set) == 0 && len(change.Removed) == 0 {
-		return Change{}, false
-	}
 	r.version++
 	change.Version = r.version
 	known.version, known.instances, known.full = change.Version, current, false
 	return change, true
 }
 
+// shows reports whether the daemon was sent exactly these instances.
+func (v *view) shows(instances []snap.Endpoint) bool {
+	if len(instances) != len(v.instances) {
+		return false
+	}
+	for i := range instances {
+		if v.instances[instances[i].ID] != instances[i] {
+			return false
+		}
+	}
+	return true
+}
+
 // Behind returns the daemons with a live lease that have not reported revision, and how many have a lease.
 func (r *Registry) Behind(now time.Time, revision uint64) ([]string, int) {
 	var behind []string
--- a/internal/root/ctrl/member/registry_test.go
+++ b/internal/root/ctrl/member/registry_test.go
@@ -1,9 +1,14 @@
 package member
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
@@ -64,3 +69,38 @@
 	assert.Assert(t, r.Reached(later, 2))
 	assert.Assert(t, !r.Reached(later, 3))
 }
+
+// TestViewTakesHighestWeights guards against a choice of instances that differs from rendezvous hashing,
+// because then one lost instance would change many others of a daemon's view.
+func TestViewTakesHighestWeights(t *testing.T) {
+	for _, zones := range []int{1, 2, 6} {
+		for _, count := range []int{MaxView, MaxView + 1, 200} {
+			r := NewRegistry()
+			var own, other []snap.Endpoint
+			for i := range count {
+				made := snap.Endpoint{ID: fmt.Sprint("instance-", i), Service: "s", Zone: zoneName(i % zones)}
+				r.list(made)
+				if made.Zone == zoneName(0) {
+					own = append(own, made)
+				} else {
+					other = append(other, made)
+				}
+			}
+			highest := func(a, b snap.Endpoint) int {
+				if xxhash.Sum64String("caller\x00"+a.ID) > xxhash.Sum64String("caller\x00"+b.ID) {
+					return -1
+				}
+				return 1
+			}
+			slices.SortFunc(own, highest)
+			slices.SortFunc(other, highest)
+			fromOther := max(min(len(other), minOtherZones), MaxView-len(own))
+			want := append(own[:MaxView-fromOther], other[:fromOther]...)
+			got := r.View("s", "caller", zoneName(0))
+			for _, list := range [][]snap.Endpoint{want, got} {
+				slices.SortFunc(list, func(a, b snap.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+			}
+			assert.DeepEqual(t, got, want)
+		}
+	}
+}
