--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -24,9 +24,31 @@
 	path    string
 }
 
-// ValidateRules checks a rules text as every voter does before it accepts one.
-func ValidateRules(text []byte) error {
-	_, err := rules.Parse("rules", text)
+// parsedRules is the rules text that was parsed last. A change passes the proposing daemon, the state
+// machine, the owner of the rates and the daemon of one instance, which all parse the same text.
+type parsedRules struct {
+	hash [sha256.Size]byte
+	set  *rules.Set // nil before the first
+}
+
+// parseRules parses a rules text unless it is the one parsed last.
+func (l *Loop) parseRules(name string, text []byte) (*rules.Set, error) {
+	hash := sha256.Sum256(text)
+	if l.parsed.set != nil && l.parsed.hash == hash {
+		return l.parsed.set, nil
+	}
+	set, err := rules.Parse(name, text)
+	if err != nil {
+		// The problems are shown to operators as they are.
+		return nil, err
+	}
+	l.parsed = parsedRules{hash: hash, set: set}
+	return set, nil
+}
+
+// validate checks a rules text as every voter does before it accepts one.
+func (l *Loop) validate(text []byte) error {
+	_, err := l.parseRules("rules", text)
 	return err
 }
 
@@ -45,7 +67,7 @@
 		l.rejectFile(file.Path, file.Err)
 		return
 	}
-	set, err := rules.Parse(file.Path, file.Text)
+	set, err := l.parseRules(file.Path, file.Text)
 	if err != nil {
 		l.rejectFile(file.Path, err)
 		return
@@ -139,7 +161,7 @@
 			return
 		}
 	}
-	set, err := rules.Parse("rules", text)
+	set, err := l.parseRules("rules", text)
 	if err != nil {
 		l.log.Error().Uint64("revision", config.Number).Err(err).Msg("config-unreadable")
 		return
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -8,7 +8,6 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
-	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -29,7 +28,8 @@
 		owner      *limit.Owner
 		registry   *member.Registry
 		docket     *crash.Docket
-		daemons    map[string]*session // joined daemons by peer address
+		configs    map[uint64]wire.Frame // encoded Config to the accepted revision, by base revision
+		daemons    map[string]*session   // joined daemons by peer address
 		beats      map[string]daemonBeat
 		waits      []inForceWait
 		nextWaits  time.Time // when the waits are looked at next
@@ -62,6 +62,7 @@
 		owner:      limit.NewOwner(now, term, l.acceptedLimits()),
 		registry:   member.NewRegistry(),
 		docket:     crash.NewDocket(),
+		configs:    map[uint64]wire.Frame{},
 		daemons:    map[string]*session{},
 		beats:      map[string]daemonBeat{},
 		nextExpiry: now.Add(expiryInterval),
@@ -88,7 +89,7 @@
 	if current == nil {
 		return nil
 	}
-	set, err := rules.Parse("rules", current.Text)
+	set, err := l.parseRules("rules", current.Text)
 	if err != nil {
 		l.log.Error().Uint64("revision", current.Number).Err(err).Msg("accepted-rules-unreadable")
 		return nil
@@ -112,8 +113,7 @@
 		l.log.Error().Err(err).Msg("control-message-not-sent")
 		return
 	}
-	s.traffic += uint64(len(frame.Body) + wire.HeaderSize)
-	s.send(frame)
+	s.queueFrame(frame)
 }
 
 // handleUp handles a message of a daemon. Without its own lease this member answers nothing: another
@@ -170,7 +170,7 @@
 	if known := machine.Revision(join.Revision); known != nil && bytes.Equal(known.Hash, join.Hash) {
 		s.sent = join.Revision
 	}
-	d.sendConfig(l, s, map[uint64]*Config{})
+	d.sendConfig(l, s)
 	l.sendDown(s, quarantineList(machine))
 	l.log.Debug().Str("daemon", join.Daemon).Msg("daemon-joined")
 }
@@ -251,26 +251,30 @@
 // configChanged sends the accepted configuration to every joined daemon.
 func (d *leaderState) configChanged(now time.Time, l *Loop) {
 	d.stepOwner(now, l, &limit.SetLimits{Limits: l.acceptedLimits()})
-	prepared := map[uint64]*Config{}
+	clear(d.configs)
 	for _, s := range d.daemons {
-		d.sendConfig(l, s, prepared)
+		d.sendConfig(l, s)
 	}
 }
 
-// sendConfig brings a daemon from the revision sent last to the accepted one; prepared keeps messages
-// that other daemons on the same revision can share.
-func (d *leaderState) sendConfig(l *Loop, s *session, prepared map[uint64]*Config) {
+// sendConfig brings a daemon from the revision sent last to the accepted one. Daemons on the same revision
+// share one frame: when an availability zone returns, 1,467 copies of the rules would wait at once.
+func (d *leaderState) sendConfig(l *Loop, s *session) {
 	machine := l.voter.machine
 	current := machine.InForce()
 	if current == nil || s.sent == current.Number {
 		return
 	}
-	message := prepared[s.sent]
-	if message == nil {
-		message = configMessage(machine, s.sent, current)
-		prepared[s.sent] = message
+	frame, ok := d.configs[s.sent]
+	if !ok {
+		var err error
+		if frame, err = encodeDown(configMessage(machine, s.sent, current)); err != nil {
+			l.log.Error().Err(err).Msg("control-message-not-sent")
+			return
+		}
+		d.configs[s.sent] = frame
 	}
-	l.sendDown(s, message)
+	s.queueFrame(frame)
 	s.sent = current.Number
 }
 
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -50,7 +50,8 @@
 		waiters  atomic.Uint64                          // numbers waiting requests
 		received atomic.Uint64                          // bytes from the leader
 		sent     uint64                                 // bytes to the leader
-		dirty    bool                                   // the snapshot has to be published again
+		parsed   parsedRules
+		dirty    bool // the snapshot has to be published again
 
 		daemon *daemonState
 		voter  *voterState // nil on daemons without a data folder
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -63,6 +63,12 @@
 	}
 }
 
+// queueFrame sends a frame to a daemon and counts its bytes; the frame may be shared between sessions.
+func (s *session) queueFrame(frame wire.Frame) {
+	s.traffic += uint64(len(frame.Body) + wire.HeaderSize)
+	s.send(frame)
+}
+
 // take returns the frames that wait and leaves spare, whose frames have been written, as the new queue.
 func (s *session) take(spare []wire.Frame) []wire.Frame {
 	if cap(spare) > keptQueue {
@@ -123,7 +129,14 @@
 
 func (s *session) writeAll(writer *bufio.Writer, frames []wire.Frame) error {
 	for _, frame := range frames {
-		if err := wire.WriteFrame(writer, frame.Kind, frame.Body); err != nil {
+		if len(frame.Body) > wire.MaxFrame {
+			return fmt.Errorf("%w: %d bytes, limit %d", wire.ErrFrameTooLarge, len(frame.Body), wire.MaxFrame)
+		}
+		// Header and body are written apart, so that sessions share the body of a large frame.
+		var header [wire.HeaderSize]byte
+		wire.PutHeader(header[:], frame.Kind, len(frame.Body))
+		_, _ = writer.Write(header[:])
+		if _, err := writer.Write(frame.Body); err != nil {
 			return fmt.Errorf("write control frame: %w", err)
 		}
 	}
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -60,7 +60,7 @@
 	v := &voterState{
 		name:      cfg.Name,
 		peers:     cfg.Voters,
-		machine:   state.New(ValidateRules),
+		machine:   state.New(l.validate),
 		writer:    newWriter(storage, l),
 		links:     map[string]*raftLink{},
 		sessions:  map[*session]struct{}{},
@@ -227,7 +227,7 @@
 }
 
 func (l *Loop) restore(snapshot raft.Snapshot) {
-	machine, err := state.Restore(snapshot.Data, ValidateRules)
+	machine, err := state.Restore(snapshot.Data, l.validate)
 	if err != nil {
 		// A snapshot that passed its checksum and cannot be read leaves this member without a state.
 		panic(fmt.Sprintf("restore snapshot at index %d: %v", snapshot.Index, err))
