--- a/internal/root/ctrl/disk/disk.go
+++ b/internal/root/ctrl/disk/disk.go
@@ -15,6 +15,7 @@
 
 	defaultSegmentSize = 4 << 20
 	defaultKeepEntries = 4096
+	defaultKeepBytes   = 64 << 20
 
 	// maxSegment bounds what is read of one segment: its size is checked after a batch was added.
 	maxSegment = 64 << 20
@@ -54,6 +55,8 @@
 		SegmentSize int64
 		// KeepEntries is the number of entries kept behind a snapshot.
 		KeepEntries uint64
+		// KeepBytes is the largest size of the segments kept behind a snapshot, except for the last of them.
+		KeepBytes int64
 	}
 
 	// Disk is a data folder; it implements Storage.
@@ -99,6 +102,9 @@
 	if opts.KeepEntries == 0 {
 		opts.KeepEntries = defaultKeepEntries
 	}
+	if opts.KeepBytes == 0 {
+		opts.KeepBytes = defaultKeepBytes
+	}
 	d := &Disk{dir: filepath.Clean(dir), fs: opts.FS, random: opts.Random, opts: opts}
 	if err := d.fs.MkdirAll(d.dir); err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
@@ -246,7 +252,7 @@
 }
 
 // compact removes snapshots before index, and segments whose entries are all older than what is kept
-// behind it. Each removal is synced before the next, so that no gap can appear.
+// behind it or exceed its size. Each removal is synced before the next, so that no gap can appear.
 func (d *Disk) compact(index uint64) error {
 	if count := len(d.snapshots); count == 0 || d.snapshots[count-1] != index {
 		d.snapshots = append(d.snapshots, index)
@@ -257,7 +263,12 @@
 		}
 		d.snapshots = d.snapshots[1:]
 	}
-	for len(d.segments) > 1 && d.segments[0].last+d.opts.KeepEntries <= index {
+	size := int64(0) // of the segments whose entries are all in the snapshot
+	for i := 0; i < len(d.segments)-1 && d.segments[i].last <= index; i++ {
+		size += d.segments[i].size
+	}
+	for len(d.segments) > 1 && (d.segments[0].last+d.opts.KeepEntries <= index || size > d.opts.KeepBytes) {
+		size -= d.segments[0].size
 		if err := d.remove(segmentName(d.segments[0].number)); err != nil {
 			return err
 		}
--- a/internal/root/ctrl/disk/disk_test.go
+++ b/internal/root/ctrl/disk/disk_test.go
@@ -296,3 +296,33 @@
 		}
 	})
 }
+
+// TestCompactBySize guards against a folder that grows with the size of its entries, and against a log with
+// a gap after compaction.
+func TestCompactBySize(t *testing.T) {
+	fs := newMemFS(1)
+	opts := testOpts(fs)
+	opts.KeepEntries, opts.KeepBytes = 4096, 3000
+	d, err := Open(testDir, opts)
+	assert.NilError(t, err)
+	_, err = d.Load()
+	assert.NilError(t, err)
+	for i := uint64(1); i <= 200; i++ {
+		assert.NilError(t, d.Save(raft.Batch{Entries: entries(i, i, 1)}))
+		if i%20 == 0 {
+			assert.NilError(t, d.SaveSnapshot(snapshotAt(i, 1)))
+			behind := int64(0)
+			for _, s := range d.segments {
+				behind += s.size
+			}
+			assert.Assert(t, behind <= opts.KeepBytes+2*opts.SegmentSize, "%d bytes of segments at entry %d", behind, i)
+		}
+	}
+	assert.NilError(t, d.Close())
+	_, r := open(t, fs)
+	assert.Equal(t, r.Snapshot.Index, uint64(200))
+	for i := 1; i < len(r.Entries); i++ {
+		assert.Equal(t, r.Entries[i].Index, r.Entries[i-1].Index+1)
+	}
+	assert.Equal(t, r.Entries[len(r.Entries)-1].Index, uint64(200))
+}
--- a/internal/root/ctrl/raft/log.go
+++ b/internal/root/ctrl/raft/log.go
@@ -77,6 +77,19 @@
 	l.entries = l.entries[:kept:kept]
 }
 
+// before returns the last held index for which the entries after it up to index hold at most size bytes;
+// index must be held.
+func (l *entryLog) before(index uint64, size int) uint64 {
+	for index > l.base {
+		size -= len(l.entries[index-l.base-1].Data)
+		if size < 0 {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact removes the entries up to index, which must be held.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base {
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -53,6 +53,7 @@
 		snapshot *Snapshot // latest synced or installed
 		taken    *Snapshot // handed to the disk, not yet synced
 		taking   bool      // a snapshot was asked for and is not yet synced
+		grown    int       // size of the entries applied since a snapshot was asked for
 
 		writes   writes
 		held     []heldSend
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -233,3 +233,31 @@
 	}
 	assert.Assert(t, len(r.sent)-count <= 2*r.n.cfg.MaxInflight)
 }
+
+// TestLargeEntriesAreCompacted guards against a log that keeps thousands of large entries in memory because
+// only their number is bounded.
+func TestLargeEntriesAreCompacted(t *testing.T) {
+	const size, bound = 1 << 10, 16 << 10
+	n := New(Config{Name: "a", Peers: []string{"a"}, SnapshotBytes: bound}, Restored{Disk: "da", Boot: 1, Start: 1}, t0)
+	r := &rig{t: t, n: n, now: t0}
+	r.step(Tick{})
+	taken := 0
+	for id := uint64(1); id <= 100; id++ {
+		r.all = nil
+		r.step(Propose{ID: id, Data: make([]byte, size)})
+		for _, action := range r.all {
+			if _, ok := action.(TakeSnapshot); ok {
+				taken++
+				index := n.Status().Applied
+				r.step(SnapshotTaken{Index: index})
+				r.step(SnapshotPersisted{Index: index})
+			}
+		}
+		held := 0
+		for _, e := range n.log.entries {
+			held += len(e.Data)
+		}
+		assert.Assert(t, held <= 2*bound, "%d bytes held after %d entries", held, id)
+	}
+	assert.Equal(t, taken, 100*size/bound)
+}
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -78,6 +78,9 @@
 		SnapshotEvery uint64
 		// KeepEntries is the number of entries kept behind a snapshot for slow followers.
 		KeepEntries uint64
+		// SnapshotBytes is the size of applied entries after which a snapshot is asked for, and the largest
+		// size kept behind it. Entries that hold rules texts of 1 MB would else take gigabytes of memory.
+		SnapshotBytes int
 		// MaxUncommitted is the number of entries that a leader holds before it refuses proposals.
 		MaxUncommitted uint64
 		// MaxOutstanding is the number of batches with entries that wait for the disk at the same time.
@@ -205,6 +208,7 @@
 	c.Lease = orDefault(c.Lease, 350*time.Millisecond)
 	c.SnapshotEvery = orDefault(c.SnapshotEvery, 4096)
 	c.KeepEntries = orDefault(c.KeepEntries, 4096)
+	c.SnapshotBytes = orDefault(c.SnapshotBytes, 64<<20)
 	c.MaxUncommitted = orDefault(c.MaxUncommitted, 4096)
 	c.MaxOutstanding = orDefault(c.MaxOutstanding, 2)
 	c.MaxInflight = orDefault(c.MaxInflight, 8)
--- a/internal/root/ctrl/raft/write.go
+++ b/internal/root/ctrl/raft/write.go
@@ -110,6 +110,7 @@
 		committed := make([]Committed, 0, len(batch))
 		for i := range batch {
 			e := &batch[i]
+			n.grown += len(e.Data)
 			if n.role == Leader {
 				n.lead.uncommittedBytes -= len(e.Data)
 			}
@@ -142,8 +143,9 @@
 	if n.snapshot != nil {
 		from = n.snapshot.Index
 	}
-	if !n.taking && n.applied-from >= n.cfg.SnapshotEvery {
-		n.taking = true
+	due := n.applied-from >= n.cfg.SnapshotEvery || n.applied > from && n.grown >= n.cfg.SnapshotBytes
+	if !n.taking && due {
+		n.taking, n.grown = true, 0
 		n.out = append(n.out, TakeSnapshot{})
 	}
 }
@@ -168,9 +170,11 @@
 	}
 	if n.snapshot == nil || n.snapshot.Index < index {
 		n.snapshot = n.taken
+		unkept := n.log.before(index, n.cfg.SnapshotBytes)
 		if index > n.cfg.KeepEntries {
-			n.log.compact(index - n.cfg.KeepEntries)
+			unkept = max(unkept, index-n.cfg.KeepEntries)
 		}
+		n.log.compact(unkept)
 	}
 	n.taken, n.taking = nil, false
 }
