--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -9,14 +9,16 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
-	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 const (
-	maxBehind       = 64 // revisions; a daemon further behind gets the whole text
-	changesPerStep  = 512
-	expiryInterval  = time.Second
+	maxBehind      = 64 // revisions; a daemon further behind gets the whole text
+	changesPerStep = 512
+	expiryInterval = time.Second
+	// waitsInterval bounds how often the daemons are looked at for a pending wait, because that takes
+	// 0.1 ms at 8,800 daemons and 17,600 beats arrive in a second.
+	waitsInterval   = 20 * time.Millisecond
 	maxRefusalsKept = 32
 
 	// warmUp is how long a new leader waits for daemons to announce their instances before it replaces the
@@ -31,9 +33,11 @@
 		owner      *limit.Owner
 		registry   *member.Registry
 		docket     *crash.Docket
-		daemons    map[string]*session // joined daemons by peer address
+		configs    map[uint64]wire.Frame // encoded Config to the accepted revision, by base revision
+		daemons    map[string]*session   // joined daemons by peer address
 		beats      map[string]daemonBeat
 		waits      []inForceWait
+		nextWaits  time.Time // when the waits are looked at next
 		refusals   []proposalRefusal
 		nextExpiry time.Time
 		warmUntil  time.Time // zero once the registry counts as complete
@@ -65,6 +69,7 @@
 		owner:      limit.NewOwner(now, term, l.acceptedLimits()),
 		registry:   member.NewRegistry(),
 		docket:     crash.NewDocket(),
+		configs:    map[uint64]wire.Frame{},
 		daemons:    map[string]*session{},
 		beats:      map[string]daemonBeat{},
 		nextExpiry: now.Add(expiryInterval),
@@ -92,7 +97,7 @@
 	if current == nil {
 		return nil
 	}
-	set, err := rules.Parse("rules", current.Text)
+	set, err := l.parseRules("rules", current.Text)
 	if err != nil {
 		l.log.Error().Uint64("revision", current.Number).Err(err).Msg("accepted-rules-unreadable")
 		return nil
@@ -116,8 +121,7 @@
 		l.log.Error().Err(err).Msg("control-message-not-sent")
 		return
 	}
-	s.traffic += uint64(len(frame.Body) + wire.HeaderSize)
-	s.send(frame)
+	s.queueFrame(frame)
 }
 
 // handleUp handles a message of a daemon. Without its own lease this member answers nothing: another
@@ -175,7 +179,7 @@
 	if known := machine.Revision(join.Revision); known != nil && bytes.Equal(known.Hash, join.Hash) {
 		s.sent = join.Revision
 	}
-	d.sendConfig(l, s, map[uint64]*Config{})
+	d.sendConfig(l, s)
 	l.sendDown(s, quarantineList(machine))
 	l.log.Debug().Str("daemon", join.Daemon).Msg("daemon-joined")
 }
@@ -189,7 +193,6 @@
 	d.beats[s.join.Daemon] = daemonBeat{name: s.peer, zone: s.join.Zone, revision: beat.Revision, at: now}
 	lease.Revision = l.voter.revision()
 	l.sendDown(s, leaseDown{&lease})
-	d.answerWaits(now, l)
 }
 
 // closed ends the stream of a daemon; its instances stay until its lease ends.
@@ -237,7 +240,7 @@
 // voters that run different versions of the check would then hold different states.
 func (l *Loop) proposeConfig(now time.Time, s *session, message *Propose) {
 	waiting := configProposal{session: s, number: message.Number, hash: message.Hash, author: message.Author}
-	if err := ValidateRules(message.Text); err != nil {
+	if err := l.validate(message.Text); err != nil {
 		l.answerProposal(waiting, &state.ConfigRefused{
 			Reason: state.TextInvalid, Number: message.Number, InForce: l.voter.revision(), Detail: err.Error(),
 		})
@@ -276,26 +279,30 @@
 // configChanged sends the accepted configuration to every joined daemon.
 func (d *leaderState) configChanged(now time.Time, l *Loop) {
 	d.stepOwner(now, l, &limit.SetLimits{Limits: l.acceptedLimits()})
-	prepared := map[uint64]*Config{}
+	clear(d.configs)
 	for _, s := range d.daemons {
-		d.sendConfig(l, s, prepared)
+		d.sendConfig(l, s)
 	}
 }
 
-// sendConfig brings a daemon from the revision sent last to the accepted one; prepared keeps messages
-// that other daemons on the same revision can share.
-func (d *leaderState) sendConfig(l *Loop, s *session, prepared map[uint64]*Config) {
+// sendConfig brings a daemon from the revision sent last to the accepted one. Daemons on the same revision
+// share one frame: when an availability zone returns, 1,467 copies of the rules would wait at once.
+func (d *leaderState) sendConfig(l *Loop, s *session) {
 	machine := l.voter.machine
 	current := machine.InForce()
 	if current == nil || s.sent == current.Number {
 		return
 	}
-	message := prepared[s.sent]
-	if message == nil {
-		message = configMessage(machine, s.sent, current)
-		prepared[s.sent] = message
+	frame, ok := d.configs[s.sent]
+	if !ok {
+		var err error
+		if frame, err = encodeDown(configMessage(machine, s.sent, current)); err != nil {
+			l.log.Error().Err(err).Msg("control-message-not-sent")
+			return
+		}
+		d.configs[s.sent] = frame
 	}
-	l.sendDown(s, message)
+	s.queueFrame(frame)
 	s.sent = current.Number
 }
 
@@ -360,7 +367,7 @@
 		next = earliest(next, d.warmUntil)
 	}
 	d.settleExpiry(now, l)
-	d.answerWaits(now, l)
+	next = earliest(next, d.answerWaits(now, l))
 	return earliest(next, d.nextExpiry)
 }
 
--- a/internal/root/ctrl/member/registry.go
+++ b/internal/root/ctrl/member/registry.go
@@ -262,6 +262,18 @@
 	return behind, live
 }
 
+// Reached reports whether every daemon with a live lease has reported revision; it stops at the first
+// that has not.
+func (r *Registry) Reached(now time.Time, revision uint64) bool {
+	for element := r.beats.Front(); element != nil; element = element.Next() {
+		d := element.Value.(*daemon)
+		if d.revision < revision && now.Sub(d.last) < DaemonLease {
+			return false
+		}
+	}
+	return true
+}
+
 // at returns the latest time seen, so that a clock that steps back does not reorder the leases.
 func (r *Registry) at(now time.Time) time.Time {
 	if now.After(r.now) {
