--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -26,6 +26,8 @@
 	replays     prometheus.Counter
 	resumes     prometheus.Counter
 	cutShort    prometheus.Counter
+	withinRate  *prometheus.CounterVec
+	added       *prometheus.HistogramVec
 }
 
 // New returns a meter with its own registry.
@@ -52,9 +54,15 @@
 		replays:  counter("replays_total", "Answers given from an idempotency record."),
 		resumes:  counter("resumes_total", "Downloads resumed from another instance."),
 		cutShort: counter("answers_cut_short_total", "Answers that could not be completed."),
+		withinRate: counters("refusals_within_rate_total",
+			"Calls refused for a lack of capacity although they were within their client account's rate.", "reason", "account"),
+		added: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "added_latency_seconds", Buckets: latencyBuckets,
+			Help: "Time to the head of a call's answer that was not spent in the backend server.",
+		}, []string{"service"}),
 	}
 	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
-		m.backendLost, m.replays, m.resumes, m.cutShort,
+		m.backendLost, m.replays, m.resumes, m.cutShort, m.withinRate, m.added,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -96,3 +104,13 @@
 
 // CutShort counts an answer that could not be completed.
 func (m *Meter) CutShort() { m.cutShort.Inc() }
+
+// RefusedWithinRate counts a call that was refused although its client account was within its rate.
+func (m *Meter) RefusedWithinRate(reason, account string) {
+	m.withinRate.WithLabelValues(reason, account).Inc()
+}
+
+// Added counts the time that the daemons added to a call.
+func (m *Meter) Added(service string, added time.Duration) {
+	m.added.WithLabelValues(service).Observe(max(added, 0).Seconds())
+}
--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
@@ -20,8 +21,7 @@
 	// its server is closing has an unknown outcome.
 	idleConnTimeout = 4 * time.Second
 
-	backendDialTimeout = time.Second
-	probeTimeout       = 100 * time.Millisecond
+	probeTimeout = 100 * time.Millisecond
 
 	// lostHold keeps a request whose connection broke among the suspects until the new incarnation of a
 	// restarted backend server has announced itself.
@@ -45,6 +45,7 @@
 		clock    clock.Clock
 		control  Control
 		suspects *crash.Suspects
+		timeout  time.Duration // for a connection to a backend server
 
 		mu   sync.RWMutex
 		byID map[string]*backend
@@ -72,21 +73,46 @@
 	b.byID[endpoint.ID] = &backend{
 		endpoint:  endpoint,
 		limiter:   admit.NewLimiter(now, int(endpoint.Slots)),
-		transport: newTransport(endpoint),
+		transport: newTransport(endpoint, b.timeout),
 	}
 }
 
-func newTransport(endpoint snap.Endpoint) *http.Transport {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
+func newTransport(endpoint snap.Endpoint, timeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     int(endpoint.Connections),
-		MaxIdleConnsPerHost: int(endpoint.Connections),
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true, // answers pass unchanged
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:        int(endpoint.Connections),
+		MaxIdleConnsPerHost:    int(endpoint.Connections),
+		IdleConnTimeout:        idleConnTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+		DisableCompression:     true, // answers pass unchanged
 	}
 }
 
+// loads returns the state of each limiter; services that the rules do not name are joined under one name,
+// because it is a label of metrics.
+func (b *backends) loads() []meter.Load {
+	set := b.control.Snapshot().Rules
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var out []meter.Load
+	for _, target := range b.byID {
+		service := target.endpoint.Service
+		if set == nil || set.Services[service] == nil {
+			service = "other"
+		}
+		load := target.limiter.Load()
+		out = append(out, meter.Load{Service: service, Limit: load.Limit, InFlight: load.InFlight, Waiting: load.Waiting})
+	}
+	return out
+}
+
 func (b *backends) find(id string, incarnation uint64) (*backend, error) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -1,10 +1,19 @@
 package call
 
 import (
+	"bytes"
+	"fmt"
 	"net"
+	"net/http"
 	"sync"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
+// serverRefusal is what net/http writes after the status line of a request that it refuses itself. No
+// other answer begins like this, because their Date precedes the Content-Type.
+const serverRefusal = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+
 // boundedListener closes connections above the limit instead of letting them queue without bound.
 type boundedListener struct {
 	net.Listener
@@ -38,6 +47,26 @@
 	release func()
 }
 
+// Write passes answers on; to a refusal that the HTTP server makes itself, before any handler runs, it adds
+// the header fields that all refusals carry.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	line, body, found := bytes.Cut(p, []byte(serverRefusal))
+	if !found || bytes.IndexByte(line, '\n') >= 0 || !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) {
+		return c.Conn.Write(p)
+	}
+	failure := retry.Failure(retry.BadRequest{})
+	if bytes.HasPrefix(line, fmt.Appendf(nil, "HTTP/1.1 %d ", http.StatusRequestHeaderFieldsTooLarge)) {
+		failure = retry.HeaderTooLarge{}
+	}
+	row := retry.Describe(failure)
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s%s%s", row.Status, http.StatusText(row.Status),
+		HeaderOutcome, row.Outcome, HeaderReason, row.Reason, serverRefusal, body)
+	if _, err := c.Conn.Write([]byte(text)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 // Close closes the connection and frees its place.
 func (c *boundedConn) Close() error {
 	c.once.Do(c.release)
--- a/internal/root/call/exchange.go
+++ b/internal/root/call/exchange.go
@@ -39,6 +39,7 @@
 		reader *bufio.Reader
 		buffer []byte
 		stop   func() bool
+		cancel context.CancelFunc
 	}
 
 	// event is a message from the answering daemon: admitted, refused, answered, data or ended.
@@ -172,6 +173,9 @@
 func (x *exchange) close() {
 	x.stop()
 	x.abort()
+	if x.cancel != nil {
+		x.cancel()
+	}
 }
 
 // failureOf turns a refusal of another daemon into a failure; an unknown pair cannot occur after Check.
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
@@ -14,6 +15,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 // wantTimeout bounds the wait for the first list of a service's instances.
@@ -36,12 +38,12 @@
 		pickers map[string]*servicePicker
 	}
 
-	// servicePicker pairs a picker with the version of the endpoints it was updated to.
+	// servicePicker pairs a picker with the endpoints and the rules that it was updated to.
 	servicePicker struct {
-		picker  *picker.Picker
-		mu      sync.Mutex
-		version uint64
-		updated bool
+		picker *picker.Picker
+		list   atomic.Pointer[snap.Endpoints] // the list of the last update
+		rules  atomic.Pointer[rules.Set]      // the rules whose retry share is in use
+		mu     sync.Mutex                     // held during an update
 	}
 
 	// result is how a request ended: delivered whole, failed before the caller got a byte, or broken off
@@ -59,7 +61,7 @@
 		Overloaded bool
 	}
 
-	broken struct{}
+	broken struct{ caller bool } // caller is true when the caller's side of the answer failed
 
 	// attempt is what one send to one instance yielded.
 	attempt struct {
@@ -87,45 +89,46 @@
 }
 
 func (f *Forwarder) forward(ctx context.Context, r *Request, to sink) result {
-	instances := f.instances(ctx, r.Route.Service)
+	instances := f.instances(ctx, r)
 	if instances == nil {
 		return failed{Failure: retry.NoBackend{}, Final: true}
 	}
 	var tried []string
+	var earlier retry.Failure // of the sends before this one
 	for sent := 1; ; sent++ {
 		now := f.Clock.Now()
 		if !now.Before(r.Deadline) {
-			return failed{Failure: retry.DeadlineBefore{}, Final: true}
+			return failed{Failure: retry.Merge(earlier, retry.DeadlineBefore{}), Final: true}
 		}
 		endpoint, ok := instances.Pick(now, tried)
 		if !ok {
-			return failed{Failure: retry.NoBackend{}, Final: true}
+			return failed{Failure: retry.Merge(earlier, retry.NoBackend{}), Final: true}
 		}
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
 		got := f.send(ctx, r, &endpoint, loan.Retries)
+		r.Budget.Settle(loan, got.report.Unspent)
 		if got.failure == nil && !f.retryableStatus(r, got) {
-			outcome := f.deliver(ctx, r, to, got, &endpoint, instances)
-			r.Budget.Settle(loan, got.report.Unspent)
-			return outcome
+			return f.deliver(ctx, r, to, got, &endpoint, instances)
 		}
 		instances.Done(f.Clock.Now(), endpoint.ID, got.pick)
-		r.Budget.Settle(loan, got.report.Unspent)
 		verdict := f.decide(r, got, sent)
 		again, ok := verdict.(retry.Again)
 		if !ok {
-			return f.giveUp(ctx, r, to, got, verdict)
+			return f.giveUp(ctx, r, to, got, verdict, earlier)
 		}
 		got.close()
+		earlier = retry.Merge(earlier, got.failureOrLost())
 		f.Meter.Retry(r.Route.Service)
 		if !f.pause(ctx, again.After) {
-			return failed{Failure: got.failureOrLost(), Final: true}
+			return failed{Failure: earlier, Final: true}
 		}
 	}
 }
 
 // instances returns the picker of a service, subscribing to the service on its first call.
-func (f *Forwarder) instances(ctx context.Context, service string) *picker.Picker {
+func (f *Forwarder) instances(ctx context.Context, r *Request) *picker.Picker {
+	service := r.Route.Service
 	list := f.Control.Snapshot().Endpoints[service]
 	if list == nil {
 		waiting, cancel := context.WithTimeout(ctx, wantTimeout)
@@ -135,13 +138,25 @@
 		}
 	}
 	entry := f.pickerOf(service)
+	if entry.list.Load() != list || entry.rules.Load() != r.Rules {
+		f.update(entry, list, r)
+	}
+	return entry.picker
+}
+
+// update brings a picker and its service's retry share to the published state; an equal version
+// holds the same instances.
+func (f *Forwarder) update(entry *servicePicker, list *snap.Endpoints, r *Request) {
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
-	if !entry.updated || entry.version != list.Version {
+	if current := entry.list.Load(); current == nil || current.Version != list.Version {
 		entry.picker.Update(f.Clock.Now(), list.Instances)
-		entry.version, entry.updated = list.Version, true
 	}
-	return entry.picker
+	entry.list.Store(list)
+	if service := r.Rules.Services[r.Route.Service]; service != nil && entry.rules.Load() != r.Rules {
+		f.Planner.SetShare(r.Route.Service, service.RetryShare)
+		entry.rules.Store(r.Rules)
+	}
 }
 
 func (f *Forwarder) pickerOf(service string) *servicePicker {
@@ -175,17 +190,20 @@
 		if errors.Is(err, errNotSent) {
 			failure = retry.Unreached{}
 			// Nothing has run, so nothing of the loan is spent.
-			return attempt{failure: failure, report: Report{Unspent: retries}, pick: picker.Failed{}}
+			got := attempt{failure: failure, report: Report{Unspent: retries}}
+			got.pick = pickResult(ctx, r, got)
+			return got
 		}
-		return attempt{failure: failure, pick: picker.Failed{}}
+		got := attempt{failure: failure}
+		got.pick = pickResult(ctx, r, got)
+		return got
 	}
-	context.AfterFunc(sending, cancel)
-	got := f.receiveHead(sending, r, x)
+	x.cancel = cancel
+	got := f.receiveHead(sending, r, x, to)
 	got.latency = f.Clock.Now().Sub(started)
-	got.pick = pickResult(ctx, got)
+	got.pick = pickResult(ctx, r, got)
 	if got.failure != nil {
 		x.close()
-		cancel()
 	} else {
 		got.exchange = x
 	}
@@ -216,7 +234,7 @@
 }
 
 // receiveHead reads up to the answer's head or a refusal.
-func (f *Forwarder) receiveHead(ctx context.Context, r *Request, x *exchange) attempt {
+func (f *Forwarder) receiveHead(ctx context.Context, r *Request, x *exchange, to *snap.Endpoint) attempt {
 	for {
 		message, err := x.next()
 		if err != nil {
@@ -227,7 +245,9 @@
 			if r.Rest != nil {
 				rest := r.Rest
 				r.Rest = consumedBody{}
+				r.upload = make(chan struct{})
 				go func() {
+					defer close(r.upload)
 					if err := x.sendBody(r.Prefix, rest); err != nil {
 						r.streamErr.Store(&err)
 						x.abort()
@@ -236,7 +256,7 @@
 			}
 		case refused:
 			if message.Crashed {
-				f.Suspects.Learn(f.Clock.Now(), 0, r.Fingerprint)
+				f.Suspects.Learn(f.Clock.Now(), to.Incarnation, r.Fingerprint)
 			}
 			return attempt{failure: failureOf(&message.RefusedCall), report: message.Report}
 		case answered:
@@ -296,7 +316,7 @@
 }
 
 // giveUp passes on the last answer, or the failure when there was none.
-func (f *Forwarder) giveUp(ctx context.Context, r *Request, to sink, got attempt, verdict retry.Verdict) result {
+func (f *Forwarder) giveUp(ctx context.Context, r *Request, to sink, got attempt, verdict retry.Verdict, earlier retry.Failure) result {
 	if got.failure == nil {
 		return f.relay(ctx, r, to, got, nil)
 	}
@@ -304,7 +324,8 @@
 	if end, ok := verdict.(retry.GiveUp); ok {
 		final = end.Final
 	}
-	return failed{Failure: got.failure, Final: final, Overloaded: got.report.Overloaded || overloadFailure(got.failure)}
+	failure := retry.Merge(earlier, got.failure)
+	return failed{Failure: failure, Final: final, Overloaded: got.report.Overloaded || overloadFailure(got.failure)}
 }
 
 func (f *Forwarder) pause(ctx context.Context, d time.Duration) bool {
@@ -321,9 +342,10 @@
 // deliver passes on an answer, resuming a download from another instance when it breaks.
 func (f *Forwarder) deliver(ctx context.Context, r *Request, to sink, got attempt, endpoint *snap.Endpoint, instances *picker.Picker) result {
 	ended := got.pick
+	f.Meter.Added(r.Route.Service, f.Clock.Now().Sub(r.Started)-got.report.Served)
 	resume := newResumption(r, got.answer)
 	outcome := f.relay(ctx, r, to, got, resume)
-	if _, cut := outcome.(broken); cut && ctx.Err() == nil {
+	if cut, ok := outcome.(broken); ok && !cut.caller && ctx.Err() == nil {
 		ended = picker.Failed{}
 		if resume != nil {
 			instances.Done(f.Clock.Now(), endpoint.ID, ended)
@@ -341,7 +363,7 @@
 func (f *Forwarder) relay(ctx context.Context, r *Request, to sink, got attempt, resume *resumption) result {
 	defer got.close()
 	if err := writeAnswer(to, got.answer); err != nil {
-		return broken{}
+		return broken{caller: true}
 	}
 	for {
 		message, err := got.exchange.next()
@@ -354,12 +376,12 @@
 		switch message := message.(type) {
 		case data:
 			if err := writeData(to, message.bytes); err != nil {
-				return broken{}
+				return broken{caller: true}
 			}
 			resume.passed(len(message.bytes))
 		case ended:
-			if err := writeEnd(to); err != nil {
-				return broken{}
+			if err := writeEnd(to, message.Trailer); err != nil {
+				return broken{caller: true}
 			}
 			overloaded := got.answer.Status >= http.StatusInternalServerError && message.Report.Overloaded
 			return delivered{Status: got.answer.Status, Overloaded: overloaded}
@@ -383,8 +405,10 @@
 	return a.failure
 }
 
-func pickResult(ctx context.Context, got attempt) picker.Result {
-	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+// pickResult says what an attempt tells about its instance; nothing when the caller left or its upload
+// failed.
+func pickResult(ctx context.Context, r *Request, got attempt) picker.Result {
+	if errors.Is(ctx.Err(), context.Canceled) || r.streamErr.Load() != nil {
 		return picker.Canceled{}
 	}
 	switch got.failure.(type) {
--- a/internal/root/call/header.go
+++ b/internal/root/call/header.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -23,10 +25,11 @@
 	bearerPrefix = "bearer "
 )
 
-// hopHeaders describe one connection and are not passed on.
+// hopHeaders describe one connection and are not passed on. Expect is among them because the daemon itself
+// answers it when it reads the body.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
+	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
 // credentialHeaders can carry a caller's key and never reach a backend server.
@@ -49,24 +52,43 @@
 func forwardHeader(header http.Header, key string) http.Header {
 	out := header.Clone()
 	removeHop(out)
-	for _, name := range credentialHeaders {
-		out.Del(name)
-	}
 	removeOwn(out)
-	if key == "" {
-		return out
-	}
 	for name, values := range out {
-		for _, value := range values {
-			if strings.Contains(value, key) {
-				out.Del(name)
-				break
-			}
+		if slices.Contains(credentialHeaders, hyphened(name)) || carriesKey(strings.ToLower(name), strings.ToLower(key)) ||
+			slices.ContainsFunc(values, func(value string) bool { return carriesKey(value, key) }) {
+			delete(out, name)
 		}
 	}
 	return out
 }
 
+// carriesKey reports whether text contains the key, plainly or percent-encoded.
+func carriesKey(text, key string) bool {
+	if key == "" || len(text) < len(key) {
+		return false
+	}
+	if strings.Contains(text, key) {
+		return true
+	}
+	return strings.Contains(text, "%") && strings.Contains(decodePercent(text), key)
+}
+
+// decodePercent decodes each valid percent-encoded byte and keeps everything else.
+func decodePercent(text string) string {
+	var out strings.Builder
+	for i := 0; i < len(text); i++ {
+		if text[i] == '%' && i+2 < len(text) {
+			if value, err := strconv.ParseUint(text[i+1:i+3], 16, 8); err == nil {
+				out.WriteByte(byte(value))
+				i += 2
+				continue
+			}
+		}
+		out.WriteByte(text[i])
+	}
+	return out.String()
+}
+
 // answerHeader returns a copy of a backend server's header without hop-by-hop fields and without fields
 // of this system, which only a daemon may set.
 func answerHeader(header http.Header) http.Header {
@@ -89,8 +111,26 @@
 
 func removeOwn(header http.Header) {
 	for name := range header {
-		if len(name) >= len(ownPrefix) && strings.EqualFold(name[:len(ownPrefix)], ownPrefix) {
+		if strings.HasPrefix(hyphened(name), ownPrefix) {
 			delete(header, name)
 		}
 	}
 }
+
+// hyphened returns a field name in canonical form with hyphens for underscores, because servers that turn
+// header fields into variables read both as the same name.
+func hyphened(name string) string {
+	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
+}
+
+// headerSize returns the size in bytes of a request's line and header.
+func headerSize(r *http.Request) (size, fields int) {
+	size = len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		fields += len(values)
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size, fields
+}
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,9 +23,6 @@
 	// onceWait bounds the wait until an idempotency record is durable.
 	onceWait = 2 * time.Second
 
-	// bodyStall ends a request whose body makes no progress for this long.
-	bodyStall = 30 * time.Second
-
 	maxIdempotencyKey = 256 // bytes
 )
 
@@ -39,11 +35,16 @@
 		Meter     *meter.Meter
 		Log       zerolog.Logger
 		MaxBody   int64 // bytes of a request body
+		MaxHeader int   // bytes of a request line and header
 		MaxCalls  int64 // calls in progress at the ingress address
 
+		BodyStall  time.Duration // longest pause within a request body
+		WriteStall time.Duration // longest time that a caller may accept no byte of an answer
+
 		backends *backends
 		outer    *outerCalls
 		active   atomic.Int64
+		leaving  atomic.Bool // callers are asked to connect elsewhere
 	}
 
 	// caller is what ingress has established about a request: its key's account, or why it is refused.
@@ -59,8 +60,17 @@
 func (h *Handler) ServeIngress(w http.ResponseWriter, r *http.Request) {
 	started := h.Clock.Now()
 	id := newToken()
+	active := h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.active.Add(1) > h.MaxCalls {
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	// Two fields are left for those that the daemons add.
+	if size, fields := headerSize(r); size > h.MaxHeader || fields > maxHeaders-2 {
+		h.refuse(w, id, "", retry.HeaderTooLarge{}, nil)
+		return
+	}
+	if active > h.MaxCalls {
 		h.refuse(w, id, "", retry.Overload{}, nil)
 		return
 	}
@@ -89,22 +99,29 @@
 	request.Header = forwardHeader(r.Header, who.key)
 	request.Header.Add("X-Forwarded-For", callerAddress(r.RemoteAddr))
 	request.Importance = importanceOf(route.Importance)
+	request.Started = started
 	request.Deadline = started.Add(route.Deadline)
 	request.Budget = retry.NewBudget(uint32(route.Retries))
 	if failure, rule := h.takeToken(r.Context(), request, snapshot); failure != nil {
+		if _, unavailable := failure.(retry.RateUnavailable); unavailable {
+			h.Meter.RefusedWithinRate(string(retry.Describe(failure).Reason), who.account)
+		}
 		h.refuse(w, id, who.account, failure, rule)
 		return
 	}
-	outcome := h.run(r.Context(), w, request, started)
-	h.count(request, outcome, started)
+	h.run(r.Context(), w, request, started)
 }
 
 // identify finds the client account of the key that came with the request.
 func identify(set *rules.Set, route *rules.Route, r *http.Request) caller {
+	key := presentedKey(r.Header)
+	if carriesKey(r.RequestURI, key) || carriesKey(r.Host, key) {
+		// A key in the request line or the host would reach the backend server.
+		return caller{failure: retry.BadRequest{}, rule: &route.Rule}
+	}
 	if route.Access == rules.AccessOpen {
-		return caller{key: presentedKey(r.Header)}
+		return caller{key: key}
 	}
-	key := presentedKey(r.Header)
 	if key == "" {
 		return caller{failure: retry.KeyMissing{}, rule: &route.Rule}
 	}
@@ -116,9 +133,6 @@
 		return caller{account: found.Account, failure: retry.KeyWithdrawn{}, rule: &found.Rule}
 	case !route.AllowsAccount(found.Account):
 		return caller{account: found.Account, failure: retry.AccountNotAllowed{}, rule: &route.Rule}
-	case strings.Contains(r.RequestURI, key):
-		// A key in the request line would reach the backend server.
-		return caller{account: found.Account, failure: retry.BadRequest{}, rule: &found.Rule}
 	}
 	return caller{account: found.Account, key: key}
 }
@@ -156,7 +170,9 @@
 // run reads the start of the body, checks the quarantine, and forwards the request, once only where its
 // route says so.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, request *Request, started time.Time) result {
-	body := &limitedBody{body: &steadyBody{body: request.body, control: http.NewResponseController(w)}, left: h.MaxBody}
+	steady := &steadyBody{body: request.body, control: http.NewResponseController(w), stall: h.BodyStall}
+	defer func() { steady.stop(request.upload) }()
+	body := &limitedBody{body: steady, left: h.MaxBody}
 	if request.ContentLength > h.MaxBody {
 		return h.finish(w, request, failed{Failure: retry.BodyTooLarge{}, Final: true})
 	}
@@ -172,7 +188,7 @@
 	}
 	key := request.Header.Get(HeaderIdempotencyKey)
 	if request.idempotent() || key == "" {
-		return h.finish(w, request, h.Forwarder.Forward(ctx, request, newStream(w)))
+		return h.finish(w, request, h.Forwarder.Forward(ctx, request, newStream(w, h.WriteStall)))
 	}
 	if len(key) > maxIdempotencyKey {
 		return h.finish(w, request, failed{Failure: retry.BadRequest{}, Final: true})
@@ -180,10 +196,14 @@
 	return h.runOnce(ctx, w, request, key)
 }
 
-// finish answers a request that failed; an answer that broke off must not look complete.
+// finish counts a request and answers one that failed; an answer that broke off must not look complete.
 func (h *Handler) finish(w http.ResponseWriter, request *Request, outcome result) result {
+	h.count(request, outcome)
 	switch outcome := outcome.(type) {
 	case failed:
+		if request.Account != "" && withinRate(outcome.Failure) {
+			h.Meter.RefusedWithinRate(string(retry.Describe(outcome.Failure).Reason), request.Account)
+		}
 		h.refuse(w, request.ID, request.Account, outcome.Failure, &request.Route.Rule)
 	case broken:
 		h.Meter.CutShort()
@@ -193,6 +213,17 @@
 	return outcome
 }
 
+// withinRate reports whether a failure refuses a request for a lack of the system's capacity and not for
+// its content or its caller's rate.
+func withinRate(failure retry.Failure) bool {
+	switch failure.(type) {
+	case retry.Throttled, retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.NoBackend, retry.Unreached,
+		retry.RecordUnavailable, retry.DeadlineBefore, retry.Draining:
+		return true
+	}
+	return false
+}
+
 func (h *Handler) refuse(w http.ResponseWriter, id, account string, failure retry.Failure, rule *rules.Rule) {
 	reason := string(retry.Describe(failure).Reason)
 	h.Meter.Refused(reason, account)
@@ -204,7 +235,7 @@
 	refuseCall(w, id, failure, rule)
 }
 
-func (h *Handler) count(request *Request, outcome result, started time.Time) {
+func (h *Handler) count(request *Request, outcome result) {
 	name := "broken"
 	switch outcome := outcome.(type) {
 	case delivered:
@@ -215,5 +246,5 @@
 	case failed:
 		name = "refused"
 	}
-	h.Meter.Call(request.Route.Service, request.Account, name, h.Clock.Now().Sub(started))
+	h.Meter.Call(request.Route.Service, request.Account, name, h.Clock.Now().Sub(request.Started))
 }
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -121,6 +121,7 @@
 	request.ID = outer.id
 	request.Account = outer.account
 	request.Header = forwardHeader(r.Header, "")
+	request.Started = started
 	request.Importance = max(outer.importance, importanceOf(match.Route.Importance))
 	request.Deadline = earlier(outer.deadline, started.Add(match.Route.Deadline))
 	request.Budget = outer.budget
@@ -131,8 +132,10 @@
 	defer stop()
 	outer.beginNested(started)
 	defer func() { outer.endNested(h.Clock.Now()) }()
-	outcome := h.run(ctx, w, request, started)
-	h.noteOuter(outer, outcome)
+	// A call whose answer breaks off ends by a panic and is final, too.
+	outcome := result(failed{Final: true})
+	defer func() { h.noteOuter(outer, outcome) }()
+	outcome = h.run(ctx, w, request, started)
 }
 
 // noteOuter carries a failure of a nested call to the report of the outer call.
--- a/internal/root/call/message.go
+++ b/internal/root/call/message.go
@@ -28,6 +28,8 @@
 	dataSize   = 32 << 10 // bytes of a body in one frame
 	maxDepth   = 32       // ends call loops; call graphs are up to 10 deep
 	maxHeaders = 512
+	// maxAnswerHeader bounds the header of a backend server's response; it fits in one frame.
+	maxAnswerHeader = 256 << 10
 )
 
 type (
@@ -65,6 +67,8 @@
 		Final      bool    `protobuf:"varint,2,opt,name=final,proto3"`      // a lower layer decided about retries
 		Overloaded bool    `protobuf:"varint,3,opt,name=overloaded,proto3"` // a refusal for overload lies behind the failure
 		Load       float64 `protobuf:"fixed64,4,opt,name=load,proto3"`      // part of the instance's limit in use
+		// Served is the time from sending the request to the backend server to the head of its response.
+		Served time.Duration `protobuf:"varint,5,opt,name=served,proto3"`
 	}
 
 	// RefusedCall says that the daemon beside the backend server ended the call itself.
@@ -85,7 +89,8 @@
 
 	// End follows the last byte of a whole response.
 	End struct {
-		Report Report `protobuf:"bytes,1,opt,name=report,proto3"`
+		Report  Report  `protobuf:"bytes,1,opt,name=report,proto3"`
+		Trailer []Field `protobuf:"bytes,2,rep,name=trailer,proto3"`
 	}
 )
 
@@ -127,8 +132,8 @@
 	return checkFields(a.Header)
 }
 
-// Check accepts every end.
-func (*End) Check() error { return nil }
+// Check reports a trailer that HTTP does not allow.
+func (e *End) Check() error { return checkFields(e.Trailer) }
 
 func checkFields(fields []Field) error {
 	if len(fields) > maxHeaders {
--- a/internal/root/call/once.go
+++ b/internal/root/call/once.go
@@ -24,7 +24,7 @@
 	case *state.OnceReplay:
 		h.Meter.Replay()
 		replay(w, verdict.Answer)
-		return delivered{Status: int32(verdict.Answer.Status)}
+		return h.finish(w, request, delivered{Status: int32(verdict.Answer.Status)})
 	case *state.OnceRunning:
 		return h.finish(w, request, failed{Failure: retry.InProgress{}, Final: true})
 	case *state.OnceUnknown, *state.OnceStale:
@@ -39,7 +39,7 @@
 func (h *Handler) runRecorded(ctx context.Context, w http.ResponseWriter, request *Request, finish *state.OnceFinish) result {
 	// The outcome is stored even when the caller has gone, because its resend will ask for it.
 	storing := context.WithoutCancel(ctx)
-	to := &holder{next: newStream(w), store: func(answer *state.Answer) {
+	to := &holder{next: newStream(w, h.WriteStall), store: func(answer *state.Answer) {
 		finish.Outcome, finish.Answer = state.Answered, answer
 		h.storeOnce(storing, request, finish)
 	}}
--- a/internal/root/call/request.go
+++ b/internal/root/call/request.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,7 @@
 	ContentLength int64       // -1 if unknown
 	Prefix        []byte      // first bytes of the body
 	Rest          io.Reader   // what follows Prefix; nil when Prefix is the whole body
+	Started       time.Time   // arrival at this daemon
 	Deadline      time.Time
 	Budget        *retry.Budget
 	Chain         []string
@@ -42,6 +44,7 @@
 
 	body      io.Reader // unread, as it came
 	streamErr atomic.Pointer[error]
+	upload    chan struct{} // closed when the goroutine that streams the body has ended; nil without one
 }
 
 // idempotent reports whether the request may be executed more than once.
@@ -75,21 +78,66 @@
 	return admit.Normal
 }
 
-// steadyBody fails when the sender of a body makes no progress for bodyStall.
+// steadyBody fails when the sender of a body makes no progress for the time stall.
 type steadyBody struct {
-	body     io.Reader
-	control  *http.ResponseController
+	body    io.Reader
+	control *http.ResponseController
+	stall   time.Duration
+
+	mu       sync.Mutex // guards the fields below and the read deadline of the connection
 	deadline time.Time
+	stopped  bool
 }
 
 // Read reads the next part of the body.
 func (s *steadyBody) Read(p []byte) (int, error) {
+	if !s.extend() {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := s.body.Read(p)
+	if err != nil {
+		s.clear()
+	}
+	return n, err
+}
+
+func (s *steadyBody) extend() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	// The deadline is on the machine's clock because it bounds real I/O.
-	if now := time.Now(); s.deadline.Sub(now) < bodyStall/2 {
-		s.deadline = now.Add(bodyStall)
+	if now := time.Now(); !s.stopped && s.deadline.Sub(now) < s.stall/2 {
+		s.deadline = now.Add(s.stall)
 		_ = s.control.SetReadDeadline(s.deadline)
 	}
-	return s.body.Read(p)
+	return !s.stopped
+}
+
+// clear removes the deadline after the body, because the HTTP server watches the connection from then on
+// and takes a passed deadline for the caller's departure.
+func (s *steadyBody) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		_ = s.control.SetReadDeadline(time.Time{})
+	}
+}
+
+// stop ends reads of the body and waits for the goroutine that streams it, so that none of them touches
+// the next request of the connection.
+func (s *steadyBody) stop(upload <-chan struct{}) {
+	if upload == nil {
+		return
+	}
+	select {
+	case <-upload:
+		return
+	default:
+	}
+	s.mu.Lock()
+	s.stopped = true
+	_ = s.control.SetReadDeadline(time.Unix(1, 0))
+	s.mu.Unlock()
+	<-upload
 }
 
 // limitedBody fails with errBodyTooLarge after limit bytes.
--- a/internal/root/call/respond.go
+++ b/internal/root/call/respond.go
@@ -13,13 +13,8 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
-const (
-	// writeStall ends an answer whose caller accepts no byte for this long.
-	writeStall = 30 * time.Second
-
-	// flushBelow is the content length up to which an answer is written without intermediate flushes.
-	flushBelow = 64 << 10
-)
+// flushBelow is the content length up to which an answer is written without intermediate flushes.
+const flushBelow = 64 << 10
 
 var errCallerGone = errors.New("caller has gone")
 
@@ -32,6 +27,7 @@
 	stream struct {
 		writer   http.ResponseWriter
 		control  *http.ResponseController
+		stall    time.Duration // ends the answer when the caller accepts no byte for this long
 		started  bool
 		flush    bool
 		deadline time.Time // when the present write deadline passes
@@ -51,8 +47,8 @@
 func (*stream) sink() {}
 func (*holder) sink() {}
 
-func newStream(w http.ResponseWriter) *stream {
-	return &stream{writer: w, control: http.NewResponseController(w)}
+func newStream(w http.ResponseWriter, stall time.Duration) *stream {
+	return &stream{writer: w, control: http.NewResponseController(w), stall: stall}
 }
 
 // writeAnswer starts the answer.
@@ -78,9 +74,17 @@
 }
 
 // writeEnd completes the answer.
-func writeEnd(to sink) error {
-	if to, ok := to.(*holder); ok && !to.stored {
-		return to.release(false)
+func writeEnd(to sink, trailer []Field) error {
+	switch to := to.(type) {
+	case *stream:
+		return to.end(trailer)
+	case *holder:
+		if !to.stored {
+			if err := to.release(false); err != nil {
+				return err
+			}
+		}
+		return to.next.end(trailer)
 	}
 	return nil
 }
@@ -93,17 +97,36 @@
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
 	s.flush = answer.ContentLength < 0 || answer.ContentLength > flushBelow
+	s.extend()
 	s.writer.WriteHeader(int(answer.Status))
 	return nil
 }
 
-func (s *stream) write(part []byte) error {
-	// Slow readers are bounded by progress, not by the length of a download. The deadline is on the
-	// machine's clock because it bounds real I/O, and moves in steps to save system calls.
-	if now := time.Now(); s.deadline.Sub(now) < writeStall/2 {
-		s.deadline = now.Add(writeStall)
+// end sends the trailer, for which the answer has to be chunked and its header sent.
+func (s *stream) end(trailer []Field) error {
+	if len(trailer) == 0 {
+		return nil
+	}
+	if err := s.control.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	for _, field := range trailer {
+		s.writer.Header().Add(http.TrailerPrefix+field.Name, field.Value)
+	}
+	return nil
+}
+
+// extend moves the write deadline. Slow readers are bounded by progress, not by the length of a download.
+// The deadline is on the machine's clock because it bounds real I/O, and moves in steps to save timers.
+func (s *stream) extend() {
+	if now := time.Now(); s.deadline.Sub(now) < s.stall/2 {
+		s.deadline = now.Add(s.stall)
 		_ = s.control.SetWriteDeadline(s.deadline)
 	}
+}
+
+func (s *stream) write(part []byte) error {
+	s.extend()
 	if _, err := s.writer.Write(part); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -62,10 +62,16 @@
 		r.Budget.Settle(loan, got.report.Unspent)
 		if got.failure == nil && s.continues(got.answer) {
 			f.Meter.Resume()
-			if f.relayPart(to, got, s) {
+			switch outcome := f.relayPart(to, got, s).(type) {
+			case delivered:
 				instances.Done(f.Clock.Now(), endpoint.ID, got.pick)
 				f.Planner.Success(f.Clock.Now(), r.Route.Service)
-				return delivered{Status: http.StatusOK}
+				return outcome
+			case broken:
+				if outcome.caller || ctx.Err() != nil {
+					instances.Done(f.Clock.Now(), endpoint.ID, picker.Canceled{})
+					return outcome
+				}
 			}
 			instances.Done(f.Clock.Now(), endpoint.ID, picker.Failed{})
 			continue
@@ -84,7 +90,7 @@
 	return &Request{
 		ID: r.ID, Rules: r.Rules, Route: r.Route, Account: r.Account, Importance: r.Importance,
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header.Clone(), ContentLength: r.ContentLength,
-		Prefix: r.Prefix, Deadline: r.Deadline, Budget: r.Budget, Chain: r.Chain, Fingerprint: r.Fingerprint,
+		Prefix: r.Prefix, Started: r.Started, Deadline: r.Deadline, Budget: r.Budget, Chain: r.Chain, Fingerprint: r.Fingerprint,
 	}
 }
 
@@ -96,24 +102,33 @@
 		fieldValue(answer.Header, "Content-Range") == want
 }
 
-// relayPart passes on the body of a partial answer and reports whether the download is whole.
-func (f *Forwarder) relayPart(to sink, got attempt, s *resumption) bool {
+// relayPart passes on the body of a partial answer; the result is delivered once the download is whole.
+func (f *Forwarder) relayPart(to sink, got attempt, s *resumption) result {
 	defer got.close()
 	for {
 		message, err := got.exchange.next()
 		if err != nil {
-			return false
+			return broken{}
 		}
 		switch message := message.(type) {
 		case data:
-			if s.sent+int64(len(message.bytes)) > s.length || writeData(to, message.bytes) != nil {
-				return false
+			if s.sent+int64(len(message.bytes)) > s.length {
+				return broken{}
+			}
+			if writeData(to, message.bytes) != nil {
+				return broken{caller: true}
 			}
 			s.passed(len(message.bytes))
 		case ended:
-			return s.sent == s.length && writeEnd(to) == nil
+			if s.sent != s.length {
+				return broken{}
+			}
+			if writeEnd(to, message.Trailer) != nil {
+				return broken{caller: true}
+			}
+			return delivered{Status: http.StatusOK}
 		default:
-			return false
+			return broken{}
 		}
 	}
 }
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -6,12 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
@@ -21,11 +26,23 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
+// refusalGrace is how long the report of a passed deadline may take to be written.
+const refusalGrace = time.Second
+
+var (
+	errNoLength = errors.New("response has neither a length nor chunks")
+
+	// writers and blocks save a call two large allocations.
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, wire.HeaderSize+dataSize) }}
+	blocks  = sync.Pool{New: func() any { return new([wire.HeaderSize + dataSize]byte) }}
+)
+
 type (
 	// Server runs calls in the backend server beside this daemon.
 	Server struct {
 		Clock clock.Clock
 		Meter *meter.Meter
+		Log   zerolog.Logger
 
 		backends *backends
 		suspects *crash.Suspects
@@ -43,7 +60,7 @@
 		ticket  *admit.Ticket
 		outer   *outerCall
 		body    *io.PipeReader
-		reached bool // a byte may have reached the backend server
+		sending *sending
 	}
 )
 
@@ -52,6 +69,11 @@
 	s.running.begin()
 	defer s.running.end()
 	defer func() { _ = stream.Close() }()
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.Log.Error().Str("peer", stream.Peer).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("call-panicked")
+		}
+	}()
 	reader := bufio.NewReaderSize(stream, 4<<10)
 	head, err := readHead(reader)
 	if err != nil {
@@ -59,13 +81,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
 	defer cancel()
+	stop := context.AfterFunc(ctx, func() { endWrites(ctx, stream) })
+	defer stop()
 	body, feed := io.Pipe()
 	defer func() { _ = body.Close() }()
 	go receiveBody(reader, feed, cancel)
+	writer := writers.Get().(*bufio.Writer)
+	defer writers.Put(writer)
+	writer.Reset(stream)
 	c := &served{
 		server: s,
 		head:   head,
-		writer: bufio.NewWriterSize(stream, wire.HeaderSize+dataSize),
+		writer: writer,
 		body:   body,
 		outer: &outerCall{
 			ctx:        ctx,
@@ -80,9 +107,22 @@
 		c.outer.deadline = deadline
 	}
 	c.serve(ctx)
+	// The rest of the body is discarded from here on, so that a sender that is still writing it gets to
+	// read the answer.
+	_ = body.Close()
 	_ = c.writer.Flush()
 }
 
+// endWrites bounds the writes of a call that has ended: without it, an answer whose reader has gone would
+// hold its slot until the stream's window opens.
+func endWrites(ctx context.Context, stream *link.Stream) {
+	limit := time.Unix(1, 0)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		limit = time.Now().Add(refusalGrace) // on the machine's clock, because it bounds real I/O
+	}
+	_ = stream.SetWriteDeadline(limit)
+}
+
 func readHead(reader io.Reader) (*Head, error) {
 	frame, err := wire.ReadFrame(reader, maxFrame)
 	if err != nil {
@@ -98,13 +138,15 @@
 // caller has gone or has received the whole answer.
 func receiveBody(reader io.Reader, feed *io.PipeWriter, cancel context.CancelFunc) {
 	defer cancel()
-	buf := make([]byte, dataSize)
+	var buf []byte
 	for {
 		frame, err := wire.ReadFrameInto(reader, buf, maxFrame)
 		if err != nil {
+			cancel() // first, so that the failed upload is not taken for a failure of the backend server
 			_ = feed.CloseWithError(fmt.Errorf("receive request body: %w", io.ErrUnexpectedEOF))
 			return
 		}
+		buf = frame.Body[:cap(frame.Body)]
 		switch frame.Kind {
 		case kindData:
 			// A write fails once the backend server needs no more of the body; the rest is discarded.
@@ -112,6 +154,7 @@
 		case kindDataEnd:
 			_ = feed.Close()
 		default:
+			cancel()
 			_ = feed.CloseWithError(fmt.Errorf("receive request body: frame kind %d", frame.Kind))
 			return
 		}
@@ -131,13 +174,15 @@
 		return
 	}
 	if failure := c.admit(ctx); failure != nil {
-		c.server.Meter.Shed(importanceName(c.outer.importance), string(retry.Describe(failure).Reason))
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.server.Meter.Shed(importanceName(c.outer.importance), string(retry.Describe(failure).Reason))
+		}
 		c.refuse(failure)
 		return
 	}
-	started := c.server.Clock.Now()
-	result := c.run(ctx, started)
-	c.backend.limiter.Done(c.server.Clock.Now(), c.ticket, result)
+	result := admit.Result(admit.Lost{}) // holds when run panics
+	defer func() { c.backend.limiter.Done(c.server.Clock.Now(), c.ticket, result) }()
+	result = c.run(ctx, c.server.Clock.Now())
 }
 
 // admit waits for a slot; it returns nil once the call has one.
@@ -202,32 +247,43 @@
 		c.refuse(retry.BadRequest{})
 		return admit.Canceled{}
 	}
+	defer c.sending.cancel()
 	response, err := c.backend.transport.RoundTrip(request)
 	if err != nil {
-		return c.roundTripFailed(ctx, started)
+		return c.roundTripFailed(ctx, started, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	now := c.server.Clock.Now()
+	served := now.Sub(started)
 	latency := c.outer.ownTime(now, now.Sub(started))
-	shed := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
-	if shed && response.Header.Get(HeaderOutcome) == string(retry.NotRun) {
+	if unbounded(response) {
 		c.endSuspect(true)
-		c.refuse(retry.Overload{})
-		return admit.Shed{}
+		c.server.Log.Warn().Str("service", c.backend.endpoint.Service).Str("route", c.head.Route).Err(errNoLength).Msg("answer-refused")
+		c.outer.budget.MarkFinal()
+		c.refuse(retry.BackendLost{})
+		return admit.Completed{Latency: latency}
 	}
 	c.backend.limiter.Responded(now, c.ticket, latency)
-	if err := c.relay(response); err != nil {
+	if err := c.relay(response, served); err != nil {
 		return c.bodyFailed(ctx, err)
 	}
 	c.endSuspect(true)
-	if shed {
+	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
 		return admit.Shed{}
 	}
 	return admit.Completed{}
 }
 
+// unbounded reports whether a response ends with its connection: its end looks the same when the backend
+// server dies, so it never proves to be whole.
+func unbounded(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 func (c *served) request(ctx context.Context, token string) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { c.reached = true }}
+	ctx, cancel := context.WithCancel(ctx)
+	c.sending = &sending{cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: c.sending.gotConn}
 	var body io.Reader = c.body
 	if c.head.ContentLength == 0 {
 		body = http.NoBody
@@ -240,12 +296,6 @@
 	addFields(request.Header, c.head.Header)
 	request.ContentLength = c.head.ContentLength
 	request.Host = c.head.Host
-	// The transport would resend a request with this header on a broken connection; it looks the name up
-	// in canonical form only, so the lower-case name passes unseen.
-	if values := request.Header.Values(HeaderIdempotencyKey); len(values) > 0 {
-		request.Header["idempotency-key"] = values
-		request.Header.Del(HeaderIdempotencyKey)
-	}
 	if _, ok := request.Header["User-Agent"]; !ok {
 		request.Header["User-Agent"] = nil // keeps the transport from adding its own
 	}
@@ -259,7 +309,7 @@
 }
 
 // relay streams a whole response; errors wrap errCutShort when the backend server ended it early.
-func (c *served) relay(response *http.Response) error {
+func (c *served) relay(response *http.Response, served time.Duration) error {
 	failed := response.StatusCode >= http.StatusInternalServerError
 	answer := &Answer{
 		Status:        int32(response.StatusCode),
@@ -267,10 +317,13 @@
 		ContentLength: response.ContentLength,
 		Report:        c.report(failed),
 	}
+	answer.Report.Served = served
 	if err := wire.WriteMessage(c.writer, kindAnswer, answer); err != nil {
 		return fmt.Errorf("send answer: %w", err)
 	}
-	buf := make([]byte, wire.HeaderSize+dataSize)
+	block := blocks.Get().(*[wire.HeaderSize + dataSize]byte)
+	defer blocks.Put(block)
+	buf := block[:]
 	for {
 		n, err := response.Body.Read(buf[wire.HeaderSize:])
 		if n > 0 {
@@ -290,22 +343,32 @@
 			return fmt.Errorf("send answer body: %w", err)
 		}
 	}
-	return wire.WriteMessage(c.writer, kindEnd, &End{Report: c.report(failed)})
+	end := &End{Report: c.report(failed)}
+	if len(response.Trailer) > 0 {
+		end.Trailer = fieldsOf(answerHeader(response.Trailer))
+	}
+	return wire.WriteMessage(c.writer, kindEnd, end)
 }
 
-func (c *served) roundTripFailed(ctx context.Context, started time.Time) admit.Result {
+func (c *served) roundTripFailed(ctx context.Context, started time.Time, err error) admit.Result {
 	now := c.server.Clock.Now()
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.endSuspect(false)
-		c.refuse(c.deadlineFailure())
+		failure := retry.Failure(retry.DeadlineBefore{})
+		if c.sending.reached(ctx) {
+			failure = retry.DeadlineAfter{}
+		}
+		c.refuse(failure)
 		return admit.Expired{Latency: c.outer.ownTime(now, now.Sub(started))}
 	case canceled(ctx):
 		c.endSuspect(false)
 		return admit.Canceled{}
-	case !c.reached:
+	case !c.sending.reached(ctx):
 		c.endSuspect(false)
-		c.server.backends.control.Refused(c.backend.endpoint.Address)
+		if refused := new(net.OpError); errors.As(err, &refused) && refused.Op == "dial" {
+			c.server.backends.control.Refused(c.backend.endpoint.Address)
+		}
 		c.refuse(retry.Unreached{})
 		return admit.Lost{}
 	}
@@ -315,13 +378,6 @@
 	return admit.Lost{}
 }
 
-func (c *served) deadlineFailure() retry.Failure {
-	if c.reached {
-		return retry.DeadlineAfter{}
-	}
-	return retry.DeadlineBefore{}
-}
-
 // bodyFailed ends a call whose answer has begun; closing the stream without an end tells the caller.
 func (c *served) bodyFailed(ctx context.Context, err error) admit.Result {
 	if canceled(ctx) || !errors.Is(err, errCutShort) {
@@ -351,9 +407,11 @@
 	_ = wire.WriteMessage(c.writer, kindRefused, message)
 }
 
+// report returns what an answering message tells besides its content. It takes the unspent retries out of
+// the budget, so that a nested call that starts later cannot spend what the sender has taken back.
 func (c *served) report(failed bool) Report {
 	report := Report{
-		Unspent:    c.outer.budget.Left(),
+		Unspent:    c.outer.budget.Lend().Retries,
 		Final:      failed && c.outer.budget.Final(),
 		Overloaded: failed && c.outer.overloaded.Load(),
 	}
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	stdlog "log"
@@ -21,8 +22,12 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	// The defaults of the settings, for programs that set none.
+	defaultHeaderTimeout  = 10 * time.Second
+	defaultBodyTimeout    = 30 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout    = 2 * time.Minute
+	defaultConnectTimeout = time.Second
 
 	// leaveDelay is how long a leaving daemon keeps accepting calls, so that other daemons and callers
 	// learn that it leaves before its listeners close.
@@ -42,7 +47,14 @@
 		MaxCalls       int64
 		MaxConnections int
 		Seed           uint64
-		LeaveDelay     time.Duration // zero for the default
+		QueueLength    int           // requests waiting for admission; zero for no bound besides the limiter's
+		QueueWait      time.Duration // for admission; zero for no bound besides the limiter's
+		HeaderTimeout  time.Duration // for a request header; zero for the default, as below
+		BodyTimeout    time.Duration // longest pause within a request body
+		WriteTimeout   time.Duration // longest time that a caller may accept no byte of an answer
+		IdleTimeout    time.Duration // of a caller's connection
+		ConnectTimeout time.Duration // for a connection to a backend server
+		LeaveDelay     time.Duration
 	}
 
 	// Traffic is the supervisor of the traffic servers.
@@ -61,13 +73,17 @@
 
 // New wires the traffic part; nothing runs until its group is served.
 func New(options Options, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log zerolog.Logger) *Traffic {
-	if options.LeaveDelay == 0 {
-		options.LeaveDelay = leaveDelay
-	}
+	options.HeaderTimeout = cmp.Or(options.HeaderTimeout, defaultHeaderTimeout)
+	options.BodyTimeout = cmp.Or(options.BodyTimeout, defaultBodyTimeout)
+	options.WriteTimeout = cmp.Or(options.WriteTimeout, defaultWriteTimeout)
+	options.IdleTimeout = cmp.Or(options.IdleTimeout, defaultIdleTimeout)
+	options.ConnectTimeout = cmp.Or(options.ConnectTimeout, defaultConnectTimeout)
+	options.LeaveDelay = cmp.Or(options.LeaveDelay, leaveDelay)
 	suspects := crash.NewSuspects()
-	servers := &backends{clock: clk, control: control, suspects: suspects}
+	servers := &backends{clock: clk, control: control, suspects: suspects, timeout: options.ConnectTimeout}
+	m.WatchLoads(servers.loads)
 	outer := &outerCalls{}
-	server := &Server{Clock: clk, Meter: m, backends: servers, suspects: suspects, outer: outer}
+	server := &Server{Clock: clk, Meter: m, Log: log, backends: servers, suspects: suspects, outer: outer}
 	forwarder := &Forwarder{
 		Clock:    clk,
 		Control:  control,
@@ -81,7 +97,8 @@
 	}
 	handler := &Handler{
 		Clock: clk, Control: control, Forwarder: forwarder, Meter: m, Log: log,
-		MaxBody: options.MaxBody, MaxCalls: options.MaxCalls, backends: servers, outer: outer,
+		MaxBody: options.MaxBody, MaxHeader: options.MaxHeader, MaxCalls: options.MaxCalls,
+		BodyStall: options.BodyTimeout, WriteStall: options.WriteTimeout, backends: servers, outer: outer,
 	}
 	return &Traffic{
 		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
@@ -115,8 +132,8 @@
 			khttp.Timeout(0), // the default of one second would cut downloads
 			khttp.Filter(func(http.Handler) http.Handler { return handle }),
 		)
-		server.ReadHeaderTimeout = readHeaderTimeout
-		server.IdleTimeout = idleTimeout
+		server.ReadHeaderTimeout = t.HeaderTimeout
+		server.IdleTimeout = t.IdleTimeout
 		server.MaxHeaderBytes = t.MaxHeader
 		server.ErrorLog = stdlog.New(t.Log, "", 0)
 		ended := make(chan error, 1)
@@ -126,11 +143,15 @@
 			return fmt.Errorf("%s server: %w", name, err)
 		case <-ctx.Done():
 		}
-		server.SetKeepAlivesEnabled(false)
 		if name == "ingress" {
+			// Idle connections stay open during the delay, because closing one can cut off a request
+			// that is on its way.
+			t.handler.leaving.Store(true)
 			t.Control.StartDrain()
 			t.wait(t.LeaveDelay)
+			t.server.leaving.Store(true)
 		}
+		server.SetKeepAlivesEnabled(false)
 		t.Log.Info().Str("server", name).Msg("server-draining")
 		if err := server.Stop(context.WithoutCancel(ctx)); err != nil {
 			t.Log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
--- a/internal/root/link/dialer.go
+++ b/internal/root/link/dialer.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -13,7 +14,8 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-const dialTimeout = time.Second
+// defaultTimeout bounds the connection to a peer where no timeout is set.
+const defaultTimeout = time.Second
 
 // ErrUnreachable reports a peer to which no stream could be opened; nothing was sent to it.
 var ErrUnreachable = errors.New("peer unreachable")
@@ -21,8 +23,9 @@
 type (
 	// Dialer keeps one session for each peer address and opens streams on them.
 	Dialer struct {
-		Name   string
-		Secret []byte
+		Name    string
+		Secret  []byte
+		Timeout time.Duration // for a connection; zero for the default
 
 		mu       sync.Mutex
 		sessions map[string]*session
@@ -99,7 +102,7 @@
 
 func (d *Dialer) dial(address string, current *session) {
 	defer close(current.ready)
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: cmp.Or(d.Timeout, defaultTimeout)}
 	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		d.fail(address, current, err)
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -58,7 +58,8 @@
 		}
 	}
 	secret := []byte(settings.Secret)
-	dialer := &link.Dialer{Name: settings.Name, Secret: secret}
+	limits := &settings.Limits
+	dialer := &link.Dialer{Name: settings.Name, Secret: secret, Timeout: limits.ConnectTimeout}
 	loop, err := ctrl.New(controlOptions(settings, boot), clk, dialer, storage, log)
 	if err != nil {
 		return nil, err
@@ -67,8 +68,11 @@
 	traffic := call.New(call.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
 		Ingress: listeners.ingress, Local: listeners.local,
-		MaxBody: int64(settings.Limits.BodySize), MaxHeader: int(settings.Limits.HeaderSize),
-		MaxCalls: maxCalls, MaxConnections: settings.Limits.Connections, Seed: boot,
+		MaxBody: int64(limits.BodySize), MaxHeader: int(limits.HeaderSize),
+		MaxCalls: maxCalls, MaxConnections: limits.Connections, Seed: boot,
+		QueueLength: limits.QueueLength, QueueWait: limits.QueueWait,
+		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: limits.BodyTimeout, WriteTimeout: limits.WriteTimeout,
+		IdleTimeout: limits.IdleTimeout, ConnectTimeout: limits.ConnectTimeout,
 	}, clk, loop, dialer, numbers, log)
 	peers := &link.Server{
 		Listener: listeners.peer, Name: settings.Name, Secret: secret, Log: log, MaxConnections: maxPeers,
