--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -72,3 +72,12 @@
 	c.once.Do(c.release)
 	return c.Conn.Close()
 }
+
+// CloseWrite ends the answer while the caller may still be sending; without it the HTTP server resets the
+// connection and the caller loses an early refusal.
+func (c *boundedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -33,6 +33,7 @@
 		Suspects *crash.Suspects
 		Zone     string
 		Seed     uint64
+		Grace    time.Duration // the time, after a deadline, in which another daemon may report it
 
 		mu      sync.RWMutex
 		pickers map[string]*servicePicker
@@ -181,7 +182,7 @@
 // send makes one attempt up to the head of the answer.
 func (f *Forwarder) send(ctx context.Context, r *Request, to *snap.Endpoint, retries uint32) attempt {
 	started := f.Clock.Now()
-	sending, cancel := context.WithTimeout(ctx, r.Deadline.Sub(started)+answerGrace)
+	sending, cancel := context.WithTimeout(ctx, r.Deadline.Sub(started)+f.Grace)
 	head := f.head(r, to, retries, started)
 	x, err := f.Sender.open(sending, to, head, r.Prefix)
 	if err != nil {
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -94,6 +94,7 @@
 		Suspects: suspects,
 		Zone:     options.Zone,
 		Seed:     options.Seed,
+		Grace:    answerGrace,
 	}
 	handler := &Handler{
 		Clock: clk, Control: control, Forwarder: forwarder, Meter: m, Log: log,
