--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -102,8 +102,11 @@
 			return failed{Failure: retry.Merge(earlier, retry.DeadlineBefore{}), Final: true}
 		}
 		endpoint, ok := instances.Pick(now, tried)
+		if !ok && earlier != nil {
+			return failed{Failure: earlier, Final: true} // tells more than that no other instance is left
+		}
 		if !ok {
-			return failed{Failure: retry.Merge(earlier, retry.NoBackend{}), Final: true}
+			return failed{Failure: retry.NoBackend{}, Final: true}
 		}
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
