--- a/internal/root/call/exchange.go
+++ b/internal/root/call/exchange.go
@@ -39,6 +39,7 @@
 		reader *bufio.Reader
 		buffer []byte
 		stop   func() bool
+		cancel context.CancelFunc
 	}
 
 	// event is a message from the answering daemon: admitted, refused, answered, data or ended.
@@ -64,9 +65,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	x := &exchange{stream: stream, reader: bufio.NewReaderSize(stream, 4<<10)}
+	x := &exchange{stream: stream, reader: readers.Get().(*bufio.Reader)}
+	x.reader.Reset(stream)
 	x.stop = context.AfterFunc(ctx, x.abort)
-	writer := bufio.NewWriterSize(stream, 4<<10)
+	writer := heads.Get().(*bufio.Writer)
+	defer heads.Put(writer)
+	writer.Reset(stream)
 	err = wire.WriteMessage(writer, kindHead, head)
 	if err == nil && !head.WaitAdmitted {
 		err = writeBody(writer, prefix, nil)
@@ -92,11 +96,8 @@
 
 // sendBody sends the prefix and the rest of the body after Admitted.
 func (x *exchange) sendBody(prefix []byte, rest io.Reader) error {
-	writer := bufio.NewWriterSize(x.stream, wire.HeaderSize+dataSize)
-	if err := writeBody(writer, prefix, rest); err != nil {
-		return err
-	}
-	return writer.Flush()
+	// Each part goes out at once, because the next one may be long in coming.
+	return writeBody(x.stream, prefix, rest)
 }
 
 func writeBody(w io.Writer, prefix []byte, rest io.Reader) error {
@@ -172,6 +173,13 @@
 func (x *exchange) close() {
 	x.stop()
 	x.abort()
+	if x.reader != nil {
+		readers.Put(x.reader)
+		x.reader = nil
+	}
+	if x.cancel != nil {
+		x.cancel()
+	}
 }
 
 // failureOf turns a refusal of another daemon into a failure; an unknown pair cannot occur after Check.
