--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,8 +38,6 @@
 		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body."`
 		HeaderSize     Size          `toml:"header-size" default:"64KiB" min:"4KiB" max:"1MiB" doc:"Largest request header."`
 		Connections    int           `toml:"connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at one time."`
-		QueueLength    int           `toml:"queue-length" default:"1000" min:"0" max:"100000" doc:"Most requests that wait for admission, even where half the concurrency limit is more."`
-		QueueWait      time.Duration `toml:"queue-wait" default:"100ms" min:"1ms" max:"10s" doc:"Longest wait for admission."`
 		HeaderTimeout  time.Duration `toml:"header-timeout" default:"10s" min:"100ms" max:"5m" doc:"Time in which a caller has to send the request header."`
 		BodyTimeout    time.Duration `toml:"body-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest pause within a request body."`
 		WriteTimeout   time.Duration `toml:"write-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest time that a caller may accept no byte of a response."`
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -195,6 +195,7 @@
 	now := c.server.Clock.Now()
 	c.ticket = &admit.Ticket{
 		Account:    c.head.Account,
+		Weight:     c.server.weight(c.head.Account),
 		Route:      c.head.Route,
 		Importance: c.outer.importance,
 		Held:       held(c.head.Chain, c.backend.endpoint.Service),
@@ -224,6 +225,15 @@
 	return nil
 }
 
+// weight returns the share of a client account in the fair queue, which is its rate.
+func (s *Server) weight(account string) float64 {
+	set := s.backends.control.Snapshot().Rules
+	if set == nil || set.Accounts[account] == nil {
+		return 0
+	}
+	return set.Accounts[account].Rate.PerSecond()
+}
+
 // held counts the slots of the service that the request's call chain already holds.
 func held(chain []string, service string) uint8 {
 	var n uint8
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -47,8 +47,6 @@
 		MaxCalls       int64
 		MaxConnections int
 		Seed           uint64
-		QueueLength    int           // requests waiting for admission; zero for no bound besides the limiter's
-		QueueWait      time.Duration // for admission; zero for no bound besides the limiter's
 		HeaderTimeout  time.Duration // for a request header; zero for the default, as below
 		BodyTimeout    time.Duration // longest pause within a request body
 		WriteTimeout   time.Duration // longest time that a caller may accept no byte of an answer
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -70,7 +70,6 @@
 		Ingress: listeners.ingress, Local: listeners.local,
 		MaxBody: int64(limits.BodySize), MaxHeader: int(limits.HeaderSize),
 		MaxCalls: maxCalls, MaxConnections: limits.Connections, Seed: boot,
-		QueueLength: limits.QueueLength, QueueWait: limits.QueueWait,
 		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: limits.BodyTimeout, WriteTimeout: limits.WriteTimeout,
 		IdleTimeout: limits.IdleTimeout, ConnectTimeout: limits.ConnectTimeout,
 	}, clk, loop, dialer, numbers, log)
