--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -155,3 +155,40 @@
 	}
 	panic(http.ErrAbortHandler)
 }
+
+// Guards M1: an idempotent request whose daemon dies while it runs is answered by another instance.
+func TestLostDaemonIsSurvived(t *testing.T) {
+	f := newFleet(t, 1, 3, testRules(1, "Ana", ""))
+	entered, release := make(chan struct{}, 10), make(chan struct{})
+	defer close(release)
+	newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			echo(w, r)
+			return
+		}
+		entered <- struct{}{}
+		<-release
+	})
+	f.eventually("the first instance", func() bool {
+		return newCaller().send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- newCaller().send(f.daemons["d1"], "GET", "/works/1", "", "") }()
+	<-entered
+	newBackend(t, f.daemons["d3"], "library", echo)
+	f.eventually("the second instance", func() bool { return instancesOf(f, "d1") == 2 })
+	f.daemons["d2"].kill()
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, got.reason())
+}
+
+// instancesOf returns the number of instances that a daemon knows.
+func instancesOf(f *fleet, name string) int {
+	client := f.daemons[name].client()
+	dump, err := client.Dump(f.t.Context(), "views")
+	if err != nil || len(dump.Sections) != 1 {
+		return 0
+	}
+	return len(dump.Sections[0].Rows)
+}
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -55,6 +55,7 @@
 	delivered struct {
 		Status     int32
 		Overloaded bool // the answer is a failure with a refusal for overload behind it
+		Final      bool // the answer is a failure about whose retries has been decided
 	}
 
 	failed struct {
@@ -129,6 +130,9 @@
 		if !f.pause(ctx, again.After) || quarantined(f.Control.Snapshot(), r, f.Clock.Now()) {
 			return failed{Failure: earlier, Final: true}
 		}
+		if current := f.instances(ctx, r); current != nil {
+			instances = current // the list may have changed since the first send
+		}
 	}
 }
 
@@ -329,7 +333,12 @@
 // giveUp passes on the last answer, or the failure when there was none.
 func (f *Forwarder) giveUp(ctx context.Context, r *Request, to sink, got attempt, verdict retry.Verdict, earlier retry.Failure) result {
 	if got.failure == nil {
-		return f.relay(ctx, r, to, got, nil)
+		outcome := f.relay(ctx, r, to, got, nil)
+		if whole, ok := outcome.(delivered); ok {
+			whole.Final = true
+			return whole
+		}
+		return outcome
 	}
 	final := true
 	if end, ok := verdict.(retry.GiveUp); ok {
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -101,7 +101,7 @@
 	request.Importance = importanceOf(route.Importance)
 	request.Started = started
 	request.Deadline = started.Add(route.Deadline)
-	request.Budget = retry.NewBudget(uint32(route.Retries))
+	request.Budget = retry.NewEntryBudget(uint32(route.Retries))
 	if failure, rule := h.takeToken(r.Context(), request, snapshot); failure != nil {
 		if _, unavailable := failure.(retry.RateUnavailable); unavailable {
 			h.Meter.RefusedWithinRate(string(retry.Describe(failure).Reason), who.account)
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -143,8 +143,15 @@
 	if overloadedResult(outcome) {
 		outer.overloaded.Store(true)
 	}
-	if end, ok := outcome.(failed); ok && end.Final {
-		outer.budget.MarkFinal()
+	switch outcome := outcome.(type) {
+	case failed:
+		if outcome.Final {
+			outer.budget.MarkFinal()
+		}
+	case delivered:
+		if outcome.Final {
+			outer.budget.MarkFinal()
+		}
 	}
 }
 
--- a/internal/root/call/retry/budget.go
+++ b/internal/root/call/retry/budget.go
@@ -7,6 +7,7 @@
 	Budget struct {
 		mu    sync.Mutex
 		left  uint32
+		kept  uint32 // never lent
 		lent  bool
 		final bool
 	}
@@ -21,6 +22,17 @@
 // NewBudget returns the budget of a request, or of a call that received a loan, with that many retries.
 func NewBudget(retries uint32) *Budget { return &Budget{left: retries} }
 
+// NewEntryBudget returns the budget of a request at its first daemon. One of two or more retries is not
+// lent, so that an idempotent request survives the loss of the daemon it was sent to, whose unspent
+// retries are not known.
+func NewEntryBudget(retries uint32) *Budget {
+	b := NewBudget(retries)
+	if retries > 1 {
+		b.kept = 1
+	}
+	return b
+}
+
 // Take spends one retry and reports whether there was one that is not lent.
 func (b *Budget) Take() bool {
 	b.mu.Lock()
@@ -32,15 +44,16 @@
 	return true
 }
 
-// Lend hands out all remaining retries; while they are lent, every other loan is empty.
+// Lend hands out all remaining retries but those kept; while they are lent, every other loan is empty.
 func (b *Budget) Lend() Loan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.lent {
 		return Loan{}
 	}
-	loan := Loan{Retries: b.left, owner: true}
-	b.left, b.lent = 0, true
+	kept := min(b.kept, b.left)
+	loan := Loan{Retries: b.left - kept, owner: true}
+	b.left, b.lent = kept, true
 	return loan
 }
 
--- a/internal/root/call/retry/retry_test.go
+++ b/internal/root/call/retry/retry_test.go
@@ -186,3 +186,20 @@
 	}
 	assert.Assert(t, len(seen) > 30)
 }
+
+// Guards against a lost daemon that takes all retries of an idempotent request with it, and against more
+// sends than the budget allows.
+func TestEntryKeepsOneRetry(t *testing.T) {
+	budget := NewEntryBudget(2)
+	loan := budget.Lend()
+	assert.Equal(t, loan.Retries, uint32(1))
+	budget.Settle(loan, 0) // the response was lost
+	assert.Assert(t, budget.Take() && !budget.Take())
+	single := NewEntryBudget(1)
+	assert.Equal(t, single.Lend().Retries, uint32(1))
+	for seed := range uint64(200) {
+		tr := &tree{planner: NewPlanner(seed), random: rand.New(rand.NewPCG(seed, 1)), depth: 10, width: 1, lossy: seed%2 == 1, services: 10}
+		tr.call(1, NewEntryBudget(3))
+		assert.Assert(t, tr.retries <= 3 && tr.sends <= 13, "%d retries and %d sends with seed %d", tr.retries, tr.sends, seed)
+	}
+}
--- a/internal/root/ctrl/watch/watch.go
+++ b/internal/root/ctrl/watch/watch.go
@@ -66,7 +66,7 @@
 			return fmt.Errorf("watch rules file: %w", err)
 		case <-timer.C():
 			current := w.read()
-			if current.Err != nil || last.Err != nil || !bytes.Equal(current.Text, last.Text) {
+			if changed(last, current) {
 				w.Report(current)
 			}
 			last = current
@@ -74,6 +74,14 @@
 	}
 }
 
+// changed reports whether the content, or the reason why there is none, differs.
+func changed(last, current File) bool {
+	if last.Err != nil && current.Err != nil {
+		return last.Err.Error() != current.Err.Error()
+	}
+	return (last.Err == nil) != (current.Err == nil) || !bytes.Equal(last.Text, current.Text)
+}
+
 func (w *Watcher) read() File {
 	out := File{Path: w.Path}
 	file, err := os.Open(w.Path)
