--- /dev/null
+++ b/internal/root/call/lost_test.go
@@ -0,0 +1,155 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+// Guards against a queued request that runs although its caller has left, and against its place in the
+// queue staying taken.
+func TestCallerLeavesQueue(t *testing.T) {
+	clk := &timedClock{Fake: clock.NewFake(time.Now()), timers: make(chan time.Duration, 100)}
+	s := newScene(t, 1, clk)
+	s.held()
+	first := make(chan reply, 1)
+	go func() { first <- s.request(0, "GET", "/open", "") }()
+	<-s.entered
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, "GET", "http://"+s.nodes[0].Ingress.Addr().String()+"/open", nil)
+	assert.NilError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = do(request)
+	}()
+	<-clk.timers // waits for the slot
+	leave()
+	<-ended
+	close(s.hold)
+	got := <-first
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+	s.nodes[1].server.running.waitIdle()
+	assert.Equal(t, s.runs.Load(), int64(1))
+	for _, target := range s.nodes[1].handler.backends.byID {
+		assert.DeepEqual(t, target.limiter.Load(), admit.Load{Limit: target.limiter.Load().Limit})
+	}
+}
+
+// peerThat is a daemon that handles each call stream as the test says.
+func peerThat(t *testing.T, f *fleet, handle func(stream *link.Stream)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &link.Server{
+		Listener: listener, Name: "other", Secret: []byte("a secret of the fleet"), MaxConnections: 10,
+		Handlers: map[link.StreamType]link.Handler{link.StreamCall: func(_ context.Context, stream *link.Stream) {
+			handle(stream)
+			_ = stream.Close()
+		}},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	f.lists["reader"] = &snap.Endpoints{Version: 1, Instances: []snap.Endpoint{{
+		ID: "other", Service: "reader", Daemon: listener.Addr().String(), Address: "127.0.0.1:1", Zone: "z",
+		Slots: 4, Connections: 4, Incarnation: 7,
+	}}}
+	f.publish()
+}
+
+// Guards R8: a stream to another daemon that ends after the head was sent leaves the outcome unknown,
+// however it ends; only that daemon's refusal proves that the request has not run.
+func TestLinkBreaks(t *testing.T) {
+	refusal := func(stream *link.Stream) {
+		_ = wire.WriteMessage(stream, kindRefused, &RefusedCall{Reason: "queue-full", Outcome: "not-run"})
+	}
+	for _, row := range []struct {
+		name    string
+		handle  func(stream *link.Stream)
+		status  int
+		outcome string
+	}{
+		{"at once", func(*link.Stream) {}, 502, "unknown"},
+		{"after the head", func(stream *link.Stream) { _, _ = readHead(stream) }, 502, "unknown"},
+		{"after admission", func(stream *link.Stream) {
+			_, _ = readHead(stream)
+			_ = wire.WriteFrame(stream, kindAdmitted, nil)
+		}, 502, "unknown"},
+		{"by an unknown message", func(stream *link.Stream) { _ = wire.WriteFrame(stream, 99, nil) }, 502, "unknown"},
+		{"by an invalid answer", func(stream *link.Stream) { _ = wire.WriteMessage(stream, kindAnswer, &Answer{Status: 12}) }, 502, "unknown"},
+		{"by a refusal", refusal, 503, "not-run"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet(t, 1, clock.Real{}, outcomeRules)
+			calls := 0
+			peerThat(t, f, func(stream *link.Stream) {
+				calls++
+				row.handle(stream)
+			})
+			got := f.request(0, "POST", "/once", "body", "Buckthorn-Key: "+goodKey)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.StatusCode, row.status, got.body)
+			assert.Equal(t, got.Header.Get(HeaderOutcome), row.outcome)
+			assert.Equal(t, calls, 1)
+		})
+	}
+}
+
+// Guards against crashes that are not told apart by the incarnation that died: a daemon sends a request
+// that crashed two incarnations no third time.
+func TestCrashesCountByIncarnation(t *testing.T) {
+	f := newFleet(t, 1, clock.Real{}, outcomeRules)
+	calls := 0
+	peerThat(t, f, func(stream *link.Stream) {
+		calls++
+		if _, err := readHead(stream); err == nil {
+			_ = wire.WriteMessage(stream, kindRefused, &RefusedCall{Reason: "backend-lost", Outcome: "unknown", Crashed: true})
+		}
+	})
+	list := f.lists["reader"]
+	for i := range 3 {
+		other := list.Instances[0]
+		other.ID, other.Incarnation = fmt.Sprint("other-", i), uint64(10+i)
+		list.Instances = append(list.Instances, other)
+	}
+	got := f.request(0, "GET", "/open", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, calls, 2)
+}
+
+// Guards against a panic while one call is served that ends the daemon or keeps a slot.
+func TestPanicInOneCall(t *testing.T) {
+	f := newFleet(t, 1, clock.Real{}, outcomeRules)
+	f.serve(0, "reader", 4, func(http.ResponseWriter, *http.Request) {})
+	server := f.nodes[0].server
+	clk := server.Clock
+	server.Clock = nil // reading the time panics
+	got := f.request(0, "GET", "/open", "")
+	assert.NilError(t, got.err)
+	assert.Assert(t, got.StatusCode >= 500)
+	server.running.waitIdle()
+	server.Clock = clk
+	got = f.request(0, "GET", "/open", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+}
