--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -274,3 +274,33 @@
 	assert.Equal(t, status, 1, text)
 	assert.Assert(t, strings.Contains(text, "revision 1 by Ana"), text)
 }
+
+// Guards against a status report that leaves out what is in progress.
+func TestStatusCountsWhatIsInProgress(t *testing.T) {
+	f := newFleet(t, 1, 2, testRules(1, "Ana", ""))
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	newBackend(t, f.daemons["d2"], "library", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			echo(w, r)
+			return
+		}
+		entered <- struct{}{}
+		<-release
+		echo(w, r)
+	})
+	c := newCaller()
+	f.eventually("an answer", func() bool {
+		return c.send(f.daemons["d1"], "POST", "/kudos/1", "reader-key", "").status == http.StatusOK
+	})
+	answers := make(chan answer, 1)
+	go func() { answers <- c.send(f.daemons["d1"], "GET", "/works/1", "", "") }()
+	<-entered
+	first, second := f.daemons["d1"].status(), f.daemons["d2"].status()
+	close(release)
+	assert.Equal(t, (<-answers).status, http.StatusOK)
+	assert.Assert(t, first != nil && second != nil)
+	assert.Assert(t, first.Counts.Connections >= 1) // a client may open a second one before the first is idle
+	assert.Equal(t, first.Counts.Backends, uint64(1))
+	assert.Assert(t, first.Counts.Sessions >= 2, "control and calls: %d", first.Counts.Sessions)
+	assert.Equal(t, second.Counts.Running, uint64(1))
+}
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -44,8 +44,8 @@
 	Traffic interface {
 		// Sections returns the state as tables for a dump.
 		Sections(now time.Time) []admin.Section
-		// Running returns the number of calls in progress.
-		Running() int
+		// Levels returns what is in progress now.
+		Levels() admin.Counts
 	}
 
 	// Server is the operators' endpoint of one daemon.
@@ -56,6 +56,7 @@
 		Clock    clock.Clock
 		Reporter Reporter
 		Traffic  Traffic
+		Sessions func() int // open connections with other daemons
 		Meter    *meter.Meter
 		Settings admin.Section
 		Log      zerolog.Logger
@@ -136,7 +137,10 @@
 	}
 	status.Region = s.Region
 	status.Counts = s.Meter.Counts()
-	status.Counts.Running = uint64(s.Traffic.Running())
+	levels := s.Traffic.Levels()
+	status.Counts.Running, status.Counts.Queued = levels.Running, levels.Queued
+	status.Counts.Connections, status.Counts.Backends = levels.Connections, levels.Backends
+	status.Counts.Sessions = uint64(s.Sessions())
 	return json.Marshal(status)
 }
 
--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -20,10 +20,13 @@
 	slots chan struct{}
 }
 
-func boundListener(listener net.Listener, limit int) net.Listener {
+func boundListener(listener net.Listener, limit int) *boundedListener {
 	return &boundedListener{Listener: listener, slots: make(chan struct{}, limit)}
 }
 
+// open returns the number of open connections.
+func (l *boundedListener) open() int { return len(l.slots) }
+
 // Accept returns the next connection within the limit.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
@@ -50,8 +53,11 @@
 // Write passes answers on; to a refusal that the HTTP server makes itself, before any handler runs, it adds
 // the header fields that all refusals carry.
 func (c *boundedConn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, []byte("HTTP/1.1 ")) {
+		return c.Conn.Write(p) // the body of an answer
+	}
 	line, body, found := bytes.Cut(p, []byte(serverRefusal))
-	if !found || bytes.IndexByte(line, '\n') >= 0 || !bytes.HasPrefix(line, []byte("HTTP/1.1 ")) {
+	if !found || bytes.IndexByte(line, '\n') >= 0 {
 		return c.Conn.Write(p)
 	}
 	failure := retry.Failure(retry.BadRequest{})
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -19,6 +19,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
 )
 
 const (
@@ -65,6 +66,7 @@
 
 		server    *Server
 		handler   *Handler
+		ingress   *boundedListener
 		forwarder *Forwarder
 	}
 )
@@ -102,12 +104,25 @@
 	return &Traffic{
 		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
 		server: server, handler: handler, forwarder: forwarder,
+		ingress: boundListener(options.Ingress, options.MaxConnections),
 	}
 }
 
 // Running returns the number of calls in progress in the backend server beside this daemon.
 func (t *Traffic) Running() int { return t.server.running.running() }
 
+// Levels returns what is in progress now, for the status of the daemon.
+func (t *Traffic) Levels() admin.Counts {
+	levels := admin.Counts{Running: uint64(t.Running()), Connections: uint64(t.ingress.open())}
+	for _, load := range t.handler.backends.loads() {
+		levels.Queued += uint64(load.Waiting)
+	}
+	for _, list := range t.Control.Snapshot().Endpoints {
+		levels.Backends += uint64(len(list.Instances))
+	}
+	return levels
+}
+
 // ServeStream serves a call stream of another daemon.
 func (t *Traffic) ServeStream(ctx context.Context, stream *link.Stream) {
 	t.server.ServeStream(ctx, stream)
@@ -116,9 +131,9 @@
 // Group returns the run group of the traffic servers; ingress stops first, because its calls need the rest.
 func (t *Traffic) Group() *super.Group {
 	return &super.Group{Name: "call", Log: t.Log, Children: []super.Child{
-		{Name: "ingress", Run: t.serveHTTP("ingress", t.Ingress, t.handler.ServeIngress)},
+		{Name: "ingress", Run: t.serveHTTP("ingress", t.ingress, t.handler.ServeIngress)},
 		{Name: "drain", Run: t.drain},
-		{Name: "local", Run: t.serveHTTP("local", t.Local, t.handler.ServeLocal)},
+		{Name: "local", Run: t.serveHTTP("local", boundListener(t.Local, t.MaxConnections), t.handler.ServeLocal)},
 	}}
 }
 
@@ -127,7 +142,7 @@
 func (t *Traffic) serveHTTP(name string, listener net.Listener, handle http.HandlerFunc) func(context.Context) error {
 	return func(ctx context.Context) error {
 		server := khttp.NewServer(
-			khttp.Listener(boundListener(listener, t.MaxConnections)),
+			khttp.Listener(listener),
 			khttp.Timeout(0), // the default of one second would cut downloads
 			khttp.Filter(func(http.Handler) http.Handler { return handle }),
 		)
--- a/internal/root/link/dialer.go
+++ b/internal/root/link/dialer.go
@@ -63,6 +63,13 @@
 	return stream, nil
 }
 
+// Sessions returns the number of sessions that are open or being opened.
+func (d *Dialer) Sessions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sessions)
+}
+
 // Reset closes the session to address, so that the next stream gets a new connection. A connection over
 // which a network partition passed waits for its retransmission timer long after the partition has ended.
 func (d *Dialer) Reset(address string) {
--- a/internal/root/link/server.go
+++ b/internal/root/link/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
@@ -27,9 +28,14 @@
 		Handlers map[StreamType]Handler
 		// MaxConnections bounds the accepted connections, authenticated or not.
 		MaxConnections int
+
+		sessions atomic.Int64
 	}
 )
 
+// Sessions returns the number of accepted and authenticated connections that are open.
+func (s *Server) Sessions() int { return int(s.sessions.Load()) }
+
 // Run accepts connections until ctx ends, then closes them once their streams have ended.
 func (s *Server) Run(ctx context.Context) error {
 	var group sync.WaitGroup
@@ -66,6 +72,8 @@
 		s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("peer-refused")
 		return
 	}
+	s.sessions.Add(1)
+	defer s.sessions.Add(-1)
 	session, err := yamux.Server(coalesce(conn), sessionConfig(0))
 	if err != nil {
 		s.Log.Error().Str("peer", peer).Err(err).Msg("peer-session-failed")
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -89,7 +89,7 @@
 	}
 	operators := &admin.Server{
 		Name: settings.Name, Region: settings.Region, Listener: listeners.admin, Clock: clk, Reporter: loop,
-		Traffic: traffic, Meter: numbers, Settings: settingsSection(settings), Log: log,
+		Traffic: traffic, Sessions: func() int { return peers.Sessions() + dialer.Sessions() + control.Sessions() }, Meter: numbers, Settings: settingsSection(settings), Log: log,
 	}
 	links := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: peers.Run}}}
 	return &Daemon{
