--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -17,6 +17,8 @@
 		name     string
 		peers    map[string]string // peer addresses by name
 		node     *raft.Node
+		inputs   []raft.Event // for node, in order
+		stepping bool         // the actions of a step are being executed
 		machine  *state.Machine
 		writer   *writer
 		links    map[string]*raftLink
@@ -115,36 +117,53 @@
 	}
 }
 
-// stepRaft passes an event to the consensus member and executes its actions in order.
+// stepRaft passes an event to the consensus member and executes its actions in order. An event that an
+// action raises waits until all actions of the step are executed, so that no step begins within another.
 func (l *Loop) stepRaft(now time.Time, event raft.Event) {
 	v := l.voter
-	for _, action := range v.node.Step(now, event) {
-		switch action := action.(type) {
-		case raft.Persist:
-			v.writer.submit(saveBatch{batch: action.Batch})
-		case raft.PersistSnapshot:
-			v.writer.submit(saveSnapshot{snapshot: action.Snapshot})
-		case raft.Send:
-			if link := v.links[action.To]; link != nil {
-				link.send(action.Message)
-			}
-		case raft.Apply:
-			l.apply(now, action.Entries)
-		case raft.Restore:
-			l.restore(action.Snapshot)
-		case raft.TakeSnapshot:
-			l.takeSnapshot()
-		case raft.Dropped:
-			l.dropped(action)
-		case raft.BecameLeader:
-			l.becomeLeader(now, action.Term)
-		case raft.SteppedDown:
-			l.stepDown(action.Term)
-		case raft.Fenced:
-			l.log.Error().Str("by", action.By).Str("reason", action.Reason).Msg("disk-refused-by-peer")
-		case raft.Stopped:
-			l.log.Error().Err(action.Err).Msg("disk-failed")
+	v.inputs = append(v.inputs, event)
+	if v.stepping {
+		return
+	}
+	v.stepping = true
+	for len(v.inputs) > 0 {
+		next := v.inputs[0]
+		v.inputs = v.inputs[1:]
+		for _, action := range v.node.Step(now, next) {
+			l.execute(now, action)
+		}
+	}
+	v.stepping = false
+}
+
+// execute carries out one action of the consensus member.
+func (l *Loop) execute(now time.Time, action raft.Action) {
+	v := l.voter
+	switch action := action.(type) {
+	case raft.Persist:
+		v.writer.submit(saveBatch{batch: action.Batch})
+	case raft.PersistSnapshot:
+		v.writer.submit(saveSnapshot{snapshot: action.Snapshot})
+	case raft.Send:
+		if link := v.links[action.To]; link != nil {
+			link.send(action.Message)
 		}
+	case raft.Apply:
+		l.apply(now, action.Entries)
+	case raft.Restore:
+		l.restore(action.Snapshot)
+	case raft.TakeSnapshot:
+		l.takeSnapshot()
+	case raft.Dropped:
+		l.dropped(action)
+	case raft.BecameLeader:
+		l.becomeLeader(now, action.Term)
+	case raft.SteppedDown:
+		l.stepDown(action.Term)
+	case raft.Fenced:
+		l.log.Error().Str("by", action.By).Str("reason", action.Reason).Msg("disk-refused-by-peer")
+	case raft.Stopped:
+		l.log.Error().Err(action.Err).Msg("disk-failed")
 	}
 }
 
