--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -196,15 +196,11 @@
 	x, err := f.Sender.open(sending, to, head, r.Prefix)
 	if err != nil {
 		cancel()
-		failure := retry.Failure(retry.BackendLost{})
+		got := attempt{failure: retry.BackendLost{}}
 		if errors.Is(err, errNotSent) {
-			failure = retry.Unreached{}
 			// Nothing has run, so nothing of the loan is spent.
-			got := attempt{failure: failure, report: Report{Unspent: retries}}
-			got.pick = pickResult(ctx, r, got)
-			return got
+			got = attempt{failure: retry.Unreached{}, report: Report{Unspent: retries}}
 		}
-		got := attempt{failure: failure}
 		got.pick = pickResult(ctx, r, got)
 		return got
 	}
