--- a/internal/root/call/message.go
+++ b/internal/root/call/message.go
@@ -45,10 +45,8 @@
 		Instance      string        `protobuf:"bytes,2,opt,name=instance,proto3"`
 		Incarnation   uint64        `protobuf:"varint,3,opt,name=incarnation,proto3"`
 		Route         string        `protobuf:"bytes,4,opt,name=route,proto3"` // name of the route's rule
-		Rule          string        `protobuf:"bytes,5,opt,name=rule,proto3"`  // identity of the route's rule
 		Account       string        `protobuf:"bytes,6,opt,name=account,proto3"`
 		Importance    uint32        `protobuf:"varint,7,opt,name=importance,proto3"` // an admit.Importance
-		Once          bool          `protobuf:"varint,8,opt,name=once,proto3"`
 		Method        string        `protobuf:"bytes,9,opt,name=method,proto3"`
 		Target        string        `protobuf:"bytes,10,opt,name=target,proto3"` // path and query
 		Host          string        `protobuf:"bytes,11,opt,name=host,proto3"`
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -109,7 +109,6 @@
 		FreshUntil: d.freshUntil,
 		Endpoints:  endpoints,
 		Quarantine: d.quarantine,
-		Draining:   d.draining,
 	})
 }
 
@@ -305,7 +304,7 @@
 	if d.draining {
 		return
 	}
-	d.draining, l.dirty = true, true
+	d.draining = true
 	for address := range maps.Clone(d.local.Instances) {
 		if leave := d.local.Leave(address); leave != nil {
 			l.sendUp(leaveUp{leave})
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -328,7 +328,7 @@
 }
 
 func quarantineList(machine *state.Machine) *QuarantineList {
-	list := &QuarantineList{Version: machine.QuarantineVersion}
+	list := &QuarantineList{}
 	for _, entry := range machine.Quarantined() {
 		list.Entries = append(list.Entries, crash.Quarantine{Fingerprint: entry.Fingerprint, Until: entry.Until})
 	}
@@ -375,6 +375,9 @@
 	if due, ok := d.registry.Deadline(); ok && !due.After(now) {
 		for _, gone := range d.registry.Expire(now) {
 			l.log.Warn().Str("daemon", gone.Daemon).Msg("daemon-gone")
+			if d.daemons[gone.Daemon] == nil { // otherwise a later start has replaced it
+				delete(d.beats, gone.Daemon)
+			}
 			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: l.voter.machine.Stamp(now)}, ownProposal{})
 		}
 	}
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -337,6 +337,17 @@
 	assert.Assert(t, report.InForce && report.Behind == 0, fmt.Sprint(report))
 }
 
+// Guards against a list of daemons on the leader that grows with each daemon that has gone for good.
+func TestGoneDaemonIsForgotten(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	lead := f.loops["c1"].voter.lead
+	assert.Equal(t, len(lead.beats), 3)
+	f.cut["d1"] = true
+	f.run(12 * time.Second)
+	_, known := lead.beats["d1"]
+	assert.Assert(t, !known && len(lead.beats) == 2, "%d daemons", len(lead.beats))
+}
+
 // Guards against a token wait that outlives its request.
 func TestAbandonedTokenWait(t *testing.T) {
 	f := newTestFleet(t, 1, 1)
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -110,7 +110,6 @@
 
 	// QuarantineList is the complete list of quarantined fingerprints.
 	QuarantineList struct {
-		Version uint64             `protobuf:"varint,1,opt,name=version"`
 		Entries []crash.Quarantine `protobuf:"bytes,2,rep,name=entries"`
 	}
 
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -14,7 +14,6 @@
 	FreshUntil time.Time             // the lease of this daemon ends then
 	Endpoints  map[string]*Endpoints // by service, only the services that this daemon calls
 	Quarantine map[string]wire.Stamp // end by fingerprint
-	Draining   bool                  // this daemon is leaving
 }
 
 // Endpoints is the list of instances of one service at one version.
