--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -375,7 +375,7 @@
 	if due, ok := d.registry.Deadline(); ok && !due.After(now) {
 		for _, gone := range d.registry.Expire(now) {
 			l.log.Warn().Str("daemon", gone.Daemon).Msg("daemon-gone")
-			if d.daemons[gone.Daemon] == nil { // otherwise a later start has replaced it
+			if now.Sub(d.beats[gone.Daemon].at) >= member.GoneAfter { // otherwise a later start has replaced it
 				delete(d.beats, gone.Daemon)
 			}
 			l.propose(now, &state.DaemonGone{Daemon: gone.Daemon, Boot: gone.Boot, At: l.voter.machine.Stamp(now)}, ownProposal{})
