--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -43,7 +43,6 @@
 		Seeds        AddressList    `toml:"seeds" doc:"Addresses of control instances known at the start, separated by commas; their port is that of their calls."`
 		Found        Switch         `toml:"found" default:"no" doc:"Whether this is the first start of the whole system, when the seeds found the consensus group: yes or no."`
 		RevokeWithin time.Duration  `toml:"revoke-within" default:"5s" min:"1s" max:"1m" doc:"Time after which a withdrawn key is served nowhere; a daemon that has heard nothing from the control instances for most of it serves no requests with a key."`
-		DrainWithin  time.Duration  `toml:"drain-within" default:"2s" min:"100ms" max:"10m" doc:"Time after which a leaving backend server gets nothing more."`
 		StopWithin   time.Duration  `toml:"stop-within" default:"6s" min:"500ms" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 		RetryRatio   Ratio          `toml:"retry-ratio" default:"0.2" doc:"Requests that the fleet sends again to one service, as a part of those sent to it."`
 		RetryWindow  time.Duration  `toml:"retry-window" default:"10s" min:"1s" max:"10m" doc:"Time over which repeated requests are counted."`
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -52,6 +52,9 @@
 }
 
 func (s *Settings) writeControls(text *strings.Builder) {
+	if s.Fleet.InUse() {
+		return
+	}
 	text.WriteString("\n[control-addresses]\n")
 	for _, control := range s.ControlAddresses {
 		fmt.Fprintf(text, "%s = %q\n", control.Name, control.Address)
