--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -18,7 +18,8 @@
 // check reports what concerns more than one setting, and missing settings.
 func (l *loader) check(secret func(path string) (string, error)) {
 	for _, f := range l.fields {
-		if _, found := l.given[f.name]; !found && f.tag.Get("required") == "true" {
+		need := f.tag.Get("required")
+		if _, found := l.given[f.name]; !found && (need == "true" || need == "alone" && !l.settings.Fleet.InUse()) {
 			l.fail(l.last, f.name, "the setting is missing")
 		}
 	}
@@ -34,7 +35,11 @@
 	}
 	l.checkAddresses()
 	l.checkAdvertised()
-	l.checkControls()
+	if l.settings.Fleet.InUse() {
+		l.checkFleet()
+	} else {
+		l.checkControls()
+	}
 	l.checkSecret(secret)
 }
 
@@ -49,6 +54,8 @@
 		{"local-address", s.LocalAddress},
 		{"peer-address", s.PeerAddress},
 		{"admin-address", s.AdminAddress},
+		{"fleet.call-address", s.Fleet.CallAddress},
+		{"fleet.ready-address", s.Fleet.ReadyAddress},
 	}
 	for i, a := range listening {
 		for _, b := range listening[:i] {
@@ -75,6 +82,26 @@
 	}
 }
 
+// checkFleet reports what is missing on the users' platform. An instance with a data folder is a control
+// instance, any other one serves callers.
+func (l *loader) checkFleet() {
+	s := l.settings
+	if _, found := l.given["control-addresses"]; found {
+		l.fail(l.given["control-addresses"], "control-addresses", "control instances find each other by fleet.seeds; remove the table")
+	}
+	if len(s.Fleet.Seeds) == 0 {
+		l.fail(l.last, "fleet.seeds", "the setting is missing")
+	}
+	if s.DataFolder != "" {
+		return
+	}
+	for name, address := range map[string]netip.AddrPort{"ingress-address": s.IngressAddress, "fleet.ready-address": s.Fleet.ReadyAddress} {
+		if !address.IsValid() {
+			l.fail(l.last, name, "the setting is missing on an instance without a data folder")
+		}
+	}
+}
+
 func (l *loader) checkControls() {
 	s := l.settings
 	slices.SortFunc(s.ControlAddresses, func(a, b Control) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -157,7 +157,7 @@
 }
 
 func isTable(path []string) bool {
-	return len(path) == 1 && (path[0] == "limits" || path[0] == "control-addresses")
+	return len(path) == 1 && (path[0] == "limits" || path[0] == "control-addresses" || path[0] == "fleet")
 }
 
 func keyOf(parser *unstable.Parser, node *unstable.Node) ([]string, position) {
@@ -286,7 +286,7 @@
 		for i := range value.NumField() {
 			definition := value.Type().Field(i)
 			name := prefix + definition.Tag.Get("toml")
-			if definition.Type == reflect.TypeFor[Limits]() {
+			if definition.Type == reflect.TypeFor[Limits]() || definition.Type == reflect.TypeFor[Fleet]() {
 				add(name+".", value.Field(i))
 				continue
 			}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,20 +19,45 @@
 		Name             string         `toml:"name" required:"true" doc:"Name of the instance, unique in the fleet: lower-case letters, digits and hyphens."`
 		AvailabilityZone string         `toml:"availability-zone" required:"true" doc:"Name of the availability zone of the instance."`
 		Region           string         `toml:"region" required:"true" doc:"Name of the region of the instance."`
-		IngressAddress   netip.AddrPort `toml:"ingress-address" required:"true" doc:"Address on which callers are served over HTTP."`
-		LocalAddress     netip.AddrPort `toml:"local-address" required:"true" doc:"Address for the backend server beside the daemon: announcements and nested calls."`
+		IngressAddress   netip.AddrPort `toml:"ingress-address" required:"alone" doc:"Address on which callers are served over HTTP."`
+		LocalAddress     netip.AddrPort `toml:"local-address" required:"alone" doc:"Address for the backend server beside the daemon: announcements and nested calls."`
 		PeerAddress      netip.AddrPort `toml:"peer-address" required:"true" doc:"Address on which other daemons connect."`
 		AdminAddress     netip.AddrPort `toml:"admin-address" required:"true" doc:"Address of the operators' endpoint: status, dump and metrics."`
 		PeerAdvertise    netip.AddrPort `toml:"peer-advertise" doc:"Address under which other daemons reach peer-address; the default is peer-address, which then has to name one IP address."`
 		DataFolder       string         `toml:"data-folder" doc:"Folder of the durable log; set on control instances only."`
-		ControlAddresses []Control      `toml:"control-addresses" required:"true" doc:"Table of the control instances: voter name = peer address."`
+		ControlAddresses []Control      `toml:"control-addresses" required:"alone" doc:"Table of the control instances: voter name = peer address."`
 		Secret           Secret         `toml:"secret" doc:"Secret shared by all daemons, 16 to 256 bytes. Either this or secret-file is required."`
 		SecretFile       string         `toml:"secret-file" doc:"File that holds the secret; white space around it is ignored. Others may not have access to the file."`
 		RulesFile        string         `toml:"rules-file" doc:"Rules file that this daemon watches and proposes; set where operators edit it."`
 		LogLevel         zerolog.Level  `toml:"log-level" default:"info" doc:"Least severe level that is logged: debug, info, warn or error."`
 		Limits           Limits         `toml:"limits"`
+		Fleet            Fleet          `toml:"fleet"`
 	}
 
+	// Fleet holds the settings of a daemon on the users' platform; it is in use when CallAddress is set.
+	Fleet struct {
+		CallAddress  netip.AddrPort `toml:"call-address" doc:"Address for the platform's calls: reports of backend servers and, on control instances, configurations."`
+		ReadyAddress netip.AddrPort `toml:"ready-address" doc:"Address that tells whether the daemon takes callers."`
+		Service      string         `toml:"service" doc:"Service of the backend server beside the daemon."`
+		Seeds        AddressList    `toml:"seeds" doc:"Addresses of control instances known at the start, separated by commas; their port is that of their calls."`
+		Found        Switch         `toml:"found" default:"no" doc:"Whether this is the first start of the whole system, when the seeds found the consensus group: yes or no."`
+		RevokeWithin time.Duration  `toml:"revoke-within" default:"5s" min:"1s" max:"1m" doc:"Time after which a withdrawn key is served nowhere; a daemon that has heard nothing from the control instances for most of it serves no requests with a key."`
+		DrainWithin  time.Duration  `toml:"drain-within" default:"2s" min:"100ms" max:"10m" doc:"Time after which a leaving backend server gets nothing more."`
+		StopWithin   time.Duration  `toml:"stop-within" default:"6s" min:"500ms" max:"10m" doc:"Time from the signal to stop until the process is killed."`
+		RetryRatio   Ratio          `toml:"retry-ratio" default:"0.2" doc:"Requests that the fleet sends again to one service, as a part of those sent to it."`
+		RetryWindow  time.Duration  `toml:"retry-window" default:"10s" min:"1s" max:"10m" doc:"Time over which repeated requests are counted."`
+		Memory       Size           `toml:"memory" default:"256MiB" min:"32MiB" max:"64GiB" doc:"Memory that the process may use."`
+	}
+
+	// AddressList is a list of addresses, written with commas.
+	AddressList []netip.AddrPort
+
+	// Switch is written yes or no; true and false are understood too.
+	Switch bool
+
+	// Ratio is a part of a whole, written as a number in quotes such as "0.2".
+	Ratio float64
+
 	// Limits bound what one daemon accepts from its callers and its backend server.
 	Limits struct {
 		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body."`
@@ -77,6 +102,26 @@
 	return strconv.FormatInt(int64(s), 10) + "B"
 }
 
+// String returns the addresses separated by commas.
+func (a AddressList) String() string {
+	texts := make([]string, len(a))
+	for i, address := range a {
+		texts[i] = address.String()
+	}
+	return strings.Join(texts, ",")
+}
+
+// String returns yes or no.
+func (s Switch) String() string {
+	if s {
+		return "yes"
+	}
+	return "no"
+}
+
+// InUse reports whether the daemon runs on the users' platform.
+func (f *Fleet) InUse() bool { return f.CallAddress.IsValid() }
+
 // String hides the secret.
 func (s Secret) String() string {
 	if s == "" {
@@ -127,6 +172,30 @@
 		}
 		*target = duration
 		return nil
+	case *AddressList:
+		list, ok := parseAddresses(text)
+		if !isText || !ok {
+			return fmt.Errorf(`expected addresses separated by commas such as "10.0.0.1:7401,10.0.0.2:7401", found %s`, shown(value))
+		}
+		*target = list
+		return nil
+	case *Switch:
+		switch text {
+		case "yes", "true":
+			*target = true
+		case "no", "false":
+			*target = false
+		default:
+			return fmt.Errorf(`expected "yes" or "no", found %s`, shown(value))
+		}
+		return nil
+	case *Ratio:
+		ratio, err := strconv.ParseFloat(text, 64)
+		if err != nil || ratio < 0 || ratio > 1 {
+			return fmt.Errorf(`expected a number from 0 to 1 in quotes such as "0.2", found %s`, shown(value))
+		}
+		*target = Ratio(ratio)
+		return nil
 	case *netip.AddrPort:
 		address, err := netip.ParseAddrPort(text)
 		if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
@@ -146,6 +215,18 @@
 	return fmt.Errorf("expected a string, found %s", shown(value))
 }
 
+func parseAddresses(text string) (AddressList, bool) {
+	var list AddressList
+	for _, word := range strings.Split(text, ",") {
+		address, err := netip.ParseAddrPort(strings.TrimSpace(word))
+		if err != nil || address.Port() == 0 {
+			return nil, false
+		}
+		list = append(list, address)
+	}
+	return list, true
+}
+
 func parseSize(text string) (Size, bool) {
 	for _, unit := range sizeUnits {
 		digits, found := strings.CutSuffix(text, unit.name)
--- a/internal/config/text.go
+++ b/internal/config/text.go
@@ -26,7 +26,7 @@
 	var text strings.Builder
 	table := ""
 	for _, f := range fieldsOf(s) {
-		if f.value.IsZero() && !f.tagged("default") {
+		if f.value.IsZero() && !f.tagged("default") || strings.HasPrefix(f.name, "fleet.") && !s.Fleet.InUse() {
 			continue
 		}
 		if at := strings.IndexByte(f.name, '.'); at >= 0 && f.name[:at] != table {
@@ -79,6 +79,8 @@
 		switch {
 		case f.tag.Get("required") == "true":
 			standard = "required"
+		case f.tag.Get("required") == "alone":
+			standard = "required without `[fleet]`"
 		case f.tagged("default"):
 			standard = "`" + f.tag.Get("default") + "`"
 		}
@@ -109,6 +111,12 @@
 		return "address"
 	case []Control:
 		return "table"
+	case AddressList:
+		return "addresses"
+	case Switch:
+		return "yes or no"
+	case Ratio:
+		return "ratio"
 	case zerolog.Level, string, Secret:
 		return "string"
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -40,7 +40,7 @@
 	chosen, _ := subcommand.(command)
 	switch chosen := chosen.(type) {
 	case *runCommand:
-		return run(chosen, stderr)
+		return run(chosen, stdout, stderr)
 	case *settingsCommand:
 		return printSettings(chosen, stdout, stderr)
 	case *quickStartCommand:
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -22,22 +22,37 @@
 const drainLimit = 24 * time.Hour
 
 type runCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file in TOML"`
+	Settings string `arg:"--settings,required,env:BUCKTHORNPITCH_SETTINGS" placeholder:"FILE" help:"settings file in TOML"`
 }
 
 type settingsCommand struct {
-	Settings string `arg:"--settings,required" placeholder:"FILE" help:"settings file in TOML"`
+	Settings string `arg:"--settings,required,env:BUCKTHORNPITCH_SETTINGS" placeholder:"FILE" help:"settings file in TOML"`
 }
 
-func run(command *runCommand, stderr io.Writer) int {
+func run(command *runCommand, stdout, stderr io.Writer) int {
 	settings, err := config.Load(command.Settings)
 	if err != nil {
 		return fail(stderr, cmds.Usage, err)
 	}
+	if settings.Fleet.InUse() {
+		return runFleet(settings, command.Settings, stdout, stderr)
+	}
 	log := logs.New(stderr, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
 	return serve(settings, log, stderr)
 }
 
+// runFleet runs a daemon on the users' platform; its log goes to standard output, where their engineers
+// look for it.
+func runFleet(settings *config.Settings, path string, stdout, stderr io.Writer) int {
+	log := logs.New(stdout, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
+	klog.SetLogger(logs.Kratos(log))
+	daemon, err := root.NewFleet(settings, path, clock.Real{}, log)
+	if err != nil {
+		return fail(stderr, cmds.Failed, err)
+	}
+	return serveDaemon(daemon, log, stderr)
+}
+
 // serve runs one daemon as a kratos application until a signal arrives.
 func serve(settings *config.Settings, log zerolog.Logger, stderr io.Writer) int {
 	klog.SetLogger(logs.Kratos(log))
@@ -45,6 +60,12 @@
 	if err != nil {
 		return fail(stderr, cmds.Failed, err)
 	}
+	return serveDaemon(daemon, log, stderr)
+}
+
+func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
+	// SIGHUP says that the settings may have changed; the daemon looks at them all the time.
+	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,7 +70,9 @@
 }
 
 func (s *Server) run(ctx context.Context) error {
-	server := khttp.NewServer(khttp.Listener(s.Listener), khttp.Timeout(0))
+	// Without an endpoint the library lists the network interfaces, which not every instance permits.
+	endpoint := &url.URL{Scheme: "http", Host: s.Listener.Addr().String()}
+	server := khttp.NewServer(khttp.Listener(s.Listener), khttp.Endpoint(endpoint), khttp.Timeout(0))
 	server.ReadHeaderTimeout = reportTimeout
 	server.HandleFunc(admin.PathStatus, s.handle(s.status))
 	server.HandleFunc(admin.PathInForce, s.handle(s.inForce))
--- a/internal/root/ctrl/codec.go
+++ b/internal/root/ctrl/codec.go
@@ -85,6 +85,8 @@
 		return frameOf(kindRedirect, m)
 	case *QueryReply:
 		return frameOf(kindQueryReply, m)
+	case *Members:
+		return frameOf(kindMembers, m)
 	}
 	return wire.Frame{}, fmt.Errorf("encode control message: unknown type %T", m)
 }
@@ -112,6 +114,8 @@
 		return decodeAs(f.Body, func(m *Redirect) Down { return m })
 	case kindQueryReply:
 		return decodeAs(f.Body, func(m *QueryReply) Down { return m })
+	case kindMembers:
+		return decodeAs(f.Body, func(m *Members) Down { return m })
 	}
 	return nil, fmt.Errorf("%w: unknown control message kind %d", wire.ErrDecode, f.Kind)
 }
--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -45,7 +45,7 @@
 	if l.parsed.set != nil && l.parsed.hash == hash {
 		return l.parsed.set, nil
 	}
-	set, err := rules.Parse(name, text)
+	set, err := l.cfg.Parse(name, text)
 	if err != nil {
 		// The problems are shown to operators as they are.
 		return nil, err
@@ -143,6 +143,8 @@
 		return fmt.Sprintf("refused: revision %d was accepted with another text%s%s", refused.Number, winner, fix)
 	case state.NumberTooHigh:
 		return fmt.Sprintf("refused: revision %d is not the next after %d%s", refused.Number, refused.InForce, fix)
+	case state.BaseChanged:
+		return fmt.Sprintf("refused: revision %d builds on another revision than %d%s", refused.Number, refused.InForce, winner)
 	case state.NumberForgotten:
 		return fmt.Sprintf("refused: revision %d is older than the recorded history%s", refused.Number, fix)
 	}
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -198,6 +198,8 @@
 			delete(d.queries, message.ID)
 			reply <- queryResult(message)
 		}
+	case *Members:
+		l.learnControls(now, message.Addresses)
 	case *Redirect: // handled by the uplink
 	}
 }
@@ -222,7 +224,7 @@
 		return
 	}
 	d.behind = 0
-	if until := sent.Add(leaseLife); until.After(d.freshUntil) {
+	if until := sent.Add(l.cfg.Lease); until.After(d.freshUntil) {
 		d.freshUntil = until
 		l.dirty = true
 	}
--- a/internal/root/ctrl/event.go
+++ b/internal/root/ctrl/event.go
@@ -104,6 +104,18 @@
 	// consensus carries an event of the consensus member.
 	consensus struct{ input raft.Event }
 
+	// controlsKnown names control instances, from the settings or from the leader.
+	controlsKnown struct{ addresses []string }
+
+	// draftSubmitted asks to accept a revision.
+	draftSubmitted struct {
+		draft Draft
+		reply chan<- SubmitResult
+	}
+
+	// configRead asks for the accepted revision.
+	configRead struct{ reply chan<- ReadResult }
+
 	// reportWanted asks for a report of the operators' endpoint.
 	reportWanted struct {
 		request ReportRequest
@@ -136,3 +148,6 @@
 func (daemonSent) event()        {}
 func (consensus) event()         {}
 func (reportWanted) event()      {}
+func (controlsKnown) event()     {}
+func (draftSubmitted) event()    {}
+func (configRead) event()        {}
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -110,7 +110,7 @@
 	leader := l.voter.node.Status().Leader
 	address := ""
 	if leader != l.voter.name {
-		address = l.voter.peers[leader]
+		address = l.voter.address(leader)
 	}
 	l.sendDown(s, &Redirect{Leader: address})
 }
@@ -193,6 +193,10 @@
 	d.beats[s.join.Daemon] = daemonBeat{name: s.peer, zone: s.join.Zone, revision: beat.Revision, at: now}
 	lease.Revision = l.voter.revision()
 	l.sendDown(s, leaseDown{&lease})
+	if l.cfg.Open && s.members != l.voter.node.MembershipIndex() {
+		s.members = l.voter.node.MembershipIndex()
+		l.sendDown(s, &Members{Addresses: l.memberAddresses()})
+	}
 }
 
 // closed ends the stream of a daemon; its instances stay until its lease ends.
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -15,6 +15,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const (
@@ -33,6 +34,18 @@
 		Voters           map[string]string // peer addresses of the control instances by name
 		RulesFile        string            // empty where operators do not edit rules
 		Boot             uint64            // differs for each start
+
+		// Open is set where control instances find each other: ControlAddresses are those known at the start,
+		// and the peer address of a control instance is its name in the consensus group.
+		Open bool
+		// Found is set at the first start of the whole system, when the known control instances found the group.
+		Found bool
+		// Traffic is set on daemons that serve traffic and follow the leader for it.
+		Traffic bool
+		// Lease is how long a daemon stays fresh after it sent a beat that was answered; zero for leaseLife.
+		Lease time.Duration
+		// Parse reads the text of a revision; rules.Parse where it is nil.
+		Parse func(name string, text []byte) (*rules.Set, error)
 	}
 
 	// Loop owns the control state of a daemon. Only its own goroutine touches the fields without a note.
@@ -47,6 +60,7 @@
 		stopped  chan struct{}                          // closed when the loop has ended
 		snapshot atomic.Pointer[snap.Snapshot]          // published by the loop
 		cells    atomic.Pointer[map[string]*limit.Cell] // published by the loop
+		controls atomic.Pointer[[]string]               // peer addresses of control instances, the best first
 		waiters  atomic.Uint64                          // numbers waiting requests
 		received atomic.Uint64                          // bytes from the leader
 		sent     uint64                                 // bytes to the leader
@@ -65,6 +79,13 @@
 		events:  make(chan Event, eventQueue),
 		stopped: make(chan struct{}),
 	}
+	if l.cfg.Lease == 0 {
+		l.cfg.Lease = leaseLife
+	}
+	if l.cfg.Parse == nil {
+		l.cfg.Parse = rules.Parse
+	}
+	l.setControls(cfg.ControlAddresses)
 	now := clk.Now()
 	l.daemon = newDaemonState(cfg, now)
 	l.cells.Store(&l.daemon.holder.Cells)
@@ -81,7 +102,10 @@
 
 // Group returns the run group of the control plane; the loop stops last.
 func (l *Loop) Group() *super.Group {
-	children := []super.Child{{Name: "uplink", Run: l.runUplink}}
+	var children []super.Child
+	if !l.cfg.Open || l.cfg.Traffic {
+		children = append(children, super.Child{Name: "uplink", Run: l.runUplink})
+	}
 	if l.cfg.RulesFile != "" {
 		children = append(children, super.Child{Name: "watch", Run: l.runWatcher})
 	}
@@ -153,7 +177,9 @@
 		}
 	case reportWanted:
 		l.report(now, event)
-	case daemonOpened, daemonClosed, daemonSent, consensus:
+	case controlsKnown:
+		l.learnControls(now, event.addresses)
+	case daemonOpened, daemonClosed, daemonSent, consensus, draftSubmitted, configRead:
 		if l.voter != nil {
 			l.handleVoter(now, event)
 		}
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -35,14 +35,16 @@
 	kindProposeReply
 	kindRedirect
 	kindQueryReply
+	kindMembers
 )
 
 const (
 	// maxControlFrame holds a whole rules text.
 	maxControlFrame = state.MaxText + 64<<10
 
-	maxName   = 128
-	maxReport = 1024
+	maxName    = 128
+	maxReport  = 1024
+	maxMembers = 32
 )
 
 type (
@@ -118,6 +120,11 @@
 		Leader string `protobuf:"bytes,1,opt,name=leader"`
 	}
 
+	// Members lists the peer addresses of the control instances of an open group, the leader first.
+	Members struct {
+		Addresses []string `protobuf:"bytes,1,rep,name=addresses"`
+	}
+
 	// Query asks the leader for a report of the operators' endpoint; ID is repeated in the reply.
 	Query struct {
 		ID       uint64        `protobuf:"varint,1,opt,name=id"`
@@ -180,6 +187,7 @@
 func (*ProposeReply) down()   {}
 func (*Redirect) down()       {}
 func (*QueryReply) down()     {}
+func (*Members) down()        {}
 
 // Check reports the first invalid field.
 func (j *Join) Check() error {
@@ -259,3 +267,16 @@
 
 // Check accepts every reply; its body is checked by the reader of the report.
 func (*QueryReply) Check() error { return nil }
+
+// Check reports a list or an address that is too long.
+func (m *Members) Check() error {
+	if len(m.Addresses) > maxMembers {
+		return fmt.Errorf("%d control instances, limit %d", len(m.Addresses), maxMembers)
+	}
+	for _, address := range m.Addresses {
+		if address == "" || len(address) > maxName {
+			return fmt.Errorf("control address of %d bytes, want 1 to %d", len(address), maxName)
+		}
+	}
+	return nil
+}
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -45,7 +45,7 @@
 
 // needsHello reports whether a peer has yet to accept this start, or this member looks for its group.
 func (n *Node) needsHello() bool {
-	for _, name := range n.cfg.Peers {
+	for _, name := range n.peers {
 		if name != n.self.Name && (n.accepted[name] == "" || n.log.last() == 0) {
 			return true
 		}
@@ -54,17 +54,17 @@
 }
 
 func (n *Node) sendHellos() {
-	for _, name := range n.cfg.Peers {
+	for _, name := range n.peers {
 		if name != n.self.Name && (n.accepted[name] == "" || n.log.last() == 0) {
 			to := Voter{Name: name}
-			n.send(to, &Hello{Header: n.header(to), Lineage: n.lineage})
+			n.send(to, &Hello{Header: n.header(to), Lineage: n.lineage, Extends: n.cfg.Extends})
 		}
 	}
 }
 
 func (n *Node) onHello(m *Hello) {
 	from := m.Header.From
-	if from.Name == n.self.Name || !slices.Contains(n.cfg.Peers, from.Name) {
+	if from.Name == n.self.Name || !n.isPeer(from.Name) {
 		return
 	}
 	if m.Header.Group != "" && n.group() != "" && m.Header.Group != n.group() {
@@ -120,7 +120,9 @@
 		return
 	}
 	n.hard.Boots = slices.DeleteFunc(n.hard.Boots, func(b Boot) bool { return b.Disk == from.Disk })
-	n.hard.Boots = append(n.hard.Boots, Boot{Name: from.Name, Disk: from.Disk, Number: m.Header.Boot, Start: m.Header.Start})
+	n.hard.Boots = append(n.hard.Boots, Boot{
+		Name: from.Name, Disk: from.Disk, Number: m.Header.Boot, Start: m.Header.Start, Extends: m.Extends,
+	})
 	n.pruneBoots()
 	n.writes.hardDirty = true
 	if n.role == Leader {
@@ -151,13 +153,14 @@
 
 func (n *Node) onHelloReply(m *HelloReply) {
 	from := m.Header.From
-	if m.Header.To != n.self.Disk || m.Boot != n.boot || m.Start != n.start || !slices.Contains(n.cfg.Peers, from.Name) {
+	if m.Header.To != n.self.Disk || m.Boot != n.boot || m.Start != n.start || !slices.Contains(n.peers, from.Name) {
 		return
 	}
 	if !m.Accepted {
 		n.fence(from.Name, m.Reason)
 		return
 	}
+	n.addPeers(m.Membership)
 	n.accepted[from.Name] = from.Disk
 	if m.Header.Group == "" {
 		n.unformed[from.Name] = from
@@ -181,12 +184,17 @@
 // form founds the group once every configured peer has presented itself without one. Only the member
 // with the first name does so, so that a group is formed once.
 func (n *Node) form() {
-	if n.log.last() != 0 || n.self.Name != slices.Min(n.cfg.Peers) || len(n.unformed) != len(n.cfg.Peers)-1 {
+	founders := n.cfg.Founders
+	if n.log.last() != 0 || len(founders) == 0 || n.self.Name != slices.Min(founders) {
 		return
 	}
 	voters := []Voter{n.self}
-	for _, v := range n.unformed {
-		if n.bootOf(v.Disk) == nil {
+	for _, name := range founders {
+		if name == n.self.Name {
+			continue
+		}
+		v, found := n.unformed[name]
+		if !found || n.bootOf(v.Disk) == nil {
 			return
 		}
 		voters = append(voters, v)
@@ -197,7 +205,46 @@
 		}
 		return 1
 	})
-	n.adopt(Membership{Group: n.self.Disk, Index: 1, Voters: voters})
+	founded := Membership{Group: n.self.Disk, Index: 1, Voters: voters}
+	if n.cfg.Open {
+		founded.Size = uint64(len(voters))
+	}
+	n.adopt(founded)
+}
+
+// isPeer reports whether a member of this name may take part; an open group remembers a new name.
+func (n *Node) isPeer(name string) bool {
+	if slices.Contains(n.peers, name) {
+		return true
+	}
+	if !n.cfg.Open || len(n.peers) >= MaxPeers && !n.forgetPeer() {
+		return false
+	}
+	n.peers = append(n.peers, name)
+	return true
+}
+
+// forgetPeer makes room for a new name by dropping one that is neither a voter nor known at the start.
+func (n *Node) forgetPeer() bool {
+	for i, name := range n.peers {
+		voter := slices.ContainsFunc(n.members, func(m Membership) bool { return m.hasName(name) })
+		if !voter && !slices.Contains(n.cfg.Peers, name) {
+			n.peers = slices.Delete(n.peers, i, i+1)
+			delete(n.accepted, name)
+			return true
+		}
+	}
+	return false
+}
+
+// addPeers remembers the voters of an open group by their names.
+func (n *Node) addPeers(m *Membership) {
+	if m == nil || !n.cfg.Open {
+		return
+	}
+	for _, v := range m.Voters {
+		n.isPeer(v.Name)
+	}
 }
 
 // adopt starts the log with the entry that formed the group; it is the same on every member.
--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -51,6 +51,9 @@
 	// caught up. A new disk under the name of a voter is replaced without being asked.
 	ReplaceVoter struct{ Old, New string }
 
+	// PeerFound tells an open group's member the name of another one.
+	PeerFound struct{ Name string }
+
 	// Action is an output of Step; the control loop executes actions in order.
 	Action interface{ action() }
 
@@ -110,6 +113,7 @@
 func (SnapshotTaken) event()     {}
 func (SnapshotPersisted) event() {}
 func (ReplaceVoter) event()      {}
+func (PeerFound) event()         {}
 
 func (Persist) action()         {}
 func (PersistSnapshot) action() {}
--- a/internal/root/ctrl/raft/follow.go
+++ b/internal/root/ctrl/raft/follow.go
@@ -100,6 +100,7 @@
 	n.log.reset(s.Index, s.Term)
 	n.lowerWrites(0)
 	n.members = []Membership{s.Membership}
+	n.addPeers(&s.Membership)
 	n.commit, n.applied, n.verified = s.Index, s.Index, s.Index
 	n.snapshot, n.writes.install = s, s
 	n.writes.saved = s.Index
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -99,6 +99,7 @@
 	for i := range entries {
 		if entries[i].Kind == EntryMembership {
 			n.members = append(n.members, *entries[i].Membership)
+			n.addPeers(entries[i].Membership)
 			if n.role == Leader {
 				n.trackPeers()
 			}
--- a/internal/root/ctrl/raft/message.go
+++ b/internal/root/ctrl/raft/message.go
@@ -28,6 +28,8 @@
 		Header Header `protobuf:"bytes,1,opt,name=header"`
 		// Lineage holds the Start values of the previous starts, 8 bytes each, little endian, the latest last.
 		Lineage []byte `protobuf:"bytes,2,opt,name=lineage"`
+		// Extends asks for one voter more instead of the place of another.
+		Extends bool `protobuf:"varint,3,opt,name=extends"`
 	}
 
 	// HelloReply answers Hello after the boot number is synced.
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -25,6 +25,7 @@
 	Node struct {
 		cfg     Config
 		self    Voter
+		peers   []string // names of the members that this member speaks to, its own included
 		boot    uint64
 		start   uint64
 		lineage []byte
@@ -76,6 +77,7 @@
 	n := &Node{
 		cfg:      cfg.withDefaults(),
 		self:     Voter{Name: cfg.Name, Disk: restored.Disk},
+		peers:    slices.Clone(cfg.Peers),
 		boot:     restored.Boot,
 		start:    restored.Start,
 		random:   rand.New(rand.NewPCG(cfg.Seed, restored.Start)),
@@ -85,6 +87,9 @@
 		accepted: map[string]string{},
 		unformed: map[string]Voter{},
 	}
+	if n.cfg.Founders == nil {
+		n.cfg.Founders = cfg.Peers
+	}
 	n.nextHello = now
 	lineage := restored.Lineage
 	if len(lineage) > MaxLineage {
@@ -109,6 +114,7 @@
 	if n.snapshot == nil && len(n.members) > 0 {
 		n.commit = n.members[0].Index // the entry that formed the group is committed by definition
 	}
+	n.addPeers(n.membership())
 	n.writes.saved, n.writes.durable = n.log.last(), n.log.last()
 	if n.hard.Fenced {
 		n.out = append(n.out, Fenced{Reason: "refused at an earlier start"})
@@ -165,6 +171,8 @@
 		if n.role == Leader {
 			n.lead.replace = ev
 		}
+	case PeerFound:
+		n.isPeer(ev.Name)
 	}
 }
 
@@ -285,6 +293,14 @@
 	return due
 }
 
+// MembershipIndex returns the index of the latest membership, zero before the first.
+func (n *Node) MembershipIndex() uint64 {
+	if m := n.membership(); m != nil {
+		return m.Index
+	}
+	return 0
+}
+
 // Status returns a copy of the member's state as of the last Step.
 func (n *Node) Status() Status {
 	s := Status{
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -11,7 +12,9 @@
 	// MaxName is the longest member name in bytes.
 	MaxName = 128
 	// MaxPeers is the largest number of members: five voters, one of them being replaced, and learners.
-	MaxPeers = 16
+	MaxPeers = 32
+	// MaxVoters is the largest number of voters to which a group grows by itself.
+	MaxVoters = 9
 	// MaxData is the largest proposal in bytes: a rules file of 2 MiB and its envelope.
 	MaxData = 2<<20 + 64<<10
 	// MaxAppend bounds the entry bytes of one message, except that one entry is always sent. An entry of
@@ -68,9 +71,15 @@
 
 	// Config holds the settings of one member; zero durations and sizes take the defaults of the design page.
 	Config struct {
-		// Name is this member's name; Peers lists the names of all members, this one included.
+		// Name is this member's name; Peers lists the names of the members known at the start, this one included.
 		Name  string
 		Peers []string
+		// Founders are the names that found the group; all of Peers if it is nil, nobody if it is empty.
+		Founders []string
+		// Open lets members join whose names are not in Peers.
+		Open bool
+		// Extends asks the group for one voter more, for this member, instead of the place of another.
+		Extends bool
 
 		Heartbeat   time.Duration
 		ElectionMin time.Duration
@@ -115,6 +124,8 @@
 		Joining string `protobuf:"bytes,6,opt,name=joining"`
 		// Removed lists disks that may not return, the latest last.
 		Removed []string `protobuf:"bytes,5,rep,name=removed"`
+		// Size is the number of voters that an open group keeps; zero in groups of fixed names.
+		Size uint64 `protobuf:"varint,7,opt,name=size"`
 	}
 
 	// Entry is one entry of the replicated log.
@@ -134,6 +145,8 @@
 		// Number increases by one at each start; Start is a random value drawn at that start.
 		Number uint64 `protobuf:"varint,3,opt,name=number"`
 		Start  uint64 `protobuf:"fixed64,4,opt,name=start"`
+		// Extends is what the member said in its Hello.
+		Extends bool `protobuf:"varint,5,opt,name=extends"`
 	}
 
 	// HardState is what a member must not forget besides its entries.
@@ -263,6 +276,11 @@
 	return false
 }
 
+// hasName reports whether a voter has this name.
+func (m *Membership) hasName(name string) bool {
+	return slices.ContainsFunc(m.Voters, func(v Voter) bool { return v.Name == name })
+}
+
 // Check returns an error that names the first invalid field.
 func (v *Voter) Check() error {
 	if v.Name == "" || len(v.Name) > MaxName {
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -37,6 +37,7 @@
 	join    *Join
 	want    *member.Want // repeated at the end of the leader\'s warm-up
 	sent    uint64       // revision sent last
+	members uint64       // index of the membership sent last
 	traffic uint64       // bytes queued for the daemon
 }
 
--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -53,7 +53,7 @@
 	// ProposeConfig proposes Text as revision Number.
 	ProposeConfig struct {
 		Number uint64 `protobuf:"varint,1,opt,name=number"`
-		// Text is the whole text; it is empty when Hunks turn the text of revision Number-1 into it.
+		// Text is the whole text; it is empty when Hunks turn the text of the revision in force into it.
 		Text   []byte `protobuf:"bytes,2,opt,name=text"`
 		Author string `protobuf:"bytes,3,opt,name=author"`
 		// Origin is the daemon that proposed.
@@ -63,6 +63,10 @@
 		At   wire.Stamp `protobuf:"varint,6,opt,name=at"`
 		// Hunks are set instead of Text.
 		Hunks []Hunk `protobuf:"bytes,7,rep,name=hunks"`
+		// Based proposals build on the revision Base, which has to be in force, zero before the first; their
+		// numbers may leave gaps.
+		Based bool   `protobuf:"varint,8,opt,name=based"`
+		Base  uint64 `protobuf:"varint,9,opt,name=base"`
 	}
 
 	// OnceScope identifies an idempotency record.
--- a/internal/root/ctrl/state/machine.go
+++ b/internal/root/ctrl/state/machine.go
@@ -18,7 +18,7 @@
 		Now wire.Stamp
 		// Index is that of the last applied command.
 		Index uint64
-		// Revisions holds the recorded revisions with consecutive numbers; the last one is in force.
+		// Revisions holds the recorded revisions with ascending numbers; the last one is in force.
 		// The revisions themselves are immutable.
 		Revisions []*Revision
 		// QuarantineVersion increases whenever the set of quarantined fingerprints changes.
@@ -159,10 +159,13 @@
 
 // Revision returns a recorded revision, or nil; its text is nil where only the header is kept.
 func (m *Machine) Revision(number uint64) *Revision {
-	if len(m.Revisions) == 0 || number < m.Revisions[0].Number || number > m.InForce().Number {
+	at, found := slices.BinarySearchFunc(m.Revisions, number, func(r *Revision, n uint64) int {
+		return cmp.Compare(r.Number, n)
+	})
+	if !found {
 		return nil
 	}
-	return m.Revisions[number-m.Revisions[0].Number]
+	return m.Revisions[at]
 }
 
 func (m *Machine) propose(c *ProposeConfig) ConfigVerdict {
@@ -178,10 +181,13 @@
 		return &refused
 	}
 	switch {
+	case c.Based && c.Base != refused.InForce:
+		refused.Reason = BaseChanged
+		return &refused
 	case c.Number <= refused.InForce:
 		refused.Reason = NumberForgotten
 		return &refused
-	case c.Number != refused.InForce+1:
+	case !c.Based && c.Number != refused.InForce+1:
 		refused.Reason = NumberTooHigh
 		return &refused
 	}
--- a/internal/root/ctrl/state/result.go
+++ b/internal/root/ctrl/state/result.go
@@ -20,6 +20,8 @@
 	NumberForgotten
 	// TextInvalid means that the text or its hash is not valid.
 	TextInvalid
+	// BaseChanged means that another revision is in force than the one the proposal builds on.
+	BaseChanged
 )
 
 // ErrResult reports a result with an invalid field.
@@ -239,7 +241,7 @@
 	case *ConfigAccepted:
 		return r.Revision.Check()
 	case *ConfigRefused:
-		if r.Reason < NumberTaken || r.Reason > TextInvalid {
+		if r.Reason < NumberTaken || r.Reason > BaseChanged {
 			return fmt.Errorf("%w: reason %d", ErrResult, r.Reason)
 		}
 		if r.Winner != nil {
--- a/internal/root/ctrl/state/snapshot.go
+++ b/internal/root/ctrl/state/snapshot.go
@@ -104,7 +104,7 @@
 		if err := r.Check(); err != nil {
 			return err
 		}
-		if r.Number != i.Revisions[0].Number+uint64(k) {
+		if k > 0 && r.Number <= i.Revisions[k-1].Number {
 			return fmt.Errorf("%w: revision %d at position %d", ErrSnapshot, r.Number, k)
 		}
 		if len(r.Text) == 0 && (k == len(i.Revisions)-1 || k > 0 && len(i.Revisions[k-1].Text) > 0) {
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -24,12 +24,13 @@
 // redirects.
 func (l *Loop) runUplink(ctx context.Context) error {
 	random := rand.New(rand.NewPCG(l.boot, l.boot))
-	next := random.IntN(len(l.cfg.ControlAddresses))
+	next := random.IntN(len(*l.controls.Load()))
 	hint, backoff := "", backoffMin
 	for ctx.Err() == nil {
 		address := hint
 		if address == "" {
-			address = l.cfg.ControlAddresses[next%len(l.cfg.ControlAddresses)]
+			controls := *l.controls.Load()
+			address = controls[next%len(controls)]
 			next++
 		}
 		hint = ""
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -22,6 +22,7 @@
 		machine  *state.Machine
 		writer   *writer
 		links    map[string]*raftLink
+		found    chan *raftLink // links of an open group that wait to be run
 		sessions map[*session]struct{}
 
 		proposals    map[uint64]proposal
@@ -55,12 +56,24 @@
 		author  string
 	}
 
+	// draftProposal answers a submitted draft.
+	draftProposal struct {
+		reply chan<- SubmitResult
+		draft Draft
+	}
+
+	// readProposal answers a read of the accepted revision; committing it proves that no other leader has
+	// accepted a newer one.
+	readProposal struct{ reply chan<- ReadResult }
+
 	// ownProposal is a command of the leader itself.
 	ownProposal struct{}
 )
 
 func (onceProposal) proposal()   {}
 func (configProposal) proposal() {}
+func (draftProposal) proposal()  {}
+func (readProposal) proposal()   {}
 func (ownProposal) proposal()    {}
 
 func newVoterState(cfg Options, storage disk.Storage, l *Loop, now time.Time) (*voterState, error) {
@@ -71,6 +84,7 @@
 	v := &voterState{
 		name:      cfg.Name,
 		peers:     cfg.Voters,
+		found:     make(chan *raftLink, raft.MaxPeers),
 		machine:   state.New(acceptText),
 		writer:    newWriter(storage, l),
 		links:     map[string]*raftLink{},
@@ -78,6 +92,11 @@
 		proposals: map[uint64]proposal{},
 		encoder:   make(chan frozenState, 1), // the member asks for one snapshot at a time
 	}
+	if cfg.Open {
+		v.name = cfg.PeerAddress
+		v.node = raft.New(openConfig(cfg), restored, now)
+		return v, nil
+	}
 	names := make([]string, 0, len(cfg.Voters))
 	for name, address := range cfg.Voters {
 		names = append(names, name)
@@ -94,6 +113,9 @@
 	for name, link := range v.links {
 		children = append(children, super.Child{Name: "raft-" + name, Run: link.run})
 	}
+	if l.cfg.Open {
+		children = append(children, super.Child{Name: "raft-links", Run: l.runLinks})
+	}
 	return append(children,
 		super.Child{Name: "encoder", Run: l.runEncoder},
 		super.Child{Name: "writer", Run: v.writer.run})
@@ -114,6 +136,10 @@
 		}
 	case daemonSent:
 		l.handleUp(now, event.session, event.message)
+	case draftSubmitted:
+		l.submitDraft(now, event)
+	case configRead:
+		l.readConfig(now, event)
 	}
 }
 
@@ -145,7 +171,7 @@
 	case raft.PersistSnapshot:
 		v.writer.submit(saveSnapshot{snapshot: action.Snapshot})
 	case raft.Send:
-		if link := v.links[action.To]; link != nil {
+		if link := l.linkTo(action.To); link != nil {
 			link.send(action.Message)
 		}
 	case raft.Apply:
@@ -211,6 +237,10 @@
 			l.voter.lead.noteRefusal(l.clock.Now(), waiting, refused)
 		}
 		l.sendDown(waiting.session, &ProposeReply{Number: waiting.number, Hash: waiting.hash, Verdict: verdict})
+	case draftProposal:
+		l.answerDraft(waiting, result)
+	case readProposal:
+		l.answerRead(waiting)
 	case ownProposal:
 	}
 }
@@ -236,6 +266,12 @@
 		return
 	}
 	delete(l.voter.proposals, action.ID)
+	switch waiting := waiting.(type) {
+	case draftProposal:
+		waiting.reply <- SubmitUnconfirmed{}
+	case readProposal:
+		waiting.reply <- ReadUnconfirmed{}
+	}
 	if once, ok := waiting.(onceProposal); ok && action.Reason != raft.DroppedUnknown && action.Reason != raft.DroppedNotLeader {
 		l.replyOnce(once, nil)
 	}
--- a/internal/root/link/stream.go
+++ b/internal/root/link/stream.go
@@ -31,6 +31,7 @@
 	StreamRaft    StreamType = 1
 	StreamControl StreamType = 2
 	StreamCall    StreamType = 3
+	StreamRelay   StreamType = 4
 )
 
 type (
@@ -51,7 +52,7 @@
 
 // Check reports an unknown stream type.
 func (o *Open) Check() error {
-	if o.Type < StreamRaft || o.Type > StreamCall {
+	if o.Type < StreamRaft || o.Type > StreamRelay {
 		return fmt.Errorf("stream type %d is unknown", o.Type)
 	}
 	return nil
--- /dev/null
+++ b/internal/root/relay/beside.go
@@ -0,0 +1,430 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+)
+
+const (
+	// refusedFor is how long no request is sent to a server that does not accept connections.
+	refusedFor = 150 * time.Millisecond
+
+	// silentLimit is the number of runs in a row without an answer after which the server counts as lost
+	// until it answers a single request again.
+	silentLimit = 8
+
+	// suspectHold keeps a request whose connection broke among the suspects of a crash until the restarted
+	// server has said so.
+	suspectHold = 6 * time.Second
+)
+
+// errNotice reports a notice that names no server to use.
+var errNotice = errors.New("invalid notice of a backend server")
+
+type (
+	// Beside is the backend server beside this daemon and the gate in front of it.
+	Beside struct {
+		Clock    clock.Clock
+		Control  Control
+		Dialect  Dialect
+		Meter    *meter.Meter
+		Log      zerolog.Logger
+		Suspects *crash.Suspects
+		MaxBody  int64 // bytes of an answer
+
+		mu      sync.Mutex
+		current *serverState // nil before the first notice
+		closing bool         // the daemon is leaving
+		wake    *time.Timer
+	}
+
+	// serverState is one start of the server.
+	serverState struct {
+		notice      Notice
+		incarnation uint64
+		gate        *gate.Gate
+		pool        *pool
+		waiting     map[*gate.Ticket]chan admission
+		leaving     bool
+		downTill    time.Time
+		silent      int // runs in a row that ended without an answer
+		probing     bool
+	}
+
+	// admission tells a waiting request that it starts or why it does not.
+	admission struct{ refused outcome }
+
+	// job is one request that another daemon, or this one, sends to the server.
+	job struct {
+		service     string
+		route       string
+		caller      string
+		account     string
+		fingerprint string
+		nested      bool
+		rank        int
+		arrived     time.Time
+		objective   time.Time
+		deadline    time.Time
+		request     *Request
+	}
+)
+
+// Notice takes what the server says of itself; the error wraps errNotice when it names no usable server.
+func (b *Beside) Notice(ctx context.Context, n Notice) error {
+	if n.Instance == "" || n.State < StateReady || n.State > StateGone {
+		return fmt.Errorf("%w: instance %q in state %d", errNotice, n.Instance, n.State)
+	}
+	b.mu.Lock()
+	if old := b.current; old != nil && older(n, old.notice) {
+		b.mu.Unlock()
+		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-outdated")
+		return nil
+	}
+	b.mu.Unlock()
+	if n.State != StateReady {
+		return b.leave(ctx, n)
+	}
+	announcement := member.Announcement{
+		Service: n.Service, Address: n.Address, Slots: n.Slots, Start: startOf(n),
+	}
+	if err := announcement.Check(); err != nil {
+		return fmt.Errorf("%w: %w", errNotice, err)
+	}
+	b.mu.Lock()
+	closing := b.closing
+	b.mu.Unlock()
+	if closing {
+		return nil // heard, but nothing new is sent to it from here
+	}
+	endpoint, err := b.Control.Announce(ctx, announcement)
+	if err != nil {
+		return fmt.Errorf("announce backend server: %w", err)
+	}
+	b.ready(n, endpoint.Incarnation)
+	return nil
+}
+
+// older reports whether a notice was overtaken by what is known already.
+func older(n, known Notice) bool {
+	if n.Instance == known.Instance && n.Born == known.Born {
+		return n.Sequence < known.Sequence
+	}
+	return n.Born != 0 && n.Born < known.Born
+}
+
+// startOf tells the starts of servers apart; a server may start again under its id.
+func startOf(n Notice) string { return fmt.Sprintf("%s/%d", n.Instance, n.Born) }
+
+// ready puts a server in place, a new start with a new gate and new connections.
+func (b *Beside) ready(n Notice, incarnation uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.current
+	if old != nil && startOf(old.notice) == startOf(n) && old.notice.Address == n.Address && old.notice.Service == n.Service {
+		if old.leaving {
+			return
+		}
+		old.notice = n
+		old.gate.SetSlots(int(n.Slots))
+		return
+	}
+	if old != nil {
+		b.retire(old)
+	}
+	b.current = &serverState{
+		notice: n, incarnation: incarnation, gate: gate.New(int(n.Slots)),
+		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody},
+		waiting: map[*gate.Ticket]chan admission{},
+	}
+	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
+		Uint64("incarnation", incarnation).Msg("backend-server-ready")
+}
+
+// retire ends an earlier start. The requests that were in flight in it are suspects of its end.
+func (b *Beside) retire(old *serverState) {
+	b.flush(old, turned{failure: retry.NoBackend{}})
+	old.pool.close()
+	if fingerprints := b.Suspects.Died(b.Clock.Now(), old.incarnation); len(fingerprints) > 0 && !old.leaving {
+		go b.Control.ReportCrash(old.incarnation, fingerprints)
+	}
+}
+
+// leave stops new work for a server that drains or has gone.
+func (b *Beside) leave(ctx context.Context, n Notice) error {
+	b.mu.Lock()
+	s := b.current
+	known := s != nil && s.notice.Instance == n.Instance
+	if known && !s.leaving {
+		s.leaving = true
+		s.notice.Sequence = n.Sequence
+		b.flush(s, turned{failure: retry.Draining{}})
+		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("backend-server-leaving")
+	}
+	b.mu.Unlock()
+	if !known {
+		b.Log.Info().Str("instance", n.Instance).Msg("unknown-backend-server-left")
+		return nil
+	}
+	if err := b.Control.Leave(ctx, s.notice.Address); err != nil {
+		return fmt.Errorf("withdraw backend server: %w", err)
+	}
+	return nil
+}
+
+// flush answers all waiting requests; the lock is held.
+func (b *Beside) flush(s *serverState, why outcome) {
+	for _, t := range s.gate.Flush() {
+		b.tell(s, t, admission{refused: why})
+	}
+}
+
+func (b *Beside) tell(s *serverState, t *gate.Ticket, a admission) {
+	if waiting := s.waiting[t]; waiting != nil {
+		delete(s.waiting, t)
+		waiting <- a
+	}
+}
+
+// Close stops new work because the daemon is leaving.
+func (b *Beside) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closing = true
+	if b.current != nil {
+		b.flush(b.current, turned{failure: retry.Draining{}})
+	}
+}
+
+// Running returns the number of requests in the server.
+func (b *Beside) Running() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current == nil {
+		return 0
+	}
+	return b.current.gate.Load(b.Clock.Now()).Running
+}
+
+// serve lets a request through the gate and to the server.
+func (b *Beside) serve(ctx context.Context, j *job) (outcome, Report) {
+	s, ticket, refused := b.admit(ctx, j)
+	if refused != nil {
+		return refused, b.report(s, j.route)
+	}
+	b.Suspects.Begin(s.incarnation, j.fingerprint)
+	x := &exchange{request: j.request, deadline: j.deadline, marks: Marks{
+		ID: j.request.ID, Allowed: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
+		Account: j.account, Caller: j.caller,
+	}}
+	response, notes, err := s.pool.do(ctx, x)
+	result, ended := b.judge(ctx, s, j, response, notes, err)
+	b.done(s, ticket, result, err)
+	return ended, b.report(s, j.route)
+}
+
+// admit asks the gate and waits for its decision.
+func (b *Beside) admit(ctx context.Context, j *job) (*serverState, *gate.Ticket, outcome) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	s := b.current
+	if why := b.closed(now, s, j); why != nil {
+		b.mu.Unlock()
+		return s, nil, why
+	}
+	ticket := &gate.Ticket{
+		Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
+	}
+	decision := s.gate.Offer(now, ticket)
+	switch decision := decision.(type) {
+	case gate.Admitted:
+		b.mu.Unlock()
+		return s, ticket, nil
+	case gate.Refused:
+		b.mu.Unlock()
+		return s, nil, turned{failure: retry.QueueFull{}, after: decision.After}
+	case gate.Queued:
+	}
+	waiting := make(chan admission, 1)
+	s.waiting[ticket] = waiting
+	b.arm(now, s)
+	b.mu.Unlock()
+	select {
+	case a := <-waiting:
+		b.Meter.QueueWait(b.Clock.Now().Sub(now))
+		return s, ticket, a.refused
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	withdrawn := s.gate.Withdraw(ticket)
+	delete(s.waiting, ticket)
+	b.mu.Unlock()
+	if !withdrawn { // decided meanwhile
+		if a := <-waiting; a.refused == nil {
+			b.done(s, ticket, gate.Aborted{}, nil)
+		}
+	}
+	return s, nil, turned{failure: retry.DeadlineBefore{}}
+}
+
+// closed says why no request is sent to the server at present, nil when it takes requests.
+func (b *Beside) closed(now time.Time, s *serverState, j *job) outcome {
+	switch {
+	case s == nil || s.notice.Service != j.service:
+		return turned{failure: retry.NoBackend{}}
+	case s.leaving || b.closing:
+		return turned{failure: retry.Draining{}}
+	case now.Before(s.downTill):
+		return turned{failure: retry.Unreached{}}
+	case s.silent >= silentLimit && s.probing:
+		return turned{failure: retry.Unreached{}}
+	case s.silent >= silentLimit:
+		s.probing = true // this request finds out
+	}
+	return nil
+}
+
+// judge turns what came from the server into the outcome of the request.
+func (b *Beside) judge(ctx context.Context, s *serverState, j *job, response Response, notes Notes, err error) (gate.Result, outcome) {
+	now := b.Clock.Now()
+	if err == nil {
+		b.endSuspect(s, j, true)
+		if notes.NotRun {
+			return gate.Shed{}, turned{failure: retry.Overload{}, after: response.after(), reached: true}
+		}
+		return gate.Ran{}, answered{response: response}
+	}
+	b.Log.Debug().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
+	switch {
+	case errors.Is(err, errUnwritten):
+		b.endSuspect(s, j, false)
+		if ctx.Err() != nil {
+			return gate.Aborted{}, turned{failure: retry.DeadlineBefore{}}
+		}
+		return gate.Aborted{}, turned{failure: retry.Unreached{}}
+	case ctx.Err() != nil || !now.Before(j.deadline) || errors.Is(err, errGarbled) || errors.Is(err, errTooLarge):
+		b.endSuspect(s, j, false)
+		if !now.Before(j.deadline) {
+			return gate.Aborted{}, unknown{failure: retry.DeadlineAfter{}}
+		}
+		return gate.Aborted{}, unknown{failure: retry.BackendLost{}}
+	}
+	// The server may have crashed on this request; its next notice tells.
+	time.AfterFunc(suspectHold, func() { b.endSuspect(s, j, false) })
+	b.Meter.BackendLost(j.service)
+	return gate.Aborted{}, unknown{failure: retry.BackendLost{}}
+}
+
+// after returns the server's own advice when to come back, zero without one.
+func (r Response) after() time.Duration {
+	seconds, err := time.ParseDuration(r.Header.Get("Retry-After") + "s")
+	if err != nil {
+		return 0 // no advice, or a date, which is of no use within a request
+	}
+	return max(seconds, 0)
+}
+
+func (b *Beside) endSuspect(s *serverState, j *job, complete bool) {
+	if b.Suspects.End(b.Clock.Now(), s.incarnation, j.fingerprint, complete) {
+		b.Control.ClearSuspect(j.fingerprint)
+	}
+}
+
+// done returns the slot of a run and starts what waits for it.
+func (b *Beside) done(s *serverState, t *gate.Ticket, result gate.Result, err error) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.gate.Done(now, t, result)
+	var refused *net.OpError
+	switch {
+	case err == nil:
+		s.silent, s.probing = 0, false
+	case errors.Is(err, errUnwritten) && errors.As(err, &refused) && refused.Op == "dial":
+		s.downTill = now.Add(refusedFor)
+		s.probing = false
+		// What was in flight when the server stopped accepting connections may have ended it.
+		if fingerprints := b.Suspects.Died(now, s.incarnation); len(fingerprints) > 0 && !s.leaving {
+			go b.Control.ReportCrash(s.incarnation, fingerprints)
+		}
+	case !errors.Is(err, context.Canceled):
+		s.silent++
+		s.probing = false
+	}
+	b.settle(now, s)
+}
+
+// settle starts and drops waiting requests; the lock is held.
+func (b *Beside) settle(now time.Time, s *serverState) {
+	started, dropped := s.gate.Next(now)
+	for _, t := range started {
+		b.tell(s, t, admission{})
+	}
+	for _, t := range dropped {
+		b.tell(s, t, admission{refused: turned{failure: retry.QueueTimeout{}}})
+	}
+	b.arm(now, s)
+}
+
+// arm wakes the gate when a waiting request has to be dropped; the lock is held.
+func (b *Beside) arm(now time.Time, s *serverState) {
+	due, ok := s.gate.Deadline()
+	if !ok {
+		return
+	}
+	wait := max(due.Sub(now), time.Millisecond)
+	if b.wake == nil {
+		b.wake = time.AfterFunc(wait, b.awake)
+		return
+	}
+	b.wake.Reset(wait)
+}
+
+func (b *Beside) awake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != nil {
+		b.settle(b.Clock.Now(), b.current)
+	}
+}
+
+// report describes the server for the daemons that choose.
+func (b *Beside) report(s *serverState, route string) Report {
+	if s == nil {
+		return Report{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	load := s.gate.Load(b.Clock.Now())
+	return Report{
+		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: s.gate.Run(route),
+		Leaving: s.leaving || b.closing,
+	}
+}
+
+// Instances returns what is known of the server, for dumps.
+func (b *Beside) Instances(now time.Time) (Notice, gate.Load, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current == nil {
+		return Notice{}, gate.Load{}, false
+	}
+	return b.current.notice, b.current.gate.Load(now), true
+}
+
+// failed reports whether an answer is a failure of the server.
+func (r *Response) failed() bool { return r.Status >= http.StatusInternalServerError }
--- /dev/null
+++ b/internal/root/relay/gate/gate.go
@@ -0,0 +1,358 @@
+package gate
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxWaiting bounds the queue; a longer one could not be served within any objective.
+	maxWaiting = 2048
+
+	// runWeight is the weight of one run in the average run time of a route.
+	runWeight = 0.08
+
+	// rateSpan is the time over which arrivals are averaged.
+	rateSpan = time.Second
+
+	// minRateShare is the part of the server's rate that the least urgent class counts on, however busy the
+	// more urgent ones are.
+	minRateShare = 0.05
+
+	// minAfter and maxAfter bound the advice when to come back.
+	minAfter = 100 * time.Millisecond
+	maxAfter = 2 * time.Second
+)
+
+type (
+	// Ticket is one request at the gate; the gate owns the fields without a comment on their source.
+	Ticket struct {
+		Route     string    // set by the caller, as are the fields up to Deadline
+		Nested    bool      // a call of another backend server, whose own request holds a slot already
+		Rank      int       // 0 is the most urgent
+		Arrived   time.Time // at the first daemon
+		Objective time.Time // answers until then count in full
+		Deadline  time.Time // answers after it are worthless
+
+		state   state
+		started time.Time
+	}
+
+	// Decision is Admitted, Queued or Refused.
+	Decision interface{ decision() }
+
+	// Admitted lets the request run now.
+	Admitted struct{}
+
+	// Queued keeps the request until Next returns it.
+	Queued struct{ Wait time.Duration }
+
+	// Refused turns the request away; there will be room for it after After.
+	Refused struct {
+		After time.Duration
+		Wait  time.Duration // what was predicted
+	}
+
+	// Result is Ran, Shed or Aborted.
+	Result interface{ result() }
+
+	// Ran is a run that ended with the server's answer.
+	Ran struct{}
+
+	// Shed is a request that the server turned away although the gate had admitted it.
+	Shed struct{}
+
+	// Aborted is a run whose caller left, whose deadline passed or whose answer was lost.
+	Aborted struct{}
+
+	// Load describes the gate to the daemons that choose among servers.
+	Load struct {
+		Wait    time.Duration // predicted for the least urgent request
+		Running int
+		Waiting int
+		Slots   int
+	}
+
+	// Gate holds the state of one start of a backend server; its user serializes the calls.
+	Gate struct {
+		slots   int
+		running int
+		waiting int
+		classes []*class // the most urgent first
+		routes  map[string]*route
+		run     time.Duration // average over all routes
+	}
+
+	// class is the queue of the requests of one urgency.
+	class struct {
+		nested   bool
+		rank     int
+		queue    []*Ticket
+		arrivals rate
+	}
+
+	// rate is an average of events per second that decays with time.
+	rate struct {
+		value float64
+		at    time.Time
+	}
+
+	state uint8
+)
+
+const (
+	idle state = iota
+	queued
+	running
+	done
+)
+
+func (Admitted) decision() {}
+func (Queued) decision()   {}
+func (Refused) decision()  {}
+
+func (Ran) result()     {}
+func (Shed) result()    {}
+func (Aborted) result() {}
+
+// New returns the gate of a server with the given number of slots.
+func New(slots int) *Gate {
+	return &Gate{slots: max(slots, 1), routes: map[string]*route{}}
+}
+
+// SetSlots changes the number of slots.
+func (g *Gate) SetSlots(slots int) { g.slots = max(slots, 1) }
+
+// Offer decides about a request that has just arrived. It is answered at once: what cannot be served in
+// time is better off elsewhere or later, and costs its caller the more the longer it is held.
+func (g *Gate) Offer(now time.Time, t *Ticket) Decision {
+	own := g.class(t)
+	own.arrivals.add(now)
+	r := g.route(t.Route)
+	ahead := g.ahead(own)
+	if ahead == 0 && g.running < g.slots && r.open(t) {
+		g.start(now, t, r)
+		return Admitted{}
+	}
+	wait := g.predict(now, own, r, ahead)
+	late := now.Add(wait + r.expected(g.run)).Sub(latest(t))
+	if late > 0 || g.waiting >= maxWaiting {
+		return Refused{After: min(max(late, minAfter), maxAfter), Wait: wait}
+	}
+	t.state = queued
+	own.queue = append(own.queue, t)
+	g.waiting++
+	return Queued{Wait: wait}
+}
+
+// latest returns until when an answer is worth a place in the queue. The most urgent requests may be
+// late; the others would displace answers that count in full.
+func latest(t *Ticket) time.Time {
+	if t.Nested || t.Rank == 0 || t.Objective.IsZero() || t.Objective.After(t.Deadline) {
+		return t.Deadline
+	}
+	return t.Objective
+}
+
+// Next starts what there is room for and returns it, and drops what can no longer be served in time.
+func (g *Gate) Next(now time.Time) (started, dropped []*Ticket) {
+	for _, c := range g.classes {
+		kept := c.queue[:0]
+		for _, t := range c.queue {
+			r := g.route(t.Route)
+			switch {
+			case t.state != queued:
+			case now.Add(r.shortest()).After(t.Deadline):
+				t.state = done
+				g.waiting--
+				dropped = append(dropped, t)
+			case g.running < g.slots && r.open(t):
+				g.waiting--
+				g.start(now, t, r)
+				started = append(started, t)
+			default:
+				kept = append(kept, t)
+			}
+		}
+		clear(c.queue[len(kept):])
+		c.queue = kept
+	}
+	return started, dropped
+}
+
+// Withdraw ends the wait of a request whose caller has gone; it reports false when it no longer waits.
+func (g *Gate) Withdraw(t *Ticket) bool {
+	if t.state != queued {
+		return false
+	}
+	t.state = done
+	g.waiting--
+	return true
+}
+
+// Flush ends the wait of all requests and returns them.
+func (g *Gate) Flush() []*Ticket {
+	var all []*Ticket
+	for _, c := range g.classes {
+		for _, t := range c.queue {
+			if g.Withdraw(t) {
+				all = append(all, t)
+			}
+		}
+		c.queue = nil
+	}
+	return all
+}
+
+// Done ends a run. Next has to be called afterwards.
+func (g *Gate) Done(now time.Time, t *Ticket, result Result) {
+	if t.state != running {
+		return
+	}
+	t.state = done
+	g.running--
+	r := g.route(t.Route)
+	r.inFlight--
+	took := now.Sub(t.started)
+	switch result.(type) {
+	case Ran:
+		r.ran(now, t, took)
+		g.run = average(g.run, took)
+	case Shed:
+	case Aborted:
+		if took >= r.mean { // tells that a run takes at least this long
+			r.ran(now, t, took)
+			g.run = average(g.run, took)
+		}
+	}
+}
+
+// Deadline returns when a waiting request has to be dropped, and false when none waits.
+func (g *Gate) Deadline() (time.Time, bool) {
+	var next time.Time
+	for _, c := range g.classes {
+		for _, t := range c.queue {
+			due := t.Deadline.Add(-g.route(t.Route).shortest())
+			if t.state == queued && (next.IsZero() || due.Before(next)) {
+				next = due
+			}
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// Load returns the state of the gate.
+func (g *Gate) Load(now time.Time) Load {
+	load := Load{Running: g.running, Waiting: g.waiting, Slots: g.slots}
+	if g.running >= g.slots || g.waiting > 0 {
+		if last := len(g.classes); last > 0 {
+			load.Wait = g.drain(now, g.classes[last-1], g.waiting)
+		}
+	}
+	return load
+}
+
+// Run returns the average run time of a route, zero before the first run.
+func (g *Gate) Run(name string) time.Duration { return g.route(name).mean }
+
+func (g *Gate) start(now time.Time, t *Ticket, r *route) {
+	t.state, t.started = running, now
+	g.running++
+	r.inFlight++
+}
+
+// ahead counts the waiting requests that go before a new one of the class.
+func (g *Gate) ahead(own *class) int {
+	n := 0
+	for _, c := range g.classes {
+		for _, t := range c.queue {
+			if t.state == queued {
+				n++
+			}
+		}
+		if c == own {
+			break
+		}
+	}
+	return n
+}
+
+// predict returns how long a new request of the class will wait for a slot, and for its route's own limit.
+func (g *Gate) predict(now time.Time, own *class, r *route, ahead int) time.Duration {
+	wait := time.Duration(0)
+	if g.running >= g.slots || ahead > 0 {
+		wait = g.drain(now, own, ahead)
+	}
+	return max(wait, r.wait(own.waitingOf(r.name)))
+}
+
+// drain returns the time in which the server takes n requests and one more, while requests of more urgent
+// classes keep arriving.
+func (g *Gate) drain(now time.Time, own *class, n int) time.Duration {
+	if g.run <= 0 {
+		return 0
+	}
+	perSecond := float64(g.slots) / g.run.Seconds()
+	left := perSecond
+	for _, c := range g.classes {
+		if c == own {
+			break
+		}
+		left -= c.arrivals.now(now)
+	}
+	left = max(left, perSecond*minRateShare)
+	// The first of them gets the place of the run that ends next.
+	return time.Duration((float64(n) + 1) / left * float64(time.Second))
+}
+
+func (g *Gate) class(t *Ticket) *class {
+	at, found := slices.BinarySearchFunc(g.classes, t, func(c *class, t *Ticket) int {
+		switch {
+		case c.nested != t.Nested && c.nested:
+			return -1
+		case c.nested != t.Nested:
+			return 1
+		}
+		return c.rank - t.Rank
+	})
+	if !found {
+		g.classes = slices.Insert(g.classes, at, &class{nested: t.Nested, rank: t.Rank})
+	}
+	return g.classes[at]
+}
+
+func (g *Gate) route(name string) *route {
+	r := g.routes[name]
+	if r == nil {
+		r = newRoute(name, g.slots)
+		g.routes[name] = r
+	}
+	return r
+}
+
+func (c *class) waitingOf(route string) int {
+	n := 0
+	for _, t := range c.queue {
+		if t.state == queued && t.Route == route {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rate) add(now time.Time) { r.value = r.now(now) + 1/rateSpan.Seconds(); r.at = now }
+
+func (r *rate) now(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.value * math.Exp(-max(now.Sub(r.at), 0).Seconds()/rateSpan.Seconds())
+}
+
+func average(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + time.Duration(runWeight*float64(sample-mean))
+}
--- /dev/null
+++ b/internal/root/relay/place/board.go
@@ -0,0 +1,269 @@
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+const (
+	// awayCost is what a server in another availability zone has to be faster by: the bytes between
+	// availability zones cost more than a short wait.
+	awayCost = 60 * time.Millisecond
+
+	// failCost is what a server that failed all recent requests has to be faster by.
+	failCost = 2 * time.Second
+
+	// failWeight is the weight of one result in the share of failures, which halves in failHalf.
+	failWeight = 0.15
+	failHalf   = 2 * time.Second
+
+	// reportAge is the time after which a report of a server's load says nothing any more.
+	reportAge = 700 * time.Millisecond
+
+	// downFor is how long a server is left alone after it could not be reached.
+	downFor = 400 * time.Millisecond
+
+	// exploreAfter is the time without any request from here after which a server gets one, so that a new
+	// or recovered server is noticed.
+	exploreAfter = 1500 * time.Millisecond
+
+	// runWeight is the weight of one report of a run time.
+	runWeight = 0.3
+)
+
+type (
+	// Ask describes the request to place.
+	Ask struct {
+		Route string
+		Zone  string   // of the daemon that asks
+		Tried []string // endpoint ids not to choose
+		// Urgent requests are not used to explore servers.
+		Urgent bool
+	}
+
+	// Report is what the daemon beside a server says with each answer.
+	Report struct {
+		Wait    time.Duration // until a new request would start
+		Running int
+		Slots   int
+		Run     time.Duration // average run time of the request's route, zero if unknown
+	}
+
+	// Result is Served, Turned, Missed or Unreached.
+	Result interface{ result() }
+
+	// Served is a whole answer.
+	Served struct{}
+
+	// Turned is a request that the daemon beside the server turned away.
+	Turned struct{ Leaving bool }
+
+	// Missed is a request whose answer was lost, spoilt or a failure of the server.
+	Missed struct{}
+
+	// Unreached is a request that could not be brought to the daemon beside the server, or from there to it.
+	Unreached struct{}
+
+	// Board holds what one daemon knows of the servers of one service; its user serializes the calls.
+	Board struct {
+		random  *rand.Rand
+		version uint64
+		servers []*server
+	}
+
+	server struct {
+		endpoint snap.Endpoint
+		report   Report
+		at       time.Time // of the report
+		sent     int       // requests sent since the report
+		open     int       // requests in progress
+		runs     map[string]time.Duration
+		failing  float64 // share of recent failures
+		failedAt time.Time
+		downTill time.Time
+		leaving  bool
+		used     time.Time
+		known    time.Time // since when the server is on the board
+	}
+)
+
+func (Served) result()    {}
+func (Turned) result()    {}
+func (Missed) result()    {}
+func (Unreached) result() {}
+
+// New returns an empty board.
+func New(seed uint64) *Board {
+	return &Board{random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// Update brings the board to a list of servers; what is known of an incarnation stays.
+func (b *Board) Update(now time.Time, list *snap.Endpoints) {
+	if b.version == list.Version && b.servers != nil {
+		return
+	}
+	b.version = list.Version
+	next := make([]*server, 0, len(list.Instances))
+	for i := range list.Instances {
+		endpoint := list.Instances[i]
+		at := slices.IndexFunc(b.servers, func(s *server) bool {
+			return s.endpoint.ID == endpoint.ID && s.endpoint.Incarnation == endpoint.Incarnation
+		})
+		known := &server{runs: map[string]time.Duration{}, known: now}
+		if at >= 0 {
+			known = b.servers[at]
+		}
+		known.endpoint = endpoint
+		known.leaving = endpoint.Leaving
+		next = append(next, known)
+	}
+	b.servers = next
+}
+
+// Choose returns the server with the shortest predicted time to an answer, the own availability zone
+// preferred.
+func (b *Board) Choose(now time.Time, ask Ask) (snap.Endpoint, bool) {
+	typical := b.typical(ask.Route)
+	var best *server
+	var least time.Duration
+	for _, s := range b.servers {
+		if slices.Contains(ask.Tried, s.endpoint.ID) {
+			continue
+		}
+		cost := s.cost(now, ask, typical)
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	if best == nil {
+		return snap.Endpoint{}, false
+	}
+	if other := b.explore(now, ask, best); other != nil {
+		best = other
+	}
+	best.sent++
+	best.open++
+	best.used = now
+	return best.endpoint, true
+}
+
+// explore returns a server that has had no request from here for a while, now and then.
+func (b *Board) explore(now time.Time, ask Ask, best *server) *server {
+	if ask.Urgent || len(ask.Tried) > 0 {
+		return nil
+	}
+	for _, s := range b.servers {
+		quiet := now.Sub(s.used) >= exploreAfter && now.Sub(s.known) >= exploreAfter/3
+		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < 0.9 && b.random.IntN(4) == 0 {
+			return s
+		}
+	}
+	return nil
+}
+
+// Done reports how a request to the server ended.
+func (b *Board) Done(now time.Time, id, route string, report *Report, result Result) {
+	at := slices.IndexFunc(b.servers, func(s *server) bool { return s.endpoint.ID == id })
+	if at < 0 {
+		return
+	}
+	s := b.servers[at]
+	s.open = max(s.open-1, 0)
+	if report != nil {
+		s.report, s.at, s.sent = *report, now, 0
+		if report.Run > 0 {
+			known := s.runs[route]
+			if known == 0 {
+				known = report.Run
+			}
+			s.runs[route] = known + time.Duration(runWeight*float64(report.Run-known))
+		}
+	}
+	switch result := result.(type) {
+	case Served:
+		s.note(now, 0)
+	case Turned:
+		s.leaving = s.leaving || result.Leaving
+	case Missed:
+		s.note(now, 1)
+	case Unreached:
+		s.note(now, 1)
+		s.downTill = now.Add(downFor)
+	}
+}
+
+// Servers returns the number of servers on the board.
+func (b *Board) Servers() int { return len(b.servers) }
+
+// typical returns the middle run time of a route over the servers, zero when none is known.
+func (b *Board) typical(route string) time.Duration {
+	var runs []time.Duration
+	for _, s := range b.servers {
+		if run := s.runs[route]; run > 0 {
+			runs = append(runs, run)
+		}
+	}
+	if len(runs) == 0 {
+		return 0
+	}
+	slices.SortFunc(runs, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	return runs[len(runs)/2]
+}
+
+func (s *server) cost(now time.Time, ask Ask, typical time.Duration) time.Duration {
+	run := s.runs[ask.Route]
+	if run == 0 {
+		run = typical
+	}
+	cost := run + s.wait(now, run)
+	if s.endpoint.Zone != ask.Zone {
+		cost += awayCost
+	}
+	cost += time.Duration(s.share(now) * float64(failCost))
+	if s.leaving {
+		cost += time.Minute
+	}
+	if now.Before(s.downTill) {
+		cost += 30 * time.Second
+	}
+	return cost
+}
+
+// wait returns the reported wait while the report is young, and what the requests sent since add to it.
+func (s *server) wait(now time.Time, run time.Duration) time.Duration {
+	age := now.Sub(s.at)
+	slots := s.report.Slots
+	if slots == 0 {
+		slots = int(max(s.endpoint.Slots, 1))
+	}
+	wait, running := time.Duration(0), s.open
+	if !s.at.IsZero() && age < reportAge {
+		wait = s.report.Wait
+		running = max(s.report.Running+s.sent, s.open)
+	}
+	if over := running - slots; over > 0 && wait == 0 {
+		wait = time.Duration(float64(over) / float64(slots) * float64(run))
+	}
+	if wait > 0 {
+		wait += time.Duration(float64(s.sent) / float64(slots) * float64(run))
+	}
+	return wait
+}
+
+func (s *server) note(now time.Time, failed float64) {
+	share := s.share(now)
+	s.failing, s.failedAt = share+failWeight*(failed-share), now
+}
+
+// share returns the share of recent failures, which fades while nothing is reported.
+func (s *server) share(now time.Time) float64 {
+	if s.failedAt.IsZero() || s.failing == 0 {
+		return 0
+	}
+	halves := float64(max(now.Sub(s.failedAt), 0)) / float64(failHalf)
+	return s.failing / (1 + halves)
+}
--- /dev/null
+++ b/internal/root/relay/relay.go
@@ -0,0 +1,232 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rs/zerolog"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
+
+const (
+	// leaveNotice is how long a leaving daemon keeps taking what callers send, until they have heard that
+	// it is no longer ready.
+	leaveNotice = 2300 * time.Millisecond
+
+	// quietSpan is how long a leaving daemon waits without any request before it ends.
+	quietSpan = 300 * time.Millisecond
+
+	// stopMargin is kept of the time to stop, so that the process ends by itself.
+	stopMargin = 400 * time.Millisecond
+
+	// drainStep is how often a leaving daemon looks whether it is quiet.
+	drainStep = 50 * time.Millisecond
+
+	callHeaderTimeout = 2 * time.Second
+	callIdleTimeout   = 30 * time.Second
+
+	maxConnections = 1500
+)
+
+type (
+	// Options are the settings of the relay.
+	Options struct {
+		Own         string // peer address
+		Zone        string
+		Service     string
+		Ingress     net.Listener
+		Ready       net.Listener
+		Calls       net.Listener
+		Limits      rules.Limits
+		BodyStall   time.Duration
+		StopWithin  time.Duration
+		RetryRatio  float64
+		RetryWindow time.Duration
+		Memory      int64 // bytes
+		Seed        uint64
+	}
+
+	// Relay is the supervisor of the traffic of a daemon beside a backend server.
+	Relay struct {
+		Options
+		Beside  *Beside
+		Server  *Server
+		Lanes   *Lanes
+		Front   *Front
+		Control Control
+		Clock   clock.Clock
+		Log     zerolog.Logger
+
+		calls http.Handler
+		ready http.Handler
+	}
+)
+
+// New wires the relay; nothing runs until its group is served.
+func New(o Options, dialect Dialect, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log zerolog.Logger) *Relay {
+	suspects := crash.NewSuspects()
+	largest := o.Memory / 16
+	beside := &Beside{
+		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Suspects: suspects, MaxBody: largest,
+	}
+	lanes := &Lanes{Clock: clk, Dialer: dialer, Log: log}
+	path := &Path{
+		Clock: clk, Control: control, Dialect: dialect, Lanes: lanes, Beside: beside, Suspects: suspects, Meter: m,
+		Log: log, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed,
+		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
+	}
+	limits := o.Limits
+	limits.BodySize = min(limits.BodySize, largest)
+	return &Relay{
+		Options: o, Beside: beside, Lanes: lanes, Control: control, Clock: clk, Log: log,
+		Server: &Server{Clock: clk, Beside: beside, Log: log, MaxBody: largest},
+		Front: &Front{
+			Listener: o.Ingress, Path: path, Dialect: dialect, Log: log, Limits: limits, BodyStall: o.BodyStall,
+			MaxConnections: maxConnections,
+		},
+	}
+}
+
+// Handle sets what serves the calls of the backend server and the question whether the daemon is ready.
+func (r *Relay) Handle(calls, ready http.Handler) { r.calls, r.ready = calls, ready }
+
+// Taking reports whether callers are welcome: the daemon knows a configuration and that it is in force.
+func (r *Relay) Taking() bool {
+	snapshot := r.Control.Snapshot()
+	return !r.Front.stopping() && snapshot.Rules != nil && snapshot.Fresh(r.Clock.Now())
+}
+
+// Group returns the run group; the front stops first and the lanes last.
+func (r *Relay) Group() *super.Group {
+	return &super.Group{Name: "relay", Log: r.Log, Children: []super.Child{
+		{Name: "front", Run: r.runFront},
+		{Name: "ready", Run: ServeHTTP("ready", r.Options.Ready, r.ready, r.Log)},
+		{Name: "calls", Run: ServeHTTP("calls", r.Calls, r.calls, r.Log)},
+		{Name: "lanes", Run: r.Lanes.Run},
+	}}
+}
+
+// runFront serves callers until ctx ends and then until the last answer is written.
+func (r *Relay) runFront(ctx context.Context) error {
+	accepting, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- r.Front.Run(accepting) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	r.drain()
+	stop()
+	return <-ended
+}
+
+// drain takes the daemon out of use: callers hear that it is not ready, other daemons that its server is
+// not to be sent to, and what is in progress ends.
+func (r *Relay) drain() {
+	began := r.Clock.Now()
+	r.Front.Leave()
+	r.Beside.Close()
+	r.Control.StartDrain()
+	r.Log.Info().Int("active", r.Front.Active()).Int("running", r.Beside.Running()).Msg("draining")
+	quiet := began
+	for {
+		r.pause(drainStep)
+		now := r.Clock.Now()
+		if r.Front.Active() > 0 || r.Beside.Running() > 0 {
+			quiet = now
+		}
+		done := now.Sub(began) >= leaveNotice && now.Sub(quiet) >= quietSpan
+		if done || now.Sub(began) >= r.StopWithin-stopMargin {
+			r.Log.Info().Dur("took", now.Sub(began)).Int("active", r.Front.Active()).Int("running", r.Beside.Running()).Msg("drained")
+			return
+		}
+	}
+}
+
+func (r *Relay) pause(d time.Duration) {
+	timer := r.Clock.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C()
+}
+
+// ServeHTTP returns the run function of a small HTTP server.
+func ServeHTTP(name string, listener net.Listener, handler http.Handler, log zerolog.Logger) func(context.Context) error {
+	return func(ctx context.Context) error {
+		server := khttp.NewServer(
+			khttp.Listener(listener),
+			// Without an endpoint the library lists the network interfaces, which not every instance permits.
+			khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
+			khttp.Timeout(0), // handlers bound themselves
+			khttp.Filter(func(http.Handler) http.Handler { return handler }),
+		)
+		server.ReadHeaderTimeout = callHeaderTimeout
+		server.IdleTimeout = callIdleTimeout
+		server.ErrorLog = stdlog.New(log, "", 0)
+		ended := make(chan error, 1)
+		go func() { ended <- server.Start(context.WithoutCancel(ctx)) }()
+		select {
+		case err := <-ended:
+			return fmt.Errorf("%s server: %w", name, err)
+		case <-ctx.Done():
+		}
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), callHeaderTimeout)
+		defer cancel()
+		if err := server.Stop(stopping); err != nil {
+			log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
+		}
+		return nil
+	}
+}
+
+// Levels returns what is in progress now, for the status of the daemon.
+func (r *Relay) Levels() admin.Counts {
+	_, load, _ := r.Beside.Instances(r.Clock.Now())
+	levels := admin.Counts{Running: uint64(load.Running), Queued: uint64(load.Waiting), Connections: uint64(r.Front.Open())}
+	for _, list := range r.Control.Snapshot().Endpoints {
+		levels.Backends += uint64(len(list.Instances))
+	}
+	return levels
+}
+
+// Sections returns the state as tables for a dump.
+func (r *Relay) Sections(now time.Time) []admin.Section {
+	section := admin.Section{Name: "gate", Columns: []string{"instance", "service", "running", "waiting", "slots", "wait"}}
+	if notice, load, ok := r.Beside.Instances(now); ok {
+		section.Rows = append(section.Rows, []string{
+			notice.Instance, notice.Service, fmt.Sprint(load.Running), fmt.Sprint(load.Waiting), fmt.Sprint(load.Slots), load.Wait.String(),
+		})
+	}
+	return []admin.Section{section}
+}
+
+// Remote passes notices that a control instance got to the daemon beside their server, which is the only
+// one that can act on them.
+type Remote struct {
+	Lanes *Lanes
+	Port  uint16 // peer port of all daemons
+}
+
+// Notice passes a notice on; one that names no address cannot be passed on.
+func (r *Remote) Notice(ctx context.Context, n Notice) error {
+	address, err := netip.ParseAddrPort(n.Address)
+	if err != nil {
+		return fmt.Errorf("%w: instance %q gives no address", errNotice, n.Instance)
+	}
+	return r.Lanes.Tell(ctx, netip.AddrPortFrom(address.Addr(), r.Port).String(), n)
+}
--- /dev/null
+++ b/internal/root/relay/share/retries.go
@@ -0,0 +1,72 @@
+package share
+
+import "time"
+
+const (
+	// buckets divide the window of a budget.
+	buckets = 10
+
+	// ownRatio is the part of the fleet's ratio that daemons use at one level of the call graph: a repeated
+	// request repeats the calls that it makes, which count at the services behind.
+	ownRatio = 0.4
+)
+
+type (
+	// Retries is the budget of one daemon for the requests that it sends again to one service. The requests
+	// of the window before count too, so that a fall in traffic does not take the budget away at once.
+	Retries struct {
+		// Ratio is the fleet's bound on repeats per request, Window the time that it is counted over.
+		Ratio  float64
+		Window time.Duration
+
+		slots [2 * buckets]counts
+		epoch int64 // number of the newest bucket
+	}
+
+	counts struct{ firsts, repeats int }
+)
+
+// First counts a request that is sent for the first time.
+func (r *Retries) First(now time.Time) {
+	r.move(now)
+	r.at(r.epoch).firsts++
+}
+
+// Repeat counts and allows one more send of a request, or refuses it.
+func (r *Retries) Repeat(now time.Time) bool {
+	r.move(now)
+	firsts, repeats := 0, 0
+	for i := range int64(buckets) {
+		slot := r.at(r.epoch - i)
+		firsts += slot.firsts
+		repeats += slot.repeats
+	}
+	if float64(repeats+1) > max(ownRatio*r.Ratio*float64(firsts), 1) {
+		return false
+	}
+	r.at(r.epoch).repeats++
+	return true
+}
+
+// move drops the buckets that are older than two windows.
+func (r *Retries) move(now time.Time) {
+	width := int64(max(r.Window/buckets, time.Millisecond))
+	epoch := now.UnixNano() / width
+	if r.epoch == 0 || epoch-r.epoch >= 2*buckets || epoch < r.epoch-buckets {
+		r.slots = [2 * buckets]counts{}
+		r.epoch = epoch
+		return
+	}
+	for r.epoch < epoch {
+		r.epoch++
+		*r.at(r.epoch) = counts{}
+	}
+}
+
+func (r *Retries) at(epoch int64) *counts {
+	index := epoch % (2 * buckets)
+	if index < 0 {
+		index += 2 * buckets
+	}
+	return &r.slots[index]
+}
--- /dev/null
+++ b/internal/root/relay/share/split.go
@@ -0,0 +1,36 @@
+package share
+
+import "github.com/buckthornpitch/buckthornpitch/pkg/rules"
+
+// Split divides the requests of a route among its parts in the proportion of their weights, evenly over
+// any run of requests.
+type Split struct {
+	credit []int
+}
+
+// Next returns the service of the next request.
+func (s *Split) Next(parts []rules.Part) string {
+	if len(s.credit) != len(parts) {
+		s.credit = make([]int, len(parts))
+	}
+	total, best := 0, -1
+	for i, part := range parts {
+		s.credit[i] += part.Weight
+		total += part.Weight
+		if part.Weight > 0 && (best < 0 || s.credit[i] > s.credit[best]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	s.credit[best] -= total
+	return parts[best].Service
+}
+
+// Skip moves the split on by n requests, so that daemons do not all begin with the same part.
+func (s *Split) Skip(parts []rules.Part, n int) {
+	for range n {
+		s.Next(parts)
+	}
+}
--- /dev/null
+++ b/pkg/rules/host.go
@@ -0,0 +1,129 @@
+package rules
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	maxSends = 100
+	// maxHostDeadline bounds the time for which a route may keep a caller waiting.
+	maxHostDeadline = 10 * time.Minute
+)
+
+// ErrSet reports a set that contradicts itself.
+var ErrSet = errors.New("invalid rules")
+
+// Assemble checks a set of routes by host and prefix that did not come from a rules file and prepares it
+// for look-ups; errors wrap ErrSet.
+func Assemble(set *Set) error {
+	for _, size := range []struct {
+		kind        Kind
+		count, most int
+	}{
+		{KindService, len(set.Services), maxServices},
+		{KindAccount, len(set.Accounts), maxAccounts},
+		{KindKey, len(set.Keys), maxKeys},
+		{KindRoute, len(set.Routes), maxRoutes},
+	} {
+		if size.count > size.most {
+			return fmt.Errorf("%w: %d rules of kind %q, limit %d", ErrSet, size.count, size.kind, size.most)
+		}
+	}
+	if err := set.assembleKeys(); err != nil {
+		return err
+	}
+	set.hosts = make(map[string][]*Route)
+	for _, route := range set.Routes {
+		if err := set.checkHosted(route); err != nil {
+			return err
+		}
+		host := hostName(route.Host)
+		set.hosts[host] = append(set.hosts[host], route)
+	}
+	for _, routes := range set.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+		for i := 1; i < len(routes); i++ {
+			if routes[i].Prefix == routes[i-1].Prefix {
+				return fmt.Errorf("%w: routes %q and %q have the same place", ErrSet, routes[i-1].Name, routes[i].Name)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Set) assembleKeys() error {
+	s.keys = keyIndex{}
+	owners := make(map[Hash]string, len(s.Keys))
+	for _, key := range s.Keys {
+		if s.Accounts[key.Account] == nil {
+			return fmt.Errorf("%w: key %q belongs to the unknown client account %q", ErrSet, key.Name, key.Account)
+		}
+		if owner, found := owners[key.Hash]; found {
+			if owner != key.Account {
+				return fmt.Errorf("%w: client accounts %q and %q share a key", ErrSet, owner, key.Account)
+			}
+			continue
+		}
+		owners[key.Hash] = key.Account
+		s.keys[key.Hash.prefix()] = append(s.keys[key.Hash.prefix()], key)
+	}
+	return nil
+}
+
+func (s *Set) checkHosted(route *Route) error {
+	fault := func(format string, args ...any) error {
+		return fmt.Errorf("%w: route %q: %s", ErrSet, route.Name, fmt.Sprintf(format, args...))
+	}
+	switch {
+	case route.Host == "":
+		return fault("the host is empty")
+	case !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"):
+		return fault("the prefix %q does not begin and end with a slash", route.Prefix)
+	case route.Deadline <= 0 || route.Deadline > maxHostDeadline:
+		return fault("the deadline %s is not between 0 and %s", route.Deadline, maxHostDeadline)
+	case route.Objective < 0 || route.Sends < 1 || route.Sends > maxSends:
+		return fault("objective %s and %d sends are out of bounds", route.Objective, route.Sends)
+	case (route.Service == "") == (len(route.Parts) == 0):
+		return fault("want either a service or weighted services")
+	case route.Service != "" && s.Services[route.Service] == nil:
+		return fault("the service %q is unknown", route.Service)
+	}
+	total := 0
+	for _, part := range route.Parts {
+		if s.Services[part.Service] == nil {
+			return fault("the service %q is unknown", part.Service)
+		}
+		if part.Weight < 0 {
+			return fault("the weight %d of service %q is negative", part.Weight, part.Service)
+		}
+		total += part.Weight
+	}
+	if len(route.Parts) > 0 && total == 0 {
+		return fault("all weights are zero")
+	}
+	return nil
+}
+
+// MatchHost returns the route with the longest prefix that begins the path, among the routes of the host.
+func (s *Set) MatchHost(host, path string) (*Route, bool) {
+	for _, route := range s.hosts[hostName(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// hostName returns the host in lower case without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -36,12 +36,22 @@
 		Accounts map[string]*Account `json:"accounts"` // by account name
 		Keys     []*Key              `json:"keys"`     // in file order
 		Routes   []*Route            `json:"routes"`   // in file order
+		Limits   Limits              `json:"limits"`
 
 		revision Revision
 		routes   routeIndex
+		hosts    map[string][]*Route // routes by prefix, the longest prefix first
 		keys     keyIndex
 	}
 
+	// Limits bound what callers may send and how long they may take; zero fields set no bound of their own.
+	Limits struct {
+		HeaderSize    int64         `json:"header-size"` // bytes
+		BodySize      int64         `json:"body-size"`   // bytes
+		HeaderTimeout time.Duration `json:"header-timeout"`
+		IdleTimeout   time.Duration `json:"idle-timeout"`
+	}
+
 	// Rule is what all kinds of rules have in common.
 	Rule struct {
 		Kind      Kind   `json:"kind"`
@@ -68,13 +78,16 @@
 		Slots       int     `json:"slots"`       // concurrent requests per instance
 		Connections int     `json:"connections"` // connections per instance
 		RetryShare  float64 `json:"retry-share"` // ratio of retries to recent successes, 0.1 is 10%
+		HealthPath  string  `json:"health-path,omitempty"`
 	}
 
 	// Account describes a client account and its share of the fleet.
 	Account struct {
 		Rule
-		Rate  Rate `json:"rate"`
+		Rate  Rate `json:"rate"`  // a count of zero sets no limit
 		Burst int  `json:"burst"` // requests
+		// Rank goes before the rank of a route where it is set.
+		Rank *int `json:"rank,omitempty"`
 	}
 
 	// Rate is a number of requests per period.
@@ -94,7 +107,14 @@
 	// Hash is the SHA-256 hash of a key.
 	Hash [32]byte
 
-	// Route maps the requests of one method and path pattern to a service; its name is <method><path>.
+	// Part is one of the services among which a route's requests are divided by weight.
+	Part struct {
+		Service string `json:"service"`
+		Weight  int    `json:"weight"`
+	}
+
+	// Route maps the requests of one method and path pattern, or of a host and path prefix, to a service; in
+	// a rules file its name is <method><path>.
 	Route struct {
 		Rule
 		Method     string        `json:"method"`
@@ -108,6 +128,14 @@
 		Retries    int           `json:"retries"`  // over the whole call graph
 		Offline    bool          `json:"offline"`  // served while the daemon is not fresh
 		Nested     bool          `json:"nested"`   // only for nested calls, hidden from callers
+
+		// The fields below belong to routes by host and prefix.
+		Host      string        `json:"host,omitempty"`
+		Prefix    string        `json:"prefix,omitempty"`
+		Parts     []Part        `json:"parts,omitempty"`     // instead of Service
+		Objective time.Duration `json:"objective,omitempty"` // answers within it count in full
+		Rank      int           `json:"rank,omitempty"`      // 0 is the most urgent
+		Sends     int           `json:"sends,omitempty"`     // servers that one attempt may reach, at least 1
 	}
 )
 
