--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -217,14 +217,23 @@
 	if b.current == nil {
 		return 0
 	}
-	return b.current.gate.Load(b.Clock.Now()).Running
+	return b.current.gate.Running()
+}
+
+// Called notes the strain that a call of the server beside this daemon has met.
+func (b *Beside) Called(strain float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.current != nil {
+		b.current.gate.Called(b.Clock.Now(), strain)
+	}
 }
 
 // serve lets a request through the gate and to the server.
 func (b *Beside) serve(ctx context.Context, j *job) (outcome, Report) {
 	s, ticket, refused := b.admit(ctx, j)
 	if refused != nil {
-		return refused, b.report(s, j.route)
+		return refused, b.report(s, j)
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
 	x := &exchange{request: j.request, deadline: j.deadline, marks: Marks{
@@ -234,7 +243,7 @@
 	response, notes, err := s.pool.do(ctx, x)
 	result, ended := b.judge(ctx, s, j, response, notes, err)
 	b.done(s, ticket, result, err)
-	return ended, b.report(s, j.route)
+	return ended, b.report(s, j)
 }
 
 // admit asks the gate and waits for its decision.
@@ -246,9 +255,7 @@
 		b.mu.Unlock()
 		return s, nil, why
 	}
-	ticket := &gate.Ticket{
-		Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
-	}
+	ticket := j.ticket()
 	decision := s.gate.Offer(now, ticket)
 	switch decision := decision.(type) {
 	case gate.Admitted:
@@ -402,28 +409,34 @@
 	}
 }
 
-// report describes the server for the daemons that choose.
-func (b *Beside) report(s *serverState, route string) Report {
+// report describes the server for the daemons that choose, as it is for a request like j.
+func (b *Beside) report(s *serverState, j *job) Report {
 	if s == nil {
 		return Report{}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	load := s.gate.Load(b.Clock.Now())
+	load := s.gate.Load(b.Clock.Now(), j.ticket())
 	return Report{
-		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: s.gate.Run(route),
-		Leaving: s.leaving || b.closing,
+		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: load.Run,
+		Leaving: s.leaving || b.closing, Strain: load.Strain,
+	}
+}
+
+func (j *job) ticket() *gate.Ticket {
+	return &gate.Ticket{
+		Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
 	}
 }
 
-// Instances returns what is known of the server, for dumps.
-func (b *Beside) Instances(now time.Time) (Notice, gate.Load, bool) {
+// Server returns what is known of the server: its last notice, and the requests in it and before it.
+func (b *Beside) Server() (n Notice, running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current == nil {
-		return Notice{}, gate.Load{}, false
+		return Notice{}, 0, 0
 	}
-	return b.current.notice, b.current.gate.Load(now), true
+	return b.current.notice, b.current.gate.Running(), b.current.gate.Waiting()
 }
 
 // failed reports whether an answer is a failure of the server.
--- a/internal/root/relay/caller.go
+++ b/internal/root/relay/caller.go
@@ -155,7 +155,7 @@
 		quiet := len(c.line) == 0 && time.Since(c.idle) >= limit
 		broken := c.broken
 		c.mu.Unlock()
-		if quiet || broken || c.front.stopping() {
+		if quiet || broken {
 			return &readingEnded{"idle"}
 		}
 	}
--- a/internal/root/relay/front.go
+++ b/internal/root/relay/front.go
@@ -17,8 +17,9 @@
 
 const (
 	// lingerTime is how long a connection is read on after its last answer, so that bytes on their way do
-	// not reset it before the answer has arrived.
-	lingerTime = 500 * time.Millisecond
+	// not reset it before the answer has arrived. A caller that sends another request meanwhile has to learn
+	// soon that it is not served.
+	lingerTime = 120 * time.Millisecond
 
 	// keepAlivePeriod finds callers that have gone without closing.
 	keepAlivePeriod = 15 * time.Second
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -20,6 +20,21 @@
 	// more urgent ones are.
 	minRateShare = 0.05
 
+	// nestedShare is the part of its objective for which a nested call may wait: its outer request makes
+	// several calls, and has a deadline of its own.
+	nestedShare = 0.7
+
+	// marginRun is what is added to the average run time, and spanShare the part of the time of a request
+	// that waiting and running may take by prediction, because runs differ.
+	marginRun = 1.2
+	spanShare = 0.85
+
+	// strainUnit is the least run time that a wait is compared with.
+	strainUnit = 20 * time.Millisecond
+
+	// strainHalf is the time in which the strain that calls have met fades by half.
+	strainHalf = 300 * time.Millisecond
+
 	// minAfter and maxAfter bound the advice when to come back.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 2 * time.Second
@@ -68,10 +83,14 @@
 
 	// Load describes the gate to the daemons that choose among servers.
 	Load struct {
-		Wait    time.Duration // predicted for the least urgent request
+		Wait    time.Duration // predicted for another request like the one that is asked for
+		Run     time.Duration // average run time of its route, zero before the first run
 		Running int
 		Waiting int
 		Slots   int
+		// Strain is the predicted wait of a nested call in run times, or that of the services behind if it is
+		// greater. At 1 a call takes twice as long as it would without load.
+		Strain float64
 	}
 
 	// Gate holds the state of one start of a backend server; its user serializes the calls.
@@ -82,6 +101,9 @@
 		classes []*class // the most urgent first
 		routes  map[string]*route
 		run     time.Duration // average over all routes
+
+		behind   float64 // strain that calls of this server have met
+		behindAt time.Time
 	}
 
 	// class is the queue of the requests of one urgency.
@@ -136,7 +158,8 @@
 		return Admitted{}
 	}
 	wait := g.predict(now, own, r, ahead)
-	late := now.Add(wait + r.expected(g.run)).Sub(latest(t))
+	run := time.Duration(marginRun * float64(r.expected(g.run)))
+	late := now.Add(wait + run).Sub(latest(t))
 	if late > 0 || g.waiting >= maxWaiting {
 		return Refused{After: min(max(late, minAfter), maxAfter), Wait: wait}
 	}
@@ -146,13 +169,18 @@
 	return Queued{Wait: wait}
 }
 
-// latest returns until when an answer is worth a place in the queue. The most urgent requests may be
-// late; the others would displace answers that count in full.
+// latest returns until when an answer has to be predicted for a request to get a place in the queue. The
+// most urgent requests may be late; the others would displace answers that count in full.
 func latest(t *Ticket) time.Time {
-	if t.Nested || t.Rank == 0 || t.Objective.IsZero() || t.Objective.After(t.Deadline) {
-		return t.Deadline
+	until := t.Deadline
+	if !t.Objective.IsZero() && t.Objective.Before(until) && (t.Nested || t.Rank > 0) {
+		until = t.Objective
 	}
-	return t.Objective
+	share := spanShare
+	if t.Nested {
+		share = nestedShare
+	}
+	return t.Arrived.Add(time.Duration(share * float64(until.Sub(t.Arrived))))
 }
 
 // Next starts what there is room for and returns it, and drops what can no longer be served in time.
@@ -217,15 +245,35 @@
 	took := now.Sub(t.started)
 	switch result.(type) {
 	case Ran:
-		r.ran(now, t, took)
-		g.run = average(g.run, took)
+		r.mean, g.run = average(r.mean, took), average(g.run, took)
 	case Shed:
 	case Aborted:
 		if took >= r.mean { // tells that a run takes at least this long
-			r.ran(now, t, took)
-			g.run = average(g.run, took)
+			r.mean, g.run = average(r.mean, took), average(g.run, took)
 		}
 	}
+	if !t.Nested {
+		r.adjust(now, t.Rank, g.strainBehind(now))
+	}
+}
+
+// Called reports the strain that a call of this server has met at the service it went to.
+func (g *Gate) Called(now time.Time, strain float64) {
+	if faded := g.strainBehind(now); strain >= faded {
+		g.behind = faded + (strain-faded)/4
+	} else {
+		g.behind = faded - (faded-strain)/16
+	}
+	g.behindAt = now
+}
+
+// strainBehind returns the strain of the services behind, which fades while no call is made.
+func (g *Gate) strainBehind(now time.Time) float64 {
+	if g.behindAt.IsZero() {
+		return 0
+	}
+	halves := max(now.Sub(g.behindAt), 0).Seconds() / strainHalf.Seconds()
+	return g.behind * math.Exp2(-halves)
 }
 
 // Deadline returns when a waiting request has to be dropped, and false when none waits.
@@ -242,19 +290,31 @@
 	return next, !next.IsZero()
 }
 
-// Load returns the state of the gate.
-func (g *Gate) Load(now time.Time) Load {
-	load := Load{Running: g.running, Waiting: g.waiting, Slots: g.slots}
-	if g.running >= g.slots || g.waiting > 0 {
-		if last := len(g.classes); last > 0 {
-			load.Wait = g.drain(now, g.classes[last-1], g.waiting)
-		}
+// Load returns the state of the gate as it is for another request like t.
+func (g *Gate) Load(now time.Time, t *Ticket) Load {
+	own, r := g.class(t), g.route(t.Route)
+	return Load{
+		Wait: g.predict(now, own, r, g.ahead(own)), Run: r.mean,
+		Running: g.running, Waiting: g.waiting, Slots: g.slots, Strain: g.strain(now),
 	}
-	return load
 }
 
-// Run returns the average run time of a route, zero before the first run.
-func (g *Gate) Run(name string) time.Duration { return g.route(name).mean }
+// Running returns the number of requests in the server.
+func (g *Gate) Running() int { return g.running }
+
+// Waiting returns the number of requests in the queue.
+func (g *Gate) Waiting() int { return g.waiting }
+
+// strain returns how much a nested call is held up here or at the services behind.
+func (g *Gate) strain(now time.Time) float64 {
+	behind := g.strainBehind(now)
+	if g.running < g.slots || len(g.classes) == 0 || !g.classes[0].nested {
+		return behind
+	}
+	first := g.classes[0]
+	wait := g.drain(now, first, g.ahead(first))
+	return max(behind, wait.Seconds()/max(g.run, strainUnit).Seconds())
+}
 
 func (g *Gate) start(now time.Time, t *Ticket, r *route) {
 	t.state, t.started = running, now
--- a/internal/root/relay/gate/route.go
+++ b/internal/root/relay/gate/route.go
@@ -1,24 +1,30 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// minLimit keeps enough runs of a limited route in flight to notice that its runs are short again.
-	minLimit = 3
+	// minLimit keeps enough runs of a limited route in flight to notice that there is room again.
+	minLimit = 2
 
-	// inflated is the ratio to the usual run time above which runs are held up by the calls that they make.
-	inflated = 1.5
+	// decrease is the factor that a limit is lowered by in one step, increase what it is raised by in a step
+	// as a part of itself.
+	decrease = 0.88
+	increase = 0.06
 
-	// decrease is the factor that a limit is lowered by.
-	decrease = 0.85
+	// limitStep is the time between two changes of a limit: what a change does to the services behind is
+	// seen after about one run.
+	limitStep = 120 * time.Millisecond
 
-	// usualWeight is the weight of one run in the usual run time, which follows slowly, but for shorter runs.
-	usualWeight = 0.004
+	// urgentStrain and otherStrain are the strain of the services behind above which runs of the most urgent
+	// and of other routes are cut back. The less urgent routes give way first.
+	urgentStrain = 2.4
+	otherStrain  = 1.2
 
-	// urgentShare and otherShare are the parts of the time that a caller waits up to which runs may grow. The
-	// less urgent routes give way first, so that the urgent ones keep the servers behind them.
-	urgentShare = 0.8
-	otherShare  = 0.6
+	// rankStep is taken off otherStrain for each rank.
+	rankStep = 0.1
 )
 
 // route is what the gate knows of one route. Its limit answers a pattern that slots alone do not: when a
@@ -28,11 +34,10 @@
 type route struct {
 	name     string
 	mean     time.Duration // run time
-	usual    time.Duration // run time while nothing holds up the runs
 	limit    float64       // runs at the same time
 	most     float64
 	inFlight int
-	lowered  time.Time // when the limit was lowered last
+	changed  time.Time // when the limit was changed last
 }
 
 func newRoute(name string, slots int) *route {
@@ -62,36 +67,20 @@
 	return time.Duration(float64(n+1) / r.limit * float64(r.mean))
 }
 
-func (r *route) ran(now time.Time, t *Ticket, took time.Duration) {
-	r.mean = average(r.mean, took)
-	switch {
-	case r.usual == 0:
-		r.usual = took
-	case took < r.usual:
-		r.usual -= time.Duration(runWeight * float64(r.usual-took))
-	default:
-		r.usual += time.Duration(usualWeight * float64(took-r.usual))
-	}
-	if t.Nested {
+// adjust moves the limit of a route whose runs make calls, by the strain of the services that they call.
+func (r *route) adjust(now time.Time, rank int, strain float64) {
+	if now.Sub(r.changed) < limitStep {
 		return
 	}
-	share := otherShare
-	if t.Rank == 0 {
-		share = urgentShare
-	}
-	span := t.Deadline.Sub(t.Arrived)
-	if !t.Objective.IsZero() {
-		span = min(span, t.Objective.Sub(t.Arrived))
+	bearable := urgentStrain
+	if rank > 0 {
+		bearable = otherStrain - rankStep*math.Min(float64(rank-1), 5)
 	}
-	target := time.Duration(share * float64(span))
-	if r.mean > target && float64(r.mean) > inflated*float64(r.usual) {
-		if now.Sub(r.lowered) >= r.mean/2 {
-			r.lowered = now
-			r.limit = max(min(r.limit, float64(r.inFlight+1))*decrease, minLimit)
-		}
-		return
-	}
-	if float64(r.inFlight)+1 >= r.limit/2 {
-		r.limit = min(r.limit+1/r.limit*2, r.most)
+	switch {
+	case strain > bearable:
+		r.limit = max(min(r.limit, float64(r.inFlight+1))*decrease, minLimit)
+	case float64(r.inFlight)+1 >= r.limit*0.7:
+		r.limit = min(r.limit+max(r.limit*increase, 1), r.most)
 	}
+	r.changed = now
 }
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -91,6 +91,7 @@
 		Slots   uint32        `protobuf:"varint,3,opt,name=slots,proto3"`
 		Run     time.Duration `protobuf:"varint,4,opt,name=run,proto3"` // of the request's route
 		Leaving bool          `protobuf:"varint,5,opt,name=leaving,proto3"`
+		Strain  float64       `protobuf:"fixed64,6,opt,name=strain,proto3"` // how much nested calls are held up
 	}
 
 	// Reply ends a request.
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,7 +25,12 @@
 
 const (
 	// tokenWait bounds the wait for a rate token when this daemon has none.
-	tokenWait = 400 * time.Millisecond
+	tokenWait = 120 * time.Millisecond
+
+	// ungrantedSpan is how long requests do not wait for a token after one has waited for nothing, and
+	// tokenGlance the time in which a token that is here already is taken.
+	ungrantedSpan = 250 * time.Millisecond
+	tokenGlance   = 2 * time.Millisecond
 
 	// listWait bounds the wait for the first list of a service's servers.
 	listWait = 500 * time.Millisecond
@@ -65,6 +71,9 @@
 		mu       sync.Mutex
 		services map[string]*service
 		splits   map[string]*share.Split // by route
+		paces    map[string]*share.Pace  // by client account
+
+		ungranted atomic.Int64 // until when nobody seems to grant tokens, Unix nanoseconds
 	}
 
 	// service is what this daemon keeps for the requests to one service.
@@ -201,17 +210,44 @@
 	if account.Rate.Count == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, tokenWait)
+	wait := tokenWait
+	if p.Clock.Now().UnixNano() < p.ungranted.Load() {
+		wait = tokenGlance // the last request waited for nothing
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	switch p.Control.TakeToken(ctx, account.Name).(type) {
+	verdict := p.Control.TakeToken(ctx, account.Name)
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pace := p.pace(account.Name)
+	switch verdict.(type) {
 	case call.TokenTaken:
+		pace.Granted(now)
 		return nil
 	case call.TokenRefused:
 		return &turned{failure: retry.Rate{}, after: rateAfter}
 	}
+	p.ungranted.Store(now.Add(ungrantedSpan).UnixNano())
+	if pace.Take(now, account.Rate.PerSecond()) {
+		return nil
+	}
 	return &turned{failure: retry.RateUnavailable{}, after: noServerAfter}
 }
 
+// pace returns the pace of a client account at this daemon; the lock is held.
+func (p *Path) pace(account string) *share.Pace {
+	if p.paces == nil {
+		p.paces = map[string]*share.Pace{}
+	}
+	known := p.paces[account]
+	if known == nil {
+		known = &share.Pace{}
+		p.paces[account] = known
+	}
+	return known
+}
+
 func quarantined(snapshot *snap.Snapshot, fingerprint string, now time.Time) bool {
 	until, ok := snapshot.Quarantine[fingerprint]
 	return ok && wire.StampOf(now) < until
@@ -332,7 +368,7 @@
 
 // caller names the service beside which requests begin.
 func (p *Path) caller() string {
-	if n, _, ok := p.Beside.Instances(p.Clock.Now()); ok && n.Service != "" {
+	if n, _, _ := p.Beside.Server(); n.Service != "" {
 		return n.Service
 	}
 	return p.Service
@@ -361,12 +397,15 @@
 		}
 	case unknown:
 	}
-	to.mu.Lock()
-	defer to.mu.Unlock()
 	var known *place.Report
 	if report != nil && report.Slots > 0 {
 		known = report.forPlace()
+		if x.nested {
+			p.Beside.Called(report.Strain)
+		}
 	}
+	to.mu.Lock()
+	defer to.mu.Unlock()
 	to.board.Done(p.Clock.Now(), id, x.route.Name, known, result)
 }
 
@@ -408,10 +447,12 @@
 	if !now.Before(x.deadline) {
 		return false
 	}
+	cause := share.Lost
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	switch ended := ended.(type) {
 	case answered:
+		cause = share.Failed
 		if !ended.response.failed() || !x.idempotent() || x.sends >= x.route.Sends || x.short(now) {
 			return false
 		}
@@ -430,7 +471,7 @@
 	if len(x.tried) >= to.board.Servers() {
 		x.tried = x.tried[:0] // the same server may be asked again
 	}
-	return to.retries.Repeat(now)
+	return to.retries.Repeat(now, cause)
 }
 
 // short reports whether the time left is too short for another run.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -31,12 +31,13 @@
 	quietSpan = 300 * time.Millisecond
 
 	// stopMargin is kept of the time to stop, so that the process ends by itself.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
 
 	// drainStep is how often a leaving daemon looks whether it is quiet.
 	drainStep = 50 * time.Millisecond
 
 	callHeaderTimeout = 2 * time.Second
+	callStop          = 100 * time.Millisecond // for calls in progress at the end
 	callIdleTimeout   = 30 * time.Second
 
 	maxConnections = 1500
@@ -185,10 +186,12 @@
 			return fmt.Errorf("%s server: %w", name, err)
 		case <-ctx.Done():
 		}
-		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), callHeaderTimeout)
+		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), callStop)
 		defer cancel()
-		if err := server.Stop(stopping); err != nil {
-			log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
+		if server.Stop(stopping) != nil { // calls in progress are sent again by their callers
+			if err := server.Close(); err != nil {
+				log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
+			}
 		}
 		return nil
 	}
@@ -196,8 +199,8 @@
 
 // Levels returns what is in progress now, for the status of the daemon.
 func (r *Relay) Levels() admin.Counts {
-	_, load, _ := r.Beside.Instances(r.Clock.Now())
-	levels := admin.Counts{Running: uint64(load.Running), Queued: uint64(load.Waiting), Connections: uint64(r.Front.Open())}
+	_, running, waiting := r.Beside.Server()
+	levels := admin.Counts{Running: uint64(running), Queued: uint64(waiting), Connections: uint64(r.Front.Open())}
 	for _, list := range r.Control.Snapshot().Endpoints {
 		levels.Backends += uint64(len(list.Instances))
 	}
@@ -205,14 +208,12 @@
 }
 
 // Sections returns the state as tables for a dump.
-func (r *Relay) Sections(now time.Time) []admin.Section {
-	section := admin.Section{Name: "gate", Columns: []string{"instance", "service", "running", "waiting", "slots", "wait"}}
-	if notice, load, ok := r.Beside.Instances(now); ok {
-		section.Rows = append(section.Rows, []string{
-			notice.Instance, notice.Service, fmt.Sprint(load.Running), fmt.Sprint(load.Waiting), fmt.Sprint(load.Slots), load.Wait.String(),
-		})
-	}
-	return []admin.Section{section}
+func (r *Relay) Sections(time.Time) []admin.Section {
+	notice, running, waiting := r.Beside.Server()
+	return []admin.Section{{
+		Name: "gate", Columns: []string{"instance", "service", "running", "waiting", "slots"},
+		Rows: [][]string{{notice.Instance, notice.Service, fmt.Sprint(running), fmt.Sprint(waiting), fmt.Sprint(notice.Slots)}},
+	}}
 }
 
 // Remote passes notices that a control instance got to the daemon beside their server, which is the only
--- a/internal/root/relay/serve.go
+++ b/internal/root/relay/serve.go
@@ -48,6 +48,8 @@
 		cancels: map[uint64]context.CancelFunc{}, partial: map[uint64]*Send{},
 	}
 	go l.box.run()
+	stop := context.AfterFunc(ctx, l.box.close) // the daemon has drained and ends
+	defer stop()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	err := l.read(ctx, bufio.NewReaderSize(stream, 16<<10))
 	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("lane-ended")
--- a/internal/root/relay/share/retries.go
+++ b/internal/root/relay/share/retries.go
@@ -6,14 +6,29 @@
 	// buckets divide the window of a budget.
 	buckets = 10
 
-	// ownRatio is the part of the fleet's ratio that daemons use at one level of the call graph: a repeated
-	// request repeats the calls that it makes, which count at the services behind.
-	ownRatio = 0.4
+	// lostShare is the part of the fleet's ratio that daemons use at one level of the call graph for requests
+	// that were shed or whose answer was lost: a repeated request repeats the calls that it makes, which count
+	// at the services behind.
+	lostShare = 0.3
+
+	// failedShare is that part for requests that the server failed. The cause often lies in a call that was
+	// repeated already.
+	failedShare = 0.1
+)
+
+// Causes of a repeat.
+const (
+	// Lost is an answer that was lost, or a request that the server shed.
+	Lost Cause = iota
+	// Failed is a failure of the server itself.
+	Failed
 )
 
 type (
 	// Retries is the budget of one daemon for the requests that it sends again to one service. The requests
 	// of the window before count too, so that a fall in traffic does not take the budget away at once.
+	//
+	// Repeats for either cause have a budget of their own.
 	Retries struct {
 		// Ratio is the fleet's bound on repeats per request, Window the time that it is counted over.
 		Ratio  float64
@@ -23,7 +38,13 @@
 		epoch int64 // number of the newest bucket
 	}
 
-	counts struct{ firsts, repeats int }
+	// Cause says why a request is sent again.
+	Cause uint8
+
+	counts struct {
+		firsts  int
+		repeats [2]int // by cause
+	}
 )
 
 // First counts a request that is sent for the first time.
@@ -33,18 +54,22 @@
 }
 
 // Repeat counts and allows one more send of a request, or refuses it.
-func (r *Retries) Repeat(now time.Time) bool {
+func (r *Retries) Repeat(now time.Time, cause Cause) bool {
 	r.move(now)
 	firsts, repeats := 0, 0
 	for i := range int64(buckets) {
 		slot := r.at(r.epoch - i)
 		firsts += slot.firsts
-		repeats += slot.repeats
+		repeats += slot.repeats[cause]
+	}
+	share := lostShare
+	if cause == Failed {
+		share = failedShare
 	}
-	if float64(repeats+1) > max(ownRatio*r.Ratio*float64(firsts), 1) {
+	if float64(repeats+1) > max(share*r.Ratio*float64(firsts), 1) {
 		return false
 	}
-	r.at(r.epoch).repeats++
+	r.at(r.epoch).repeats[cause]++
 	return true
 }
 
