--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -71,6 +71,13 @@
 	return verdict
 }
 
+// ReturnToken gives back a token of the client account whose request was not sent to any server.
+func (l *Loop) ReturnToken(account string) {
+	if cell := (*l.cells.Load())[account]; cell != nil {
+		cell.Return()
+	}
+}
+
 // Want subscribes to the instances of a service and waits for the first list until ctx ends.
 func (l *Loop) Want(ctx context.Context, service string) *snap.Endpoints {
 	reply := make(chan *snap.Endpoints, 1)
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -107,6 +107,7 @@
 	l.snapshot.Store(&snap.Snapshot{
 		Rules:      d.rules.set,
 		FreshUntil: d.freshUntil,
+		HeardAt:    d.freshUntil.Add(-l.cfg.Lease),
 		Endpoints:  endpoints,
 		Quarantine: d.quarantine,
 	})
--- a/internal/root/ctrl/event.go
+++ b/internal/root/ctrl/event.go
@@ -116,6 +116,9 @@
 	// configRead asks for the accepted revision.
 	configRead struct{ reply chan<- ReadResult }
 
+	// storageReopened starts the consensus member anew from what the disk holds.
+	storageReopened struct{ restored raft.Restored }
+
 	// reportWanted asks for a report of the operators' endpoint.
 	reportWanted struct {
 		request ReportRequest
@@ -149,5 +152,6 @@
 func (consensus) event()         {}
 func (reportWanted) event()      {}
 func (controlsKnown) event()     {}
+func (storageReopened) event()   {}
 func (draftSubmitted) event()    {}
 func (configRead) event()        {}
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -75,6 +75,9 @@
 		nextExpiry: now.Add(expiryInterval),
 		warmUntil:  now.Add(warmUp),
 	}
+	if l.cfg.Open {
+		lead.owner.RefillAtOnce()
+	}
 	for _, running := range v.machine.Running() {
 		lead.registry.Expect(now, running.Daemon, running.Boot)
 	}
--- a/internal/root/ctrl/limit/cell.go
+++ b/internal/root/ctrl/limit/cell.go
@@ -57,6 +57,20 @@
 	return false
 }
 
+// Return gives a token back that was taken for a request that was not sent to any server.
+func (c *Cell) Return() {
+	lots := c.lots.Load()
+	if lots == nil {
+		return
+	}
+	for _, l := range *lots {
+		spent := l.spent.Load()
+		if spent > 0 && spent <= l.tokens && l.spent.CompareAndSwap(spent, spent-1) {
+			return
+		}
+	}
+}
+
 // RetryAfter returns how long to refuse requests without asking; zero means that asking is allowed.
 func (c *Cell) RetryAfter(now time.Time) time.Duration {
 	return max(0, time.Duration(c.refuseUntil.Load())-now.Sub(c.base))
--- a/internal/root/ctrl/limit/owner.go
+++ b/internal/root/ctrl/limit/owner.go
@@ -87,6 +87,15 @@
 	return o
 }
 
+// RefillAtOnce makes the buckets of a new owner refill from its start on. They are empty then, so that what
+// is granted from now on and what the predecessor granted within burst and rate stay within burst and rate
+// over every time longer than the life of a grant; only shorter times can see more.
+func (o *Owner) RefillAtOnce() {
+	for _, b := range o.buckets {
+		b.refilled = 0
+	}
+}
+
 // unit is one token in the fixed-point numbers of a bucket; with it a rate in tokens per period is also
 // a rate in units per nanosecond, so that refilling has no rounding errors.
 func (b *bucket) unit() int64 { return b.limit.unit() }
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -44,6 +44,8 @@
 		Traffic bool
 		// Lease is how long a daemon stays fresh after it sent a beat that was answered; zero for leaseLife.
 		Lease time.Duration
+		// Reopen opens the storage again after a failed write; nil where a failed disk is replaced by hand.
+		Reopen func() (disk.Storage, error)
 		// Parse reads the text of a revision; rules.Parse where it is nil.
 		Parse func(name string, text []byte) (*rules.Set, error)
 	}
@@ -179,7 +181,7 @@
 		l.report(now, event)
 	case controlsKnown:
 		l.learnControls(now, event.addresses)
-	case daemonOpened, daemonClosed, daemonSent, consensus, draftSubmitted, configRead:
+	case daemonOpened, daemonClosed, daemonSent, consensus, draftSubmitted, configRead, storageReopened:
 		if l.voter != nil {
 			l.handleVoter(now, event)
 		}
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/disk"
@@ -94,20 +96,24 @@
 	}
 	if cfg.Open {
 		v.name = cfg.PeerAddress
-		v.node = raft.New(openConfig(cfg), restored, now)
-		return v, nil
 	}
-	names := make([]string, 0, len(cfg.Voters))
 	for name, address := range cfg.Voters {
-		names = append(names, name)
 		if name != cfg.Name {
 			v.links[name] = newRaftLink(name, address, l)
 		}
 	}
-	v.node = raft.New(raft.Config{Name: cfg.Name, Peers: names, Seed: cfg.Boot}, restored, now)
+	v.node = raft.New(v.config(cfg), restored, now)
 	return v, nil
 }
 
+// config returns the settings of the consensus member.
+func (v *voterState) config(cfg Options) raft.Config {
+	if cfg.Open {
+		return openConfig(cfg)
+	}
+	return raft.Config{Name: cfg.Name, Peers: slices.Collect(maps.Keys(cfg.Voters)), Seed: cfg.Boot}
+}
+
 func (v *voterState) children(l *Loop) []super.Child {
 	children := make([]super.Child, 0, len(v.links)+1)
 	for name, link := range v.links {
@@ -136,6 +142,8 @@
 		}
 	case daemonSent:
 		l.handleUp(now, event.session, event.message)
+	case storageReopened:
+		l.restartMember(now, event.restored)
 	case draftSubmitted:
 		l.submitDraft(now, event)
 	case configRead:
@@ -143,6 +151,23 @@
 	}
 }
 
+// restartMember replaces a consensus member whose disk had failed by one that knows what the disk holds.
+func (l *Loop) restartMember(now time.Time, restored raft.Restored) {
+	v := l.voter
+	v.machine = state.New(acceptText)
+	v.node = raft.New(v.config(l.cfg), restored, now)
+	v.inputs, v.lead = nil, nil
+	for id := range v.proposals {
+		l.dropped(raft.Dropped{ID: id, Reason: raft.DroppedUnknown})
+	}
+	for _, address := range *l.controls.Load() {
+		if l.cfg.Open {
+			l.stepRaft(now, raft.PeerFound{Name: address})
+		}
+	}
+	l.log.Info().Uint64("boot", restored.Boot).Msg("storage-reopened")
+}
+
 // stepRaft passes an event to the consensus member and executes its actions in order. An event that an
 // action raises waits until all actions of the step are executed, so that no step begins within another.
 func (l *Loop) stepRaft(now time.Time, event raft.Event) {
--- a/internal/root/ctrl/writer.go
+++ b/internal/root/ctrl/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/disk"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
@@ -10,12 +11,16 @@
 // writerQueue is above the number of writes that the consensus member leaves outstanding.
 const writerQueue = 64
 
+// reopenEvery is how often a failed storage is opened again.
+const reopenEvery = 500 * time.Millisecond
+
 type (
 	// writer owns the storage: it writes what the loop submits, in order, and posts the results.
 	writer struct {
 		storage disk.Storage
 		loop    *Loop
 		jobs    chan writeJob
+		failed  bool // nothing more is written until the storage has been opened again
 	}
 
 	// writeJob is saveBatch or saveSnapshot.
@@ -38,16 +43,51 @@
 // run writes until ctx ends and then closes the storage.
 func (w *writer) run(ctx context.Context) error {
 	defer func() { _ = w.storage.Close() }()
+	var again <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case job := <-w.jobs:
-			w.loop.post(ctx, consensus{input: w.write(job)})
+			if w.failed {
+				continue // of the member that has stopped
+			}
+			result := w.write(job)
+			w.loop.post(ctx, consensus{input: result})
+			if _, w.failed = result.(raft.PersistFailed); w.failed && w.loop.cfg.Reopen != nil {
+				again = w.loop.clock.NewTimer(reopenEvery).C()
+			}
+		case <-again:
+			if w.reopen(ctx) {
+				again = nil
+				continue
+			}
+			again = w.loop.clock.NewTimer(reopenEvery).C()
 		}
 	}
 }
 
+// reopen starts the storage anew after a failure, for example once a full disk has room again. What it
+// holds is read from the disk, as at a start of the process.
+func (w *writer) reopen(ctx context.Context) bool {
+	if err := w.storage.Close(); err != nil {
+		w.loop.log.Debug().Err(err).Msg("failed-storage-not-closed")
+	}
+	storage, err := w.loop.cfg.Reopen()
+	if err != nil {
+		w.loop.log.Warn().Err(err).Msg("storage-not-reopened")
+		return false
+	}
+	w.storage = storage
+	restored, err := storage.Load()
+	if err != nil {
+		w.loop.log.Warn().Err(err).Msg("storage-not-reopened")
+		return false
+	}
+	w.failed = false
+	return w.loop.post(ctx, storageReopened{restored: restored})
+}
+
 func (w *writer) write(job writeJob) raft.Event {
 	switch job := job.(type) {
 	case saveBatch:
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -110,8 +110,9 @@
 		return nil, err
 	}
 	var storage disk.Storage
+	open := func() (disk.Storage, error) { return disk.Open(settings.DataFolder, disk.Options{}) }
 	if settings.DataFolder != "" {
-		if storage, err = disk.Open(settings.DataFolder, disk.Options{}); err != nil {
+		if storage, err = open(); err != nil {
 			return nil, fmt.Errorf("open data folder: %w", err)
 		}
 	}
@@ -125,7 +126,7 @@
 	p.loop, err = ctrl.New(ctrl.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
 		ControlAddresses: seedPeers(settings), Boot: boot, Open: true, Found: bool(settings.Fleet.Found),
-		Traffic: settings.IngressAddress.IsValid(), Lease: leaseOf(settings.Fleet.RevokeWithin), Parse: platform.Parse,
+		Traffic: settings.IngressAddress.IsValid(), Lease: leaseOf(settings.Fleet.RevokeWithin), Parse: platform.Parse, Reopen: open,
 	}, clk, p.control, storage, log)
 	if err != nil {
 		return nil, err
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,12 +24,12 @@
 
 const (
 	// tokenWait bounds the wait for a rate token when this daemon has none.
-	tokenWait = 120 * time.Millisecond
+	tokenWait = 200 * time.Millisecond
 
-	// ungrantedSpan is how long requests do not wait for a token after one has waited for nothing, and
+	// unheardAfter is the age of the leader's latest answer above which tokens are not waited for, and
 	// tokenGlance the time in which a token that is here already is taken.
-	ungrantedSpan = 250 * time.Millisecond
-	tokenGlance   = 2 * time.Millisecond
+	unheardAfter = 900 * time.Millisecond
+	tokenGlance  = 2 * time.Millisecond
 
 	// listWait bounds the wait for the first list of a service's servers.
 	listWait = 500 * time.Millisecond
@@ -72,8 +71,6 @@
 		services map[string]*service
 		splits   map[string]*share.Split // by route
 		paces    map[string]*share.Pace  // by client account
-
-		ungranted atomic.Int64 // until when nobody seems to grant tokens, Unix nanoseconds
 	}
 
 	// service is what this daemon keeps for the requests to one service.
@@ -91,6 +88,7 @@
 		revision    uint64
 		fingerprint string
 		nested      bool
+		granted     bool // a rate token was spent
 		rank        int
 		started     time.Time
 		deadline    time.Time
@@ -112,6 +110,11 @@
 	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(started)+passage)
 	defer cancel()
 	ended := p.pass(ctx, x)
+	if x.account != nil && x.granted && x.sends == 0 {
+		if _, idle := ended.(turned); idle {
+			p.Control.ReturnToken(x.account.Name)
+		}
+	}
 	p.Meter.Call(x.service, x.accountName(), resultOf(ended), p.Clock.Now().Sub(started))
 	p.note(x, ended)
 	switch ended := ended.(type) {
@@ -146,9 +149,11 @@
 		if !fresh {
 			return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
 		}
-		if refused := p.takeToken(ctx, x.account); refused != nil {
+		granted, refused := p.takeToken(ctx, x.account)
+		if refused != nil {
 			return x, refused
 		}
+		x.granted = granted
 		if x.account.Rank != nil {
 			x.rank = *x.account.Rank
 		}
@@ -206,13 +211,14 @@
 	return x.account.Name
 }
 
-func (p *Path) takeToken(ctx context.Context, account *rules.Account) *turned {
+// takeToken counts a request against the rate of its client account; granted tells that a token was spent.
+func (p *Path) takeToken(ctx context.Context, account *rules.Account) (granted bool, refused *turned) {
 	if account.Rate.Count == 0 {
-		return nil
+		return false, nil
 	}
 	wait := tokenWait
-	if p.Clock.Now().UnixNano() < p.ungranted.Load() {
-		wait = tokenGlance // the last request waited for nothing
+	if p.Clock.Now().Sub(p.Control.Snapshot().HeardAt) > unheardAfter {
+		wait = tokenGlance // nobody is there to grant any
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -224,15 +230,14 @@
 	switch verdict.(type) {
 	case call.TokenTaken:
 		pace.Granted(now)
-		return nil
+		return true, nil
 	case call.TokenRefused:
-		return &turned{failure: retry.Rate{}, after: rateAfter}
+		return false, &turned{failure: retry.Rate{}, after: rateAfter}
 	}
-	p.ungranted.Store(now.Add(ungrantedSpan).UnixNano())
 	if pace.Take(now, account.Rate.PerSecond()) {
-		return nil
+		return false, nil
 	}
-	return &turned{failure: retry.RateUnavailable{}, after: noServerAfter}
+	return false, &turned{failure: retry.RateUnavailable{}, after: noServerAfter}
 }
 
 // pace returns the pace of a client account at this daemon; the lock is held.
@@ -460,9 +465,10 @@
 		if !ended.reached {
 			return len(x.tried) < to.board.Servers() // costs nothing: no server was asked
 		}
-		if x.sends >= x.route.Sends {
+		if x.sends > x.route.Sends {
 			return false
 		}
+		cause = share.Shed
 	case unknown:
 		if !x.idempotent() || x.sends >= x.route.Sends || x.short(now) {
 			return false
--- a/internal/root/relay/share/pace.go
+++ b/internal/root/relay/share/pace.go
@@ -10,6 +10,9 @@
 	// a part of its burst.
 	paceSpan = 4 * time.Second
 
+	// minPaceSpan is the shortest time that an average is taken over.
+	minPaceSpan = 500 * time.Millisecond
+
 	// ungrantedShare is the part of its pace that a daemon goes on at without grants, so that all daemons
 	// together stay within the rate although a burst lies in the average.
 	ungrantedShare = 0.85
@@ -22,6 +25,7 @@
 // every request of a keyed route would be refused while the control instances restart.
 type Pace struct {
 	perSecond float64
+	since     time.Time // the first grant
 	grantedAt time.Time
 	credit    float64
 	takenAt   time.Time
@@ -29,6 +33,9 @@
 
 // Granted counts a token that was granted and spent.
 func (p *Pace) Granted(now time.Time) {
+	if p.since.IsZero() {
+		p.since = now
+	}
 	p.perSecond = p.perSecond*fade(now.Sub(p.grantedAt)) + 1/paceSpan.Seconds()
 	p.grantedAt = now
 	p.credit, p.takenAt = 0, now
@@ -39,7 +46,9 @@
 	if p.grantedAt.IsZero() {
 		return false
 	}
-	pace := min(ungrantedShare*p.perSecond, rate)
+	// The average counts nothing before the first grant.
+	seen := 1 - fade(max(p.grantedAt.Sub(p.since), minPaceSpan))
+	pace := min(ungrantedShare*p.perSecond/seen, rate)
 	elapsed := max(now.Sub(p.takenAt), 0)
 	p.credit = min(p.credit+pace*elapsed.Seconds(), maxCredit)
 	p.takenAt = now
--- a/internal/root/relay/share/retries.go
+++ b/internal/root/relay/share/retries.go
@@ -6,29 +6,37 @@
 	// buckets divide the window of a budget.
 	buckets = 10
 
-	// lostShare is the part of the fleet's ratio that daemons use at one level of the call graph for requests
-	// that were shed or whose answer was lost: a repeated request repeats the calls that it makes, which count
-	// at the services behind.
-	lostShare = 0.3
+	// shedShare is the part of the fleet's ratio that daemons use at one level of the call graph for requests
+	// that a server has shed. They have made no calls.
+	shedShare = 0.55
+
+	// lostShare is that part for requests whose answer was lost: a repeated request repeats the calls that it
+	// makes, which count at the services behind.
+	lostShare = 0.25
 
 	// failedShare is that part for requests that the server failed. The cause often lies in a call that was
 	// repeated already.
-	failedShare = 0.1
+	failedShare = 0.05
 )
 
 // Causes of a repeat.
 const (
-	// Lost is an answer that was lost, or a request that the server shed.
-	Lost Cause = iota
+	// Shed is a request that the server turned away.
+	Shed Cause = iota
+	// Lost is an answer that was lost.
+	Lost
 	// Failed is a failure of the server itself.
 	Failed
 )
 
+// shares holds the part of the fleet's ratio by cause.
+var shares = [...]float64{Shed: shedShare, Lost: lostShare, Failed: failedShare}
+
 type (
 	// Retries is the budget of one daemon for the requests that it sends again to one service. The requests
 	// of the window before count too, so that a fall in traffic does not take the budget away at once.
 	//
-	// Repeats for either cause have a budget of their own.
+	// Repeats for each cause have a budget of their own.
 	Retries struct {
 		// Ratio is the fleet's bound on repeats per request, Window the time that it is counted over.
 		Ratio  float64
@@ -43,7 +51,7 @@
 
 	counts struct {
 		firsts  int
-		repeats [2]int // by cause
+		repeats [3]int // by cause
 	}
 )
 
@@ -62,11 +70,7 @@
 		firsts += slot.firsts
 		repeats += slot.repeats[cause]
 	}
-	share := lostShare
-	if cause == Failed {
-		share = failedShare
-	}
-	if float64(repeats+1) > max(share*r.Ratio*float64(firsts), 1) {
+	if float64(repeats+1) > max(shares[cause]*r.Ratio*float64(firsts), 1) {
 		return false
 	}
 	r.at(r.epoch).repeats[cause]++
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -68,6 +68,7 @@
 	Control interface {
 		Snapshot() *snap.Snapshot
 		TakeToken(ctx context.Context, account string) call.TokenVerdict
+		ReturnToken(account string)
 		Want(ctx context.Context, service string) *snap.Endpoints
 		Announce(ctx context.Context, a member.Announcement) (snap.Endpoint, error)
 		Leave(ctx context.Context, address string) error
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -12,6 +12,7 @@
 type Snapshot struct {
 	Rules      *rules.Set            // nil until the first configuration has arrived
 	FreshUntil time.Time             // the lease of this daemon ends then
+	HeardAt    time.Time             // when the latest question was sent that the leader has answered
 	Endpoints  map[string]*Endpoints // by service, only the services that this daemon calls
 	Quarantine map[string]wire.Stamp // end by fingerprint
 }
