--- a/internal/root/ctrl/limit/limit_test.go
+++ b/internal/root/ctrl/limit/limit_test.go
@@ -412,3 +412,51 @@
 	now = now.Add(3 * time.Second)
 	assert.Equal(t, granted(3), uint32(1), "the token of the seconds before the change")
 }
+
+// Guards against a new owner that refuses requests within the rate until its predecessor's grants have
+// expired, and against more than burst and rate over the time of a change of owners.
+func TestOwnerThatRefillsAtOnce(t *testing.T) {
+	limits := []Limit{{Account: "a", Rate: 100, Burst: 100}}
+	take := func(o *Owner, now time.Time, seq uint64) int {
+		total := 0
+		for _, action := range o.Step(now, &Asked{Holder: "h", Ask: &TokenAsk{Account: "a", Boot: 1, Seq: seq, Need: 1000}}) {
+			if grant, ok := action.(*SendGrant); ok {
+				total += int(grant.Grant.Tokens)
+			}
+		}
+		o.Step(now, &HolderGone{Holder: "h"})
+		return total
+	}
+	old := NewOwner(epoch, 1, limits)
+	handover := epoch.Add(10 * time.Second)
+	before := take(old, handover.Add(-time.Millisecond), 1)
+	assert.Equal(t, before, 100, "the burst")
+	next := NewOwner(handover, 2, limits)
+	next.RefillAtOnce()
+	after := take(next, handover.Add(500*time.Millisecond), 1)
+	assert.Equal(t, after, 50, "half a second of the rate")
+	after += take(next, handover.Add(time.Second), 2)
+	assert.Assert(t, before+after <= 100+100, "%d tokens in one second", before+after)
+}
+
+// Guards against tokens that are lost for requests which reached no server, and against more tokens than
+// were granted.
+func TestReturnedToken(t *testing.T) {
+	h := NewHolder(epoch, 7)
+	h.Step(epoch, &SetLimits{Limits: []Limit{{Account: "a", Rate: 10, Burst: 10}}})
+	h.Step(epoch, &Need{Account: "a", Waiter: 1})
+	h.Step(epoch, &Grant{Account: "a", Boot: 7, Seq: 1, Epoch: 3, Lot: 1, Tokens: 2})
+	cell := h.Cells["a"]
+	assert.Assert(t, cell.Take(epoch))
+	assert.Assert(t, !cell.Take(epoch))
+	cell.Return()
+	assert.Assert(t, cell.Take(epoch))
+	for range 5 {
+		cell.Return()
+	}
+	taken := 0
+	for cell.Take(epoch) {
+		taken++
+	}
+	assert.Assert(t, taken <= 2, "%d taken of 2 granted", taken)
+}
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -32,8 +32,11 @@
 	// strainUnit is the least run time that a wait is compared with.
 	strainUnit = 20 * time.Millisecond
 
-	// strainHalf is the time in which the strain that calls have met fades by half.
-	strainHalf = 300 * time.Millisecond
+	// strainRise and strainFall are the times over which the strain that calls have met is averaged, while it
+	// grows and while it falls. strainQuiet is how long it stays without any call before it fades.
+	strainRise  = 60 * time.Millisecond
+	strainFall  = 250 * time.Millisecond
+	strainQuiet = 400 * time.Millisecond
 
 	// minAfter and maxAfter bound the advice when to come back.
 	minAfter = 100 * time.Millisecond
@@ -259,11 +262,13 @@
 
 // Called reports the strain that a call of this server has met at the service it went to.
 func (g *Gate) Called(now time.Time, strain float64) {
-	if faded := g.strainBehind(now); strain >= faded {
-		g.behind = faded + (strain-faded)/4
-	} else {
-		g.behind = faded - (faded-strain)/16
+	known := g.strainBehind(now)
+	span := strainFall
+	if strain > known {
+		span = strainRise
 	}
+	elapsed := max(now.Sub(g.behindAt), time.Millisecond)
+	g.behind = known + (strain-known)*(1-math.Exp(-elapsed.Seconds()/span.Seconds()))
 	g.behindAt = now
 }
 
@@ -272,8 +277,8 @@
 	if g.behindAt.IsZero() {
 		return 0
 	}
-	halves := max(now.Sub(g.behindAt), 0).Seconds() / strainHalf.Seconds()
-	return g.behind * math.Exp2(-halves)
+	quiet := max(now.Sub(g.behindAt)-strainQuiet, 0)
+	return g.behind * math.Exp(-quiet.Seconds()/strainFall.Seconds())
 }
 
 // Deadline returns when a waiting request has to be dropped, and false when none waits.
--- a/internal/root/relay/gate/route.go
+++ b/internal/root/relay/gate/route.go
@@ -9,10 +9,11 @@
 	// minLimit keeps enough runs of a limited route in flight to notice that there is room again.
 	minLimit = 2
 
-	// decrease is the factor that a limit is lowered by in one step, increase what it is raised by in a step
-	// as a part of itself.
+	// decrease is the factor that a limit is lowered by in one step. increase is what it is raised by in a step
+	// as a part of itself, and regain the same once the services behind are hardly strained any more.
 	decrease = 0.88
 	increase = 0.06
+	regain   = 0.3
 
 	// limitStep is the time between two changes of a limit: what a change does to the services behind is
 	// seen after about one run.
@@ -79,6 +80,8 @@
 	switch {
 	case strain > bearable:
 		r.limit = max(min(r.limit, float64(r.inFlight+1))*decrease, minLimit)
+	case strain < bearable/3:
+		r.limit = min(r.limit+max(r.limit*regain, 1), r.most)
 	case float64(r.inFlight)+1 >= r.limit*0.7:
 		r.limit = min(r.limit+max(r.limit*increase, 1), r.most)
 	}
--- /dev/null
+++ b/internal/root/relay/place/board_test.go
@@ -0,0 +1,131 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+)
+
+var t0 = time.Unix(1_000_000, 0)
+
+// board returns a board of three servers in zones a, b and c with 10 slots each, all used a moment ago.
+func board() *Board {
+	b := New(7)
+	list := &snap.Endpoints{Version: 1}
+	for i, zone := range []string{"a", "b", "c"} {
+		list.Instances = append(list.Instances, snap.Endpoint{ID: fmt.Sprint("s", i), Zone: zone, Slots: 10, Incarnation: uint64(i + 1)})
+	}
+	b.Update(t0, list)
+	for i := range list.Instances {
+		b.servers[i].used = t0
+		b.Done(t0, fmt.Sprint("s", i), "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
+	}
+	return b
+}
+
+func choose(t *testing.T, b *Board, now time.Time, tried ...string) string {
+	t.Helper()
+	endpoint, ok := b.Choose(now, Ask{Route: "r", Zone: "a", Tried: tried, Urgent: true})
+	assert.Assert(t, ok)
+	return endpoint.ID
+}
+
+// Guards against bytes between availability zones while the own one has room.
+func TestPrefersOwnZone(t *testing.T) {
+	b := board()
+	for range 8 {
+		assert.Equal(t, choose(t, b, t0), "s0")
+	}
+}
+
+// Guards against waiting in the own zone while another one has room.
+func TestLeavesOwnZoneWhenItIsFull(t *testing.T) {
+	b := board()
+	b.Done(t0, "s0", "r", &Report{Slots: 10, Running: 10, Wait: 300 * time.Millisecond, Run: 100 * time.Millisecond}, Turned{})
+	assert.Assert(t, choose(t, b, t0) != "s0")
+}
+
+// Guards against all daemons sending to one server between two of its reports.
+func TestCountsWhatWasSentSinceTheReport(t *testing.T) {
+	b := board()
+	chosen := map[string]int{}
+	for range 40 {
+		chosen[choose(t, b, t0)]++
+	}
+	assert.Assert(t, chosen["s0"] < 30 && chosen["s1"] > 0 && chosen["s2"] > 0, "%v", chosen)
+}
+
+// Guards against work for a server that fails its requests while it looks healthy, and against leaving it
+// alone for good.
+func TestAvoidsFailingServerForAWhile(t *testing.T) {
+	b := board()
+	for range 10 {
+		b.Done(t0, "s0", "r", nil, Missed{})
+	}
+	assert.Assert(t, choose(t, b, t0) != "s0")
+	later := t0.Add(time.Minute)
+	assert.Equal(t, choose(t, b, later), "s0")
+}
+
+// Guards against a slow server that takes as much work as the others.
+func TestAvoidsSlowServer(t *testing.T) {
+	b := board()
+	for range 20 {
+		b.Done(t0, "s0", "r", &Report{Slots: 10, Run: 900 * time.Millisecond}, Served{})
+	}
+	assert.Assert(t, choose(t, b, t0) != "s0")
+}
+
+// Guards against a second send to the same server, and against a choice when none is left.
+func TestTriedServersAreLeftOut(t *testing.T) {
+	b := board()
+	assert.Equal(t, choose(t, b, t0, "s0", "s1"), "s2")
+	_, ok := b.Choose(t0, Ask{Route: "r", Zone: "a", Tried: []string{"s0", "s1", "s2"}})
+	assert.Assert(t, !ok)
+}
+
+// Guards against new work for a server that leaves or cannot be reached.
+func TestLeavingAndUnreachedServers(t *testing.T) {
+	b := board()
+	b.Done(t0, "s0", "r", nil, Turned{Leaving: true})
+	b.Done(t0, "s1", "r", nil, Unreached{})
+	assert.Equal(t, choose(t, b, t0), "s2")
+}
+
+// Guards against a new server that nobody sends to because the others are known to be good.
+func TestNewServerGetsRequests(t *testing.T) {
+	b := board()
+	list := &snap.Endpoints{Version: 2}
+	for _, s := range b.servers {
+		list.Instances = append(list.Instances, s.endpoint)
+	}
+	list.Instances = append(list.Instances, snap.Endpoint{ID: "new", Zone: "c", Slots: 10, Incarnation: 9})
+	b.Update(t0, list)
+	seen := false
+	for i := range 100 {
+		now := t0.Add(time.Second + time.Duration(i)*20*time.Millisecond)
+		endpoint, _ := b.Choose(now, Ask{Route: "r", Zone: "a"})
+		b.Done(now, endpoint.ID, "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
+		seen = seen || endpoint.ID == "new"
+	}
+	assert.Assert(t, seen)
+}
+
+// Guards against a server that starts again and inherits what was known of its earlier start.
+func TestNewStartIsNewOnTheBoard(t *testing.T) {
+	b := board()
+	for range 10 {
+		b.Done(t0, "s0", "r", nil, Missed{})
+	}
+	list := &snap.Endpoints{Version: 2}
+	for _, s := range b.servers {
+		list.Instances = append(list.Instances, s.endpoint)
+	}
+	list.Instances[0].Incarnation = 99
+	b.Update(t0, list)
+	assert.Equal(t, choose(t, b, t0), "s0")
+}
--- /dev/null
+++ b/internal/root/relay/relay_test.go
@@ -0,0 +1,310 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a request that is changed on its way, a key that reaches the server, and marks that a
+// caller can set itself.
+func TestRequestReachesServer(t *testing.T) {
+	w := newWorld(t, 2)
+	for i, d := range w.daemons {
+		id := fmt.Sprint("r", i)
+		response := w.ask(d, id, "/keyed/echo?x=%2F", "Key: rich-key\r\nAccount: forged\r\nOther: kept\r\n", "some body")
+		assert.Equal(t, response.StatusCode, 200)
+		assert.Equal(t, bodyOf(t, response), id+" some body")
+		assert.Equal(t, response.Header.Get("Seal"), "s")
+	}
+	for _, d := range w.daemons {
+		d.server.mu.Lock()
+		for _, r := range d.server.seen {
+			assert.Equal(t, r.RequestURI, "/keyed/echo?x=%2F")
+			assert.Equal(t, r.Header.Get("Key"), "")
+			assert.Equal(t, r.Header.Get("Account"), "rich")
+			assert.Equal(t, r.Header.Get("Other"), "kept")
+			assert.Equal(t, r.Header.Get("Expect-Instance"), "i-"+d.server.listener.Addr().String())
+		}
+		d.server.mu.Unlock()
+	}
+}
+
+// Guards against wrong verdicts before any server is asked.
+func TestRefusalsBeforeAnyServer(t *testing.T) {
+	w := newWorld(t, 1)
+	for _, c := range []struct {
+		path, headers string
+		status        int
+		reason        string
+	}{
+		{"/nowhere/x", "", 404, "no-route"},
+		{"/keyed/echo", "Key: unknown\r\n", 401, "key-unknown"},
+		{"/keyed/echo", "Key: poor-key\r\n", 429, "rate"},
+		{"/open/echo", "Big: " + strings.Repeat("x", 5<<10) + "\r\n", 431, "header-too-large"},
+	} {
+		response := w.ask(w.daemons[0], "r", c.path, c.headers, "")
+		assert.Equal(t, response.StatusCode, c.status, c.path)
+		assert.Equal(t, response.Header.Get("Reason"), c.reason)
+	}
+	assert.Equal(t, w.ask(w.daemons[0], "r", "/open/echo", "", strings.Repeat("x", 2<<20)).StatusCode, 413)
+	assert.Equal(t, w.daemons[0].server.runs("r"), 0)
+}
+
+// Guards against final refusals under a configuration that may be out of date: the key may have been
+// added and the route changed meanwhile.
+func TestStaleDaemonRefusesForNow(t *testing.T) {
+	w := newWorld(t, 1)
+	w.control.mu.Lock()
+	w.control.heard = time.Now().Add(-time.Hour)
+	w.control.mu.Unlock()
+	for _, path := range []string{"/nowhere/x", "/keyed/echo"} {
+		response := w.ask(w.daemons[0], "r", path, "Key: rich-key\r\n", "")
+		assert.Equal(t, response.Header.Get("Reason"), "stale-config", path)
+	}
+	assert.Equal(t, w.ask(w.daemons[0], "r", "/open/echo", "", "").StatusCode, 200)
+}
+
+// Guards against refusing every keyed request while no control instance grants tokens.
+func TestGoesOnWithoutGrants(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 60 {
+		assert.Equal(t, w.ask(w.daemons[0], fmt.Sprint("a", i), "/keyed/echo", "Key: rich-key\r\n", "").StatusCode, 200)
+	}
+	w.control.mu.Lock()
+	w.control.silent, w.control.heard = true, time.Now().Add(-2*time.Second)
+	w.control.mu.Unlock()
+	served := 0
+	for i := range 20 {
+		if w.ask(w.daemons[0], fmt.Sprint("b", i), "/keyed/echo", "Key: rich-key\r\n", "").StatusCode == 200 {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, served >= 10, "%d of 20 served", served)
+}
+
+// Guards against an answer that is not the server's whole own answer to this request.
+func TestSpoiltAnswers(t *testing.T) {
+	for kind, want := range map[string]string{"extra": "mine", "late": "mine", "unframed": "all of it"} {
+		w := newWorld(t, 1)
+		for i := range 3 {
+			response := w.ask(w.daemons[0], fmt.Sprint(kind, i), "/open/"+kind, "", "")
+			assert.Equal(t, response.StatusCode, 200, kind)
+			assert.Equal(t, bodyOf(t, response), want)
+		}
+	}
+	for _, kind := range []string{"truncate", "unsealed", "garbage", "reset"} {
+		w := newWorld(t, 1)
+		response := w.ask(w.daemons[0], "r", "/once/"+kind, "", "")
+		assert.Equal(t, response.StatusCode, 502, kind)
+		assert.Equal(t, response.Header.Get("Outcome"), "unknown", kind)
+		assert.Equal(t, w.daemons[0].server.runs("r"), 1, "%s: a request that may run once ran again", kind)
+	}
+}
+
+// Guards against an idempotent request that is given up after one lost answer, and against more servers
+// than its route allows.
+func TestIdempotentRequestIsSentAgain(t *testing.T) {
+	w := newWorld(t, 2)
+	response := w.ask(w.daemons[0], "r", "/open/reset", "", "")
+	assert.Equal(t, response.StatusCode, 502)
+	runs := 0
+	for _, d := range w.daemons {
+		runs += d.server.runs("r")
+	}
+	assert.Equal(t, runs, 2)
+}
+
+// Guards against a refusal that says "not run" about a request that a server has run.
+func TestShedIsNotRun(t *testing.T) {
+	w := newWorld(t, 1)
+	response := w.ask(w.daemons[0], "r", "/once/shed", "", "")
+	assert.Equal(t, response.StatusCode, 503)
+	assert.Equal(t, response.Header.Get("Outcome"), "not-run")
+	failed := w.ask(w.daemons[0], "f", "/once/fail", "", "")
+	assert.Equal(t, failed.StatusCode, 500)
+	assert.Equal(t, bodyOf(t, failed), "bad")
+	assert.Equal(t, w.daemons[0].server.runs("f"), 1)
+}
+
+// Guards against requests in a row that wait for the answer of the first before they are read, and against
+// answers out of order.
+func TestPipelinedRequests(t *testing.T) {
+	w := newWorld(t, 1)
+	conn, err := net.Dial("tcp", w.daemons[0].front)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	began := time.Now()
+	for i, pause := range []int{400, 10, 10} {
+		_, err := fmt.Fprintf(conn, "GET /open/slow?ms=%d HTTP/1.1\r\nHost: shop.example\r\nId: p%d\r\n\r\n", pause, i)
+		assert.NilError(t, err)
+	}
+	reader := bufio.NewReader(conn)
+	for i := range 3 {
+		assert.Equal(t, bodyOf(t, readAnswer(t, reader)), fmt.Sprint("slow p", i))
+	}
+	assert.Assert(t, time.Since(began) < 700*time.Millisecond)
+}
+
+// Guards against servers that work on for callers who have left, over one daemon and over two.
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	w := newWorld(t, 2)
+	for i, d := range w.daemons {
+		for j := range 4 { // some of them go through the other daemon
+			conn, err := net.Dial("tcp", d.front)
+			assert.NilError(t, err)
+			id := fmt.Sprint("g", i, j)
+			_, err = fmt.Fprintf(conn, "GET /open/hold HTTP/1.1\r\nHost: shop.example\r\nId: %s\r\n\r\n", id)
+			assert.NilError(t, err)
+			w.awaitRun(id)
+			assert.NilError(t, conn.Close())
+			w.awaitGone(id)
+		}
+	}
+}
+
+func (w *world) awaitRun(id string) {
+	w.t.Helper()
+	for range 200 {
+		for _, d := range w.daemons {
+			if d.server.runs(id) > 0 {
+				return
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.t.Fatalf("request %s reached no server", id)
+}
+
+func (w *world) awaitGone(id string) {
+	w.t.Helper()
+	timeout := time.After(500 * time.Millisecond)
+	for {
+		gone := make(chan string, 1)
+		for _, d := range w.daemons {
+			select {
+			case ended := <-d.server.gone:
+				gone <- ended
+			default:
+			}
+			if len(gone) > 0 {
+				break
+			}
+		}
+		select {
+		case ended := <-gone:
+			if ended == id {
+				return
+			}
+		case <-timeout:
+			w.t.Fatalf("request %s is still at work", id)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// Guards against an answer after the deadline of the route, and a server that is told of more time than is left.
+func TestDeadline(t *testing.T) {
+	w := newWorld(t, 1)
+	began := time.Now()
+	response := w.ask(w.daemons[0], "r", "/once/hold", "Left: 300ms\r\n", "")
+	took := time.Since(began)
+	assert.Equal(t, response.StatusCode, 504)
+	assert.Assert(t, took >= 290*time.Millisecond && took < 600*time.Millisecond, "%s", took)
+	w.daemons[0].server.mu.Lock()
+	defer w.daemons[0].server.mu.Unlock()
+	left, err := time.ParseDuration(w.daemons[0].server.seen[0].Header.Get("Left"))
+	assert.NilError(t, err)
+	assert.Assert(t, left <= 300*time.Millisecond)
+}
+
+// Guards against new work for a server that has said that it leaves, and against requests that fail
+// although another server has room.
+func TestLeavingServerGetsNothingMore(t *testing.T) {
+	w := newWorld(t, 2)
+	first := w.daemons[0]
+	assert.NilError(t, first.relay.Beside.Notice(context.Background(), first.notice(StateLeaving)))
+	assert.NilError(t, first.relay.Beside.Notice(context.Background(), first.notice(StateReady))) // one that was on its way
+	for i := range 20 {
+		id := fmt.Sprint("l", i)
+		assert.Equal(t, w.ask(first, id, "/once/echo", "", "").StatusCode, 200)
+		assert.Equal(t, first.server.runs(id), 0)
+	}
+}
+
+// Guards against an old notice that takes the place of a newer start of a server.
+func TestOutdatedNotices(t *testing.T) {
+	w := newWorld(t, 1)
+	d := w.daemons[0]
+	newer := d.notice(StateReady)
+	newer.Instance, newer.Born, newer.Sequence = "i-new", 2, 1
+	assert.NilError(t, d.relay.Beside.Notice(context.Background(), newer))
+	assert.NilError(t, d.relay.Beside.Notice(context.Background(), d.notice(StateReady)))
+	known, _, _ := d.relay.Beside.Server()
+	assert.Equal(t, known.Instance, "i-new")
+	assert.ErrorContains(t, d.relay.Beside.Notice(context.Background(), Notice{State: StateReady}), "invalid notice")
+}
+
+// Guards against a full server whose requests are lost instead of being told so, and against tokens that
+// are spent for requests which no server got.
+func TestFullServersRefuse(t *testing.T) {
+	w := newWorld(t, 1)
+	for i := range 3 { // run times are known
+		assert.Equal(t, w.ask(w.daemons[0], fmt.Sprint("k", i), "/keyed/slow?ms=200", "Key: rich-key\r\n", "").StatusCode, 200)
+	}
+	answers := make(chan *http.Response, 60)
+	for i := range 60 {
+		go func() { answers <- w.ask(w.daemons[0], fmt.Sprint("f", i), "/keyed/slow?ms=200", "Key: rich-key\r\n", "") }()
+	}
+	refused := 0
+	for range 60 {
+		response := <-answers
+		if response.StatusCode == 503 {
+			refused++
+			assert.Equal(t, response.Header.Get("Outcome"), "not-run")
+			after, err := time.ParseDuration(response.Header.Get("After"))
+			assert.NilError(t, err)
+			assert.Assert(t, after > 0)
+		}
+	}
+	assert.Assert(t, refused >= 30 && refused < 60, "%d refused", refused)
+	w.control.mu.Lock()
+	defer w.control.mu.Unlock()
+	assert.Equal(t, w.control.returned, refused)
+}
+
+// Guards against a notice that a control instance got and that never reaches the daemon beside the server.
+func TestNoticeIsPassedToTheDaemonBesideTheServer(t *testing.T) {
+	w := newWorld(t, 2)
+	first, second := w.daemons[0], w.daemons[1]
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	assert.NilError(t, first.relay.Lanes.Tell(ctx, second.peer, second.notice(StateLeaving)))
+	assert.Equal(t, w.ask(first, "n", "/once/echo", "", "").StatusCode, 200)
+	assert.Equal(t, second.server.runs("n"), 0)
+	bad := second.notice(StateReady)
+	bad.Instance = ""
+	assert.ErrorContains(t, first.relay.Lanes.Tell(ctx, second.peer, bad), "invalid notice")
+}
+
+// Guards against bodies and answers that do not fit into one frame.
+func TestLongBodies(t *testing.T) {
+	w := newWorld(t, 2)
+	body := strings.Repeat("0123456789", 70_000)
+	for i := range 6 { // some of them go through the other daemon
+		response := w.ask(w.daemons[i%2], fmt.Sprint("b", i), "/open/echo", "", body)
+		assert.Equal(t, response.StatusCode, 200)
+		got, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(got), body), "%d bytes", len(got))
+	}
+}
