--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,8 +46,15 @@
 // runFleet runs a daemon on the users' platform; its log goes to standard output, where their engineers
 // look for it.
 func runFleet(settings *config.Settings, path string, stdout, stderr io.Writer) int {
-	log := logs.New(stdout, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
+	queue, budget := logs.NewQueue(stdout), logs.NewBudget(time.Now)
+	whole := logs.New(queue, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
+	log := whole.Sample(budget)
 	klog.SetLogger(logs.Kratos(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	var writing sync.WaitGroup
+	writing.Go(func() { _ = queue.Run(ctx, whole, budget) }) // ends with ctx only
+	defer writing.Wait()
+	defer cancel()
 	daemon, err := root.NewFleet(settings, path, clock.Real{}, log)
 	if err != nil {
 		return fail(stderr, cmds.Failed, err)
--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -262,7 +262,11 @@
 		b.mu.Unlock()
 		return s, ticket, nil
 	case gate.Refused:
+		running, waiting := s.gate.Running(), s.gate.Waiting()
 		b.mu.Unlock()
+		b.Log.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
+			Dur("predicted-wait", decision.Wait).Dur("after", decision.After).Int("running", running).Int("waiting", waiting).
+			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
 		return s, nil, turned{failure: retry.QueueFull{}, after: decision.After}
 	case gate.Queued:
 	}
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -91,6 +91,7 @@
 		granted     bool // a rate token was spent
 		rank        int
 		started     time.Time
+		heard       time.Time // when the leader was asked that has answered last
 		deadline    time.Time
 		service     string
 		tried       []string
@@ -131,7 +132,7 @@
 // classify finds the route and the client account of a request under one snapshot of the configuration.
 func (p *Path) classify(ctx context.Context, r *Request, now time.Time) (*passing, *turned) {
 	snapshot := p.Control.Snapshot()
-	x := &passing{request: r, started: now}
+	x := &passing{request: r, started: now, heard: snapshot.HeardAt}
 	if snapshot.Rules == nil {
 		return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
 	}
@@ -447,12 +448,20 @@
 }
 
 // again decides whether another send is allowed and of use.
-func (p *Path) again(x *passing, to *service, ended outcome) bool {
+func (p *Path) again(x *passing, to *service, ended outcome) (repeat bool) {
 	now := p.Clock.Now()
 	if !now.Before(x.deadline) {
 		return false
 	}
 	cause := share.Lost
+	defer func() {
+		if repeat {
+			p.Meter.Retry(x.service)
+			p.Log.Info().Str("request", x.request.ID).Str("route", x.route.Name).Str("service", x.service).
+				Str("ended", resultOf(ended)).Strs("tried", slices.Clone(x.tried)).Int("sends", x.sends).
+				Dur("left", x.deadline.Sub(now)).Msg("sent-again")
+		}
+	}()
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	switch ended := ended.(type) {
@@ -530,6 +539,9 @@
 	switch ended := ended.(type) {
 	case answered:
 		if !ended.response.failed() {
+			p.Log.Debug().Str("request", x.request.ID).Str("route", x.route.Name).Str("service", x.service).
+				Int("status", ended.response.Status).Int("sends", x.sends).Dur("took", p.Clock.Now().Sub(x.started)).
+				Uint64("revision", x.revision).Msg("request-served")
 			return
 		}
 		p.Log.Info().Str("request", x.request.ID).Str("route", x.route.Name).Str("service", x.service).
@@ -542,9 +554,13 @@
 		failure, reached = ended.failure, true
 	}
 	row := retry.Describe(failure)
+	age := time.Duration(0)
+	if !x.heard.IsZero() {
+		age = x.started.Sub(x.heard)
+	}
 	p.Meter.Refused(string(row.Reason), x.accountName())
 	line := p.Log.Info().Str("request", x.request.ID).Str("reason", string(row.Reason)).Str("outcome", string(row.Outcome)).
-		Uint64("revision", x.revision).Str("account", x.accountName()).Bool("reached", reached).
+		Uint64("revision", x.revision).Dur("revision-age", age).Str("account", x.accountName()).Bool("reached", reached).
 		Strs("tried", slices.Clone(x.tried)).Int("sends", x.sends).Dur("took", p.Clock.Now().Sub(x.started))
 	if x.route != nil {
 		line = line.Str("route", x.route.Name).Str("service", x.service).Dur("deadline", x.deadline.Sub(x.started))
