--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -339,7 +339,7 @@
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	return to.board.Choose(p.Clock.Now(), place.Ask{
-		Route: x.route.Name, Zone: p.Zone, Tried: x.tried, Urgent: x.nested || x.rank == 0,
+		Route: x.route.Name, Objective: x.route.Objective, Zone: p.Zone, Tried: x.tried, Urgent: x.nested || x.rank == 0,
 	})
 }
 
--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,9 +11,11 @@
 )
 
 const (
-	// awayCost is what a server in another availability zone has to be faster by: the bytes between
-	// availability zones cost more than a short wait.
-	awayCost = 60 * time.Millisecond
+	// awayShare is the part of its objective that a request has to gain by going to another availability
+	// zone: bytes between them cost more than a wait that the caller does not feel. minAway holds for
+	// requests without an objective.
+	awayShare = 0.15
+	minAway   = 40 * time.Millisecond
 
 	// failCost is what a server that failed all recent requests has to be faster by.
 	failCost = 2 * time.Second
@@ -38,9 +41,10 @@
 type (
 	// Ask describes the request to place.
 	Ask struct {
-		Route string
-		Zone  string   // of the daemon that asks
-		Tried []string // endpoint ids not to choose
+		Route     string
+		Objective time.Duration // zero for none
+		Zone      string        // of the daemon that asks
+		Tried     []string      // endpoint ids not to choose
 		// Urgent requests are not used to explore servers.
 		Urgent bool
 	}
@@ -221,7 +225,7 @@
 	}
 	cost := run + s.wait(now, run)
 	if s.endpoint.Zone != ask.Zone {
-		cost += awayCost
+		cost += max(time.Duration(awayShare*float64(ask.Objective)), minAway)
 	}
 	cost += time.Duration(s.share(now) * float64(failCost))
 	if s.leaving {
@@ -265,5 +269,5 @@
 		return 0
 	}
 	halves := float64(max(now.Sub(s.failedAt), 0)) / float64(failHalf)
-	return s.failing / (1 + halves)
+	return s.failing * math.Exp2(-halves)
 }
