--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -47,15 +47,14 @@
 // look for it.
 func runFleet(settings *config.Settings, path string, stdout, stderr io.Writer) int {
 	queue, budget := logs.NewQueue(stdout), logs.NewBudget(time.Now)
-	whole := logs.New(queue, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
-	log := whole.Sample(budget)
+	log := logs.New(queue, settings.LogLevel).With().Str("daemon", settings.Name).Logger()
 	klog.SetLogger(logs.Kratos(log))
 	ctx, cancel := context.WithCancel(context.Background())
 	var writing sync.WaitGroup
-	writing.Go(func() { _ = queue.Run(ctx, whole, budget) }) // ends with ctx only
+	writing.Go(func() { _ = queue.Run(ctx, log, budget) }) // ends with ctx only
 	defer writing.Wait()
 	defer cancel()
-	daemon, err := root.NewFleet(settings, path, clock.Real{}, log)
+	daemon, err := root.NewFleet(settings, path, clock.Real{}, log, log.Sample(budget))
 	if err != nil {
 		return fail(stderr, cmds.Failed, err)
 	}
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -67,8 +67,8 @@
 }
 
 // NewFleet wires a daemon on the users' platform: beside a backend server it serves traffic, with a data
-// folder it is a control instance.
-func NewFleet(settings *config.Settings, path string, clk clock.Clock, log zerolog.Logger) (*Daemon, error) {
+// folder it is a control instance. The lines about single requests go to requests, which may be bounded.
+func NewFleet(settings *config.Settings, path string, clk clock.Clock, log, requests zerolog.Logger) (*Daemon, error) {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Fleet.Memory)))
 	parts, err := newFleetParts(settings, path, clk, log)
@@ -78,7 +78,7 @@
 	var children []super.Child
 	var traffic admin.Traffic = idle{}
 	if settings.IngressAddress.IsValid() {
-		relayed, err := parts.relay()
+		relayed, err := parts.relay(requests)
 		if err != nil {
 			return nil, err
 		}
@@ -147,7 +147,7 @@
 }
 
 // relay wires the traffic of a daemon beside a backend server.
-func (p *fleetParts) relay() (*relay.Relay, error) {
+func (p *fleetParts) relay(requests zerolog.Logger) (*relay.Relay, error) {
 	s := p.settings
 	options := relay.Options{
 		Own: s.PeerAdvertise.String(), Zone: s.AvailabilityZone, Service: s.Fleet.Service, Seed: p.boot,
@@ -173,7 +173,7 @@
 		}
 		*each.target = listener
 	}
-	relayed := relay.New(options, platform.Dialect{}, p.clock, p.loop, p.dialer, p.numbers, p.log)
+	relayed := relay.New(options, platform.Dialect{}, p.clock, p.loop, p.dialer, p.numbers, p.log, requests)
 	relayed.Handle(
 		&platform.Calls{Registrar: relayed.Beside, Own: s.Fleet.CallAddress, Log: p.log},
 		platform.Ready{Taking: relayed.Taking},
--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -43,6 +43,7 @@
 		Dialect  Dialect
 		Meter    *meter.Meter
 		Log      zerolog.Logger
+		Requests zerolog.Logger // for the lines about single requests
 		Suspects *crash.Suspects
 		MaxBody  int64 // bytes of an answer
 
@@ -264,7 +265,7 @@
 	case gate.Refused:
 		running, waiting := s.gate.Running(), s.gate.Waiting()
 		b.mu.Unlock()
-		b.Log.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
+		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
 			Dur("predicted-wait", decision.Wait).Dur("after", decision.After).Int("running", running).Int("waiting", waiting).
 			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
 		return s, nil, turned{failure: retry.QueueFull{}, after: decision.After}
@@ -319,7 +320,7 @@
 		}
 		return gate.Ran{}, answered{response: response}
 	}
-	b.Log.Debug().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
+	b.Requests.Info().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
 	switch {
 	case errors.Is(err, errUnwritten):
 		b.endSuspect(s, j, false)
--- a/internal/root/relay/caller.go
+++ b/internal/root/relay/caller.go
@@ -203,6 +203,11 @@
 		c.finish(place, parsed.Method, c.front.Dialect.Refuse(request.ID, retry.BadRequest{}, 0), last)
 		return endAfter(last)
 	}
+	if c.front.refuse.Load() {
+		c.front.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(retry.Draining{}).Reason)).Msg("request-refused")
+		c.finish(place, parsed.Method, c.front.Dialect.Refuse(request.ID, retry.Draining{}, noServerAfter), true)
+		return endAfter(true)
+	}
 	request.Body = body
 	c.served.Go(func() {
 		c.front.active.Add(1)
--- a/internal/root/relay/front.go
+++ b/internal/root/relay/front.go
@@ -41,6 +41,7 @@
 	active  atomic.Int64 // requests in progress
 	open    atomic.Int64 // connections
 	leaving atomic.Bool
+	refuse  atomic.Bool // no further request is taken
 	conns   sync.WaitGroup
 }
 
@@ -83,6 +84,9 @@
 // Leave makes answers end their connections, because the daemon is leaving.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
+// Refuse makes the front turn away every further request as not run.
+func (f *Front) Refuse() { f.refuse.Store(true) }
+
 func (f *Front) stopping() bool { return f.leaving.Load() }
 
 // Active returns the number of requests in progress.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -77,17 +77,18 @@
 	}
 )
 
-// New wires the relay; nothing runs until its group is served.
-func New(o Options, dialect Dialect, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log zerolog.Logger) *Relay {
+// New wires the relay; nothing runs until its group is served. The lines about single requests go to
+// requests, which may be bounded.
+func New(o Options, dialect Dialect, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log, requests zerolog.Logger) *Relay {
 	suspects := crash.NewSuspects()
 	largest := o.Memory / 16
 	beside := &Beside{
-		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Suspects: suspects, MaxBody: largest,
+		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects, MaxBody: largest,
 	}
 	lanes := &Lanes{Clock: clk, Dialer: dialer, Log: log}
 	path := &Path{
 		Clock: clk, Control: control, Dialect: dialect, Lanes: lanes, Beside: beside, Suspects: suspects, Meter: m,
-		Log: log, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed,
+		Log: requests, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed,
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
 	limits := o.Limits
@@ -96,7 +97,7 @@
 		Options: o, Beside: beside, Lanes: lanes, Control: control, Clock: clk, Log: log,
 		Server: &Server{Clock: clk, Beside: beside, Log: log, MaxBody: largest},
 		Front: &Front{
-			Listener: o.Ingress, Path: path, Dialect: dialect, Log: log, Limits: limits, BodyStall: o.BodyStall,
+			Listener: o.Ingress, Path: path, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
 			MaxConnections: maxConnections,
 		},
 	}
@@ -149,6 +150,9 @@
 	for {
 		r.pause(drainStep)
 		now := r.Clock.Now()
+		if now.Sub(began) >= leaveNotice {
+			r.Front.Refuse() // what is taken later could not be ended in time
+		}
 		if r.Front.Active() > 0 || r.Beside.Running() > 0 {
 			quiet = now
 		}
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -310,3 +310,28 @@
 		assert.Assert(t, strings.HasSuffix(string(got), body), "%d bytes", len(got))
 	}
 }
+
+// Guards against a request that a leaving daemon takes late and gives up when it has to end.
+func TestLeavingDaemonTakesNothingLate(t *testing.T) {
+	w := newWorld(t, 2)
+	d := w.daemons[0]
+	drained := make(chan time.Duration, 1)
+	began := time.Now()
+	go func() {
+		d.relay.drain()
+		drained <- time.Since(began)
+	}()
+	statuses := map[int]int{}
+	for i := 0; len(drained) == 0; i++ {
+		response := w.ask(d, fmt.Sprint("d", i), "/once/slow?ms=50", "", "")
+		assert.Assert(t, response.Close, "the connection stays open")
+		statuses[response.StatusCode]++
+		if response.StatusCode != 200 {
+			assert.Equal(t, response.Header.Get("Outcome"), "not-run")
+			assert.Assert(t, time.Since(began) >= leaveNotice)
+		}
+	}
+	took := <-drained
+	assert.Assert(t, statuses[200] > 10 && statuses[503] > 0, "%v after %s", statuses, took)
+	assert.Assert(t, took < 2900*time.Millisecond)
+}
