--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -336,10 +336,11 @@
 }
 
 func (p *Path) choose(x *passing, to *service) (snap.Endpoint, bool) {
+	now := p.Clock.Now()
 	to.mu.Lock()
 	defer to.mu.Unlock()
-	return to.board.Choose(p.Clock.Now(), place.Ask{
-		Route: x.route.Name, Objective: x.route.Objective, Zone: p.Zone, Tried: x.tried, Urgent: x.nested || x.rank == 0,
+	return to.board.Choose(now, place.Ask{
+		Route: x.route.Name, Objective: x.route.Objective, Left: x.deadline.Sub(now), Zone: p.Zone, Tried: x.tried, Urgent: x.nested || x.rank == 0,
 	})
 }
 
--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -14,9 +14,14 @@
 	// awayShare is the part of its objective that a request has to gain by going to another availability
 	// zone: bytes between them cost more than a wait that the caller does not feel. minAway holds for
 	// requests without an objective.
-	awayShare = 0.15
+	awayShare = 0.3
 	minAway   = 40 * time.Millisecond
 
+	// easyShare is the part of the time left up to which a predicted answer is soon enough; what lies beyond
+	// it counts hastyFactor times, because runs differ and the deadline is final.
+	easyShare   = 0.55
+	hastyFactor = 4
+
 	// failCost is what a server that failed all recent requests has to be faster by.
 	failCost = 2 * time.Second
 
@@ -30,9 +35,11 @@
 	// downFor is how long a server is left alone after it could not be reached.
 	downFor = 400 * time.Millisecond
 
-	// exploreAfter is the time without any request from here after which a server gets one, so that a new
-	// or recovered server is noticed.
-	exploreAfter = 1500 * time.Millisecond
+	// exploreAfter is the time without any request from here after which a server gets one, so that a
+	// recovered server is noticed. It is exploreNew for a server that has been known for less than newFor.
+	exploreAfter = 5 * time.Second
+	exploreNew   = 1200 * time.Millisecond
+	newFor       = 8 * time.Second
 
 	// runWeight is the weight of one report of a run time.
 	runWeight = 0.3
@@ -43,6 +50,7 @@
 	Ask struct {
 		Route     string
 		Objective time.Duration // zero for none
+		Left      time.Duration // until the deadline, zero for none
 		Zone      string        // of the daemon that asks
 		Tried     []string      // endpoint ids not to choose
 		// Urgent requests are not used to explore servers.
@@ -161,7 +169,11 @@
 		return nil
 	}
 	for _, s := range b.servers {
-		quiet := now.Sub(s.used) >= exploreAfter && now.Sub(s.known) >= exploreAfter/3
+		known, after := now.Sub(s.known), exploreAfter
+		if known < newFor {
+			after = exploreNew
+		}
+		quiet := now.Sub(s.used) >= after && known >= exploreNew/3
 		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < 0.9 && b.random.IntN(4) == 0 {
 			return s
 		}
@@ -224,6 +236,9 @@
 		run = typical
 	}
 	cost := run + s.wait(now, run)
+	if easy := time.Duration(easyShare * float64(ask.Left)); ask.Left > 0 && cost > easy {
+		cost += hastyFactor * (cost - easy)
+	}
 	if s.endpoint.Zone != ask.Zone {
 		cost += max(time.Duration(awayShare*float64(ask.Objective)), minAway)
 	}
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -129,3 +129,17 @@
 	b.Update(t0, list)
 	assert.Equal(t, choose(t, b, t0), "s0")
 }
+
+// Guards against staying in the own zone until the deadline is near, for the sake of bytes.
+func TestLeavesOwnZoneNearTheDeadline(t *testing.T) {
+	b := board()
+	for range 20 {
+		b.Done(t0, "s0", "r", &Report{Slots: 10, Run: 400 * time.Millisecond}, Served{})
+	}
+	ask := Ask{Route: "r", Zone: "a", Objective: 1500 * time.Millisecond, Left: 5 * time.Second, Urgent: true}
+	calm, _ := b.Choose(t0, ask)
+	assert.Equal(t, calm.ID, "s0")
+	ask.Left = 500 * time.Millisecond
+	hasty, _ := b.Choose(t0, ask)
+	assert.Assert(t, hasty.ID != "s0")
+}
