--- a/internal/root/relay/lane.go
+++ b/internal/root/relay/lane.go
@@ -36,8 +36,6 @@
 		Clock  clock.Clock
 		Dialer *link.Dialer
 		Log    zerolog.Logger
-		// Group stops the lanes' goroutines; it is set by Run.
-		ctx context.Context
 
 		mu    sync.Mutex
 		lanes map[string]*lane
