--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -40,7 +40,7 @@
 	leaseShare = 0.72
 
 	// gcPercent lets the heap grow further between collections, because processor time is scarce.
-	gcPercent = 300
+	gcPercent = 150
 )
 
 // idle stands for the traffic part of a daemon without traffic.
--- a/internal/root/relay/lane.go
+++ b/internal/root/relay/lane.go
@@ -193,7 +193,7 @@
 	to.heard = l.Clock.Now()
 	close(to.ready)
 	go to.box.run()
-	err = to.read(l, bufio.NewReaderSize(stream, 16<<10))
+	err = to.read(l, bufio.NewReaderSize(stream, laneBuffer))
 	l.Log.Info().Str("daemon", to.address).Err(err).Msg("lane-closed")
 	l.drop(to)
 }
--- a/internal/root/relay/outbox.go
+++ b/internal/root/relay/outbox.go
@@ -14,6 +14,10 @@
 	// maxQueued bounds the bytes that wait for a slow peer; a lane that holds more is closed.
 	maxQueued = 16 << 20
 
+	// laneBuffer is the size in bytes of the buffers of a lane in each direction; a daemon has lanes to and
+	// from many others.
+	laneBuffer = 4 << 10
+
 	// writeStall is how long the peer may take no byte before the lane is closed.
 	writeStall = 2 * time.Second
 )
@@ -69,7 +73,7 @@
 
 // run writes until the lane is closed.
 func (o *outbox) run() {
-	writer := bufio.NewWriterSize(o.conn, 16<<10)
+	writer := bufio.NewWriterSize(o.conn, laneBuffer)
 	for {
 		select {
 		case <-o.closed:
--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -35,8 +35,9 @@
 	// downFor is how long a server is left alone after it could not be reached.
 	downFor = 400 * time.Millisecond
 
-	// exploreAfter is the time without any request from here after which a server gets one, so that a
-	// recovered server is noticed. It is exploreNew for a server that has been known for less than newFor.
+	// exploreAfter is the time without any request from here after which a server of the own availability
+	// zone gets one, so that a recovered server is noticed. It is exploreNew for any server that has been
+	// known for less than newFor; others in other zones are explored by the daemons there.
 	exploreAfter = 5 * time.Second
 	exploreNew   = 1200 * time.Millisecond
 	newFor       = 8 * time.Second
@@ -174,6 +175,9 @@
 			after = exploreNew
 		}
 		quiet := now.Sub(s.used) >= after && known >= exploreNew/3
+		if known >= newFor && s.endpoint.Zone != ask.Zone {
+			continue
+		}
 		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < 0.9 && b.random.IntN(4) == 0 {
 			return s
 		}
--- a/internal/root/relay/serve.go
+++ b/internal/root/relay/serve.go
@@ -51,7 +51,7 @@
 	stop := context.AfterFunc(ctx, l.box.close) // the daemon has drained and ends
 	defer stop()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	err := l.read(ctx, bufio.NewReaderSize(stream, 16<<10))
+	err := l.read(ctx, bufio.NewReaderSize(stream, laneBuffer))
 	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("lane-ended")
 	cancel() // nobody waits for the answers any more
 	l.box.close()
