--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -39,6 +39,7 @@
 		CallAddress  netip.AddrPort `toml:"call-address" doc:"Address for the platform's calls: reports of backend servers and, on control instances, configurations."`
 		ReadyAddress netip.AddrPort `toml:"ready-address" doc:"Address that tells whether the daemon takes callers."`
 		Service      string         `toml:"service" doc:"Service of the backend server beside the daemon."`
+		Backend      netip.AddrPort `toml:"backend-address" doc:"Address of the backend server beside the daemon."`
 		Seeds        AddressList    `toml:"seeds" doc:"Addresses of control instances known at the start, separated by commas; their port is that of their calls."`
 		Found        Switch         `toml:"found" default:"no" doc:"Whether this is the first start of the whole system, when the seeds found the consensus group: yes or no."`
 		RevokeWithin time.Duration  `toml:"revoke-within" default:"5s" min:"1s" max:"1m" doc:"Time after which a withdrawn key is served nowhere; a daemon that has heard nothing from the control instances for most of it serves no requests with a key."`
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -151,7 +151,7 @@
 	s := p.settings
 	options := relay.Options{
 		Own: s.PeerAdvertise.String(), Zone: s.AvailabilityZone, Service: s.Fleet.Service, Seed: p.boot,
-		BodyStall: s.Limits.BodyTimeout, StopWithin: s.Fleet.StopWithin, Memory: int64(s.Fleet.Memory),
+		Backend: addressText(s.Fleet.Backend), BodyStall: s.Limits.BodyTimeout, StopWithin: s.Fleet.StopWithin, Memory: int64(s.Fleet.Memory),
 		RetryRatio: float64(s.Fleet.RetryRatio), RetryWindow: s.Fleet.RetryWindow,
 		Limits: rules.Limits{
 			HeaderSize: int64(s.Limits.HeaderSize), BodySize: int64(s.Limits.BodySize),
@@ -266,6 +266,14 @@
 	return peers
 }
 
+// addressText returns the address, or an empty text where none is set.
+func addressText(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
 func bind(name string, address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -27,6 +27,9 @@
 	// until it answers a single request again.
 	silentLimit = 8
 
+	// greetTimeout bounds the question whether a server takes requests.
+	greetTimeout = 700 * time.Millisecond
+
 	// suspectHold keeps a request whose connection broke among the suspects of a crash until the restarted
 	// server has said so.
 	suspectHold = 6 * time.Second
@@ -56,6 +59,7 @@
 	// serverState is one start of the server.
 	serverState struct {
 		notice      Notice
+		start       string // tells this start from others
 		incarnation uint64
 		gate        *gate.Gate
 		pool        *pool
@@ -101,7 +105,7 @@
 		return b.leave(ctx, n)
 	}
 	announcement := member.Announcement{
-		Service: n.Service, Address: n.Address, Slots: n.Slots, Start: startOf(n),
+		Service: n.Service, Address: n.Address, Slots: n.Slots, Start: b.startOf(n),
 	}
 	if err := announcement.Check(); err != nil {
 		return fmt.Errorf("%w: %w", errNotice, err)
@@ -116,10 +120,43 @@
 	if err != nil {
 		return fmt.Errorf("announce backend server: %w", err)
 	}
-	b.ready(n, endpoint.Incarnation)
+	b.ready(n, announcement.Start, endpoint.Incarnation)
 	return nil
 }
 
+// Greet asks the server at address whether it takes requests, unless it has said so itself by now. A daemon
+// that starts beside a running server need not wait for the server's next notice.
+func (b *Beside) Greet(ctx context.Context, n Notice, path string) error {
+	b.mu.Lock()
+	known := b.current != nil
+	b.mu.Unlock()
+	if known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, greetTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Address+path, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("ask backend server: %w", err)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("ask backend server: %w", err)
+	}
+	_ = response.Body.Close()
+	instance, ok := b.Dialect.Healthy(response.StatusCode, response.Header)
+	b.Log.Info().Str("address", n.Address).Str("instance", instance).Int("status", response.StatusCode).Bool("ready", ok).Msg("backend-server-asked")
+	b.mu.Lock()
+	known = b.current != nil
+	b.mu.Unlock()
+	if !ok || known {
+		return nil
+	}
+	n.Instance, n.State = instance, StateReady
+	return b.Notice(ctx, n)
+}
+
 // older reports whether a notice was overtaken by what is known already.
 func older(n, known Notice) bool {
 	if n.Instance == known.Instance && n.Born == known.Born {
@@ -128,15 +165,23 @@
 	return n.Born != 0 && n.Born < known.Born
 }
 
-// startOf tells the starts of servers apart; a server may start again under its id.
-func startOf(n Notice) string { return fmt.Sprintf("%s/%d", n.Instance, n.Born) }
+// startOf tells the starts of servers apart; a server may start again under its id. A server that was found
+// by its health answer, which does not say when it started, is the one that says so later.
+func (b *Beside) startOf(n Notice) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.current; s != nil && s.notice.Born == 0 && s.notice.Instance == n.Instance {
+		return s.start
+	}
+	return fmt.Sprintf("%s/%d", n.Instance, n.Born)
+}
 
 // ready puts a server in place, a new start with a new gate and new connections.
-func (b *Beside) ready(n Notice, incarnation uint64) {
+func (b *Beside) ready(n Notice, start string, incarnation uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.current
-	if old != nil && startOf(old.notice) == startOf(n) && old.notice.Address == n.Address && old.notice.Service == n.Service {
+	if old != nil && old.start == start && old.notice.Address == n.Address && old.notice.Service == n.Service {
 		if old.leaving {
 			return
 		}
@@ -148,7 +193,7 @@
 		b.retire(old)
 	}
 	b.current = &serverState{
-		notice: n, incarnation: incarnation, gate: gate.New(int(n.Slots)),
+		notice: n, start: start, incarnation: incarnation, gate: gate.New(int(n.Slots)),
 		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -111,6 +112,10 @@
 	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(started)+passage)
 	defer cancel()
 	ended := p.pass(ctx, x)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		p.Log.Debug().Str("request", r.ID).Str("route", x.route.Name).Int("sends", x.sends).Dur("took", p.Clock.Now().Sub(started)).Msg("caller-left")
+		return Response{Status: http.StatusBadGateway, Header: http.Header{}} // nobody reads it
+	}
 	if x.account != nil && x.granted && x.sends == 0 {
 		if _, idle := ended.(turned); idle {
 			p.Control.ReturnToken(x.account.Name)
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -36,6 +36,12 @@
 	// drainStep is how often a leaving daemon looks whether it is quiet.
 	drainStep = 50 * time.Millisecond
 
+	// greetSpan is how long after the start the server is asked; it speaks for itself by then.
+	greetSpan = 3 * time.Second
+
+	// fewSlots is what a server is taken to have that has not said so and is alone in its service.
+	fewSlots = 8
+
 	callHeaderTimeout = 2 * time.Second
 	callStop          = 100 * time.Millisecond // for calls in progress at the end
 	callIdleTimeout   = 30 * time.Second
@@ -49,6 +55,7 @@
 		Own         string // peer address
 		Zone        string
 		Service     string
+		Backend     string // address of the backend server, empty if unknown
 		Ingress     net.Listener
 		Ready       net.Listener
 		Calls       net.Listener
@@ -118,10 +125,48 @@
 		{Name: "front", Run: r.runFront},
 		{Name: "ready", Run: ServeHTTP("ready", r.Options.Ready, r.ready, r.Log)},
 		{Name: "calls", Run: ServeHTTP("calls", r.Calls, r.calls, r.Log)},
+		{Name: "greet", Run: r.greet},
 		{Name: "lanes", Run: r.Lanes.Run},
 	}}
 }
 
+// greet asks the server beside this daemon once a configuration is there that says how.
+func (r *Relay) greet(ctx context.Context) error {
+	for since := r.Clock.Now(); r.Backend != "" && r.Clock.Now().Sub(since) < greetSpan; {
+		if set := r.Control.Snapshot().Rules; set != nil && set.Services[r.Service] != nil {
+			n := Notice{Service: r.Service, Address: r.Backend, Slots: r.usualSlots(ctx)}
+			if err := r.Beside.Greet(ctx, n, set.Services[r.Service].HealthPath); err != nil {
+				r.Log.Info().Str("address", r.Backend).Err(err).Msg("backend-server-not-asked")
+			}
+			return nil
+		}
+		timer := r.Clock.NewTimer(drainStep)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C():
+		}
+	}
+	return nil
+}
+
+// usualSlots returns the least number of slots of the service's other servers; the server's first notice
+// says how many it has.
+func (r *Relay) usualSlots(ctx context.Context) uint32 {
+	ctx, cancel := context.WithTimeout(ctx, listWait)
+	defer cancel()
+	slots := uint32(0)
+	if list := r.Control.Want(ctx, r.Service); list != nil {
+		for _, each := range list.Instances {
+			if slots == 0 || each.Slots < slots {
+				slots = each.Slots
+			}
+		}
+	}
+	return max(slots, fewSlots)
+}
+
 // runFront serves callers until ctx ends and then until the last answer is written.
 func (r *Relay) runFront(ctx context.Context) error {
 	accepting, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -335,3 +335,27 @@
 	assert.Assert(t, statuses[200] > 10 && statuses[503] > 0, "%v after %s", statuses, took)
 	assert.Assert(t, took < 2900*time.Millisecond)
 }
+
+// Guards against a daemon that starts beside a running server and does not use it before its next notice,
+// and against a second start in place of the first once the notice comes.
+func TestRestartedDaemonAsksItsServer(t *testing.T) {
+	w := newWorld(t, 1)
+	d := w.daemons[0]
+	fresh := &Beside{
+		Clock: d.relay.Clock, Control: w.control, Dialect: testDialect{}, Meter: d.relay.Beside.Meter, Log: d.relay.Log,
+		Suspects: d.relay.Beside.Suspects, MaxBody: 1 << 20,
+	}
+	unsaid := d.notice(StateReady)
+	unsaid.Instance, unsaid.Born, unsaid.Sequence = "", 0, 0
+	assert.NilError(t, fresh.Greet(context.Background(), unsaid, "/x/health"))
+	known, _, _ := fresh.Server()
+	assert.Equal(t, known.Instance, d.notice(StateReady).Instance)
+	first := fresh.current
+	assert.NilError(t, fresh.Notice(context.Background(), d.notice(StateReady)))
+	assert.Assert(t, fresh.current == first)
+	assert.Equal(t, fresh.current.notice.Born, int64(1))
+	again := d.notice(StateReady)
+	again.Born = 2
+	assert.NilError(t, fresh.Notice(context.Background(), again))
+	assert.Assert(t, fresh.current != first)
+}
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -60,8 +60,9 @@
 		Read(status int, header http.Header) Notes
 		// Refuse encodes an answer of the daemon itself; after is the advice when to come back.
 		Refuse(id string, failure retry.Failure, after time.Duration) Response
-		// Probe returns the health request of a backend server.
-		Probe(path string) (method, target string)
+		// Healthy decodes the answer to a backend server's health request: the server's own id, and whether it
+		// takes requests.
+		Healthy(status int, header http.Header) (instance string, ok bool)
 	}
 
 	// Control is what the relay needs from the control loop.
