--- a/internal/root/relay/lane.go
+++ b/internal/root/relay/lane.go
@@ -18,11 +18,11 @@
 
 const (
 	// pingEvery is how often a lane with requests in progress is checked.
-	pingEvery = 400 * time.Millisecond
+	pingEvery = 250 * time.Millisecond
 
 	// silenceLimit is how long a lane with requests in progress may be silent. A connection that was cut
-	// without a reset shows in no other way.
-	silenceLimit = 1600 * time.Millisecond
+	// without a reset, or a machine without power, shows in no other way; a lost packet is sent again sooner.
+	silenceLimit = 900 * time.Millisecond
 
 	// openTimeout bounds the connection to another daemon.
 	openTimeout = 500 * time.Millisecond
--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -32,8 +32,10 @@
 	// reportAge is the time after which a report of a server's load says nothing any more.
 	reportAge = 700 * time.Millisecond
 
-	// downFor is how long a server is left alone after it could not be reached.
-	downFor = 400 * time.Millisecond
+	// downFor is how long a server is left alone after it could not be reached; it doubles with each time in a
+	// row, up to downMost.
+	downFor  = 400 * time.Millisecond
+	downMost = 3200 * time.Millisecond
 
 	// exploreAfter is the time without any request from here after which a server of the own availability
 	// zone gets one, so that a recovered server is noticed. It is exploreNew for any server that has been
@@ -98,6 +100,7 @@
 		failing  float64 // share of recent failures
 		failedAt time.Time
 		downTill time.Time
+		downs    int // times in a row that the server could not be reached
 		leaving  bool
 		used     time.Time
 		known    time.Time // since when the server is on the board
@@ -205,6 +208,7 @@
 	}
 	switch result := result.(type) {
 	case Served:
+		s.downs = 0
 		s.note(now, 0)
 	case Turned:
 		s.leaving = s.leaving || result.Leaving
@@ -212,7 +216,10 @@
 		s.note(now, 1)
 	case Unreached:
 		s.note(now, 1)
-		s.downTill = now.Add(downFor)
+		if now.After(s.downTill) { // requests that were on their way together count once
+			s.downTill = now.Add(min(downFor<<min(s.downs, 8), downMost))
+			s.downs++
+		}
 	}
 }
 
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -143,3 +143,18 @@
 	hasty, _ := b.Choose(t0, ask)
 	assert.Assert(t, hasty.ID != "s0")
 }
+
+// Guards against requests that keep trying a machine without power every 0.4 s.
+func TestUnreachedServerIsLeftAloneLonger(t *testing.T) {
+	b := board()
+	now := t0
+	for range 4 {
+		b.Done(now, "s0", "r", nil, Unreached{})
+		b.Done(now, "s0", "r", nil, Unreached{}) // at the same time
+		now = b.servers[0].downTill.Add(time.Millisecond)
+	}
+	assert.Equal(t, now.Sub(t0).Round(100*time.Millisecond), 6*time.Second)
+	b.Done(now, "s0", "r", nil, Served{})
+	b.Done(now, "s0", "r", nil, Unreached{})
+	assert.Equal(t, b.servers[0].downTill.Sub(now), downFor)
+}
--- a/internal/root/relay/share/pace.go
+++ b/internal/root/relay/share/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	since     time.Time // the first grant
 	grantedAt time.Time
 	credit    float64
+	waiting   bool // no grant since the credit began
 	takenAt   time.Time
 }
 
@@ -38,7 +40,7 @@
 	}
 	p.perSecond = p.perSecond*fade(now.Sub(p.grantedAt)) + 1/paceSpan.Seconds()
 	p.grantedAt = now
-	p.credit, p.takenAt = 0, now
+	p.waiting, p.takenAt = false, now
 }
 
 // Take allows a request without a granted token; rate is that of the client account in the whole fleet.
@@ -49,6 +51,10 @@
 	// The average counts nothing before the first grant.
 	seen := 1 - fade(max(p.grantedAt.Sub(p.since), minPaceSpan))
 	pace := min(ungrantedShare*p.perSecond/seen, rate)
+	if !p.waiting {
+		// Many daemons with a slow pace each begin at different points of it, so that together they keep it.
+		p.waiting, p.credit = true, rand.Float64()
+	}
 	elapsed := max(now.Sub(p.takenAt), 0)
 	p.credit = min(p.credit+pace*elapsed.Seconds(), maxCredit)
 	p.takenAt = now
--- a/internal/root/relay/share/share_test.go
+++ b/internal/root/relay/share/share_test.go
@@ -96,3 +96,20 @@
 	p := &Pace{}
 	assert.Assert(t, !p.Take(t0, 1000))
 }
+
+// Guards against many daemons that each see a client account rarely and refuse all of it without grants.
+func TestSlowPacesAddUp(t *testing.T) {
+	taken := 0
+	for daemon := range 400 {
+		p := &Pace{}
+		now := t0.Add(time.Duration(daemon) * time.Millisecond)
+		for range 4 { // one request every two seconds
+			now = now.Add(2 * time.Second)
+			p.Granted(now)
+		}
+		if p.Take(now.Add(2*time.Second), 1000) {
+			taken++
+		}
+	}
+	assert.Assert(t, taken >= 250 && taken <= 400, "%d of 400 requests at their usual pace", taken)
+}
