--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -12,6 +12,9 @@
 // kratosLog passes the events of kratos to the log.
 type kratosLog struct{ log zerolog.Logger }
 
+// Lines of one request are told apart by less than a second.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // New returns a logger that writes events of at least the given level to w.
 func New(w io.Writer, level zerolog.Level) zerolog.Logger {
 	console := zerolog.ConsoleWriter{
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -66,6 +66,7 @@
 		History   *historyCommand   `arg:"subcommand:history" help:"list accepted revisions, or show one"`
 		Dump      *dumpCommand      `arg:"subcommand:dump" help:"show the state of a daemon"`
 		CreateKey *createKeyCommand `arg:"subcommand:create-key" help:"create a key for a client account"`
+		Trace     *traceCommand     `arg:"subcommand:trace" help:"show what daemons logged about a request"`
 		Format    *formatCommand    `arg:"subcommand:format" help:"print a rules file in its canonical form"`
 	}
 
@@ -162,6 +163,8 @@
 		return c.run(s)
 	case *formatCommand:
 		return c.run(s)
+	case *traceCommand:
+		return c.run(s)
 	}
 	return outcome{}, fmt.Errorf("command %T is not handled", chosen)
 }
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -569,7 +569,10 @@
 		Uint64("revision", x.revision).Dur("revision-age", age).Str("account", x.accountName()).Bool("reached", reached).
 		Strs("tried", slices.Clone(x.tried)).Int("sends", x.sends).Dur("took", p.Clock.Now().Sub(x.started))
 	if x.route != nil {
-		line = line.Str("route", x.route.Name).Str("service", x.service).Dur("deadline", x.deadline.Sub(x.started))
+		line = line.Str("route", x.route.Name).Str("service", x.service)
+	}
+	if !x.deadline.IsZero() {
+		line = line.Dur("deadline", x.deadline.Sub(x.started))
 	}
 	line.Msg("request-failed")
 }
