--- /dev/null
+++ b/internal/field/doc.go
@@ -0,0 +1,2 @@
+// Package field carries HTTP header fields between daemons and removes those that concern one connection.
+package field
--- /dev/null
+++ b/internal/field/field.go
@@ -0,0 +1,50 @@
+package field
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Field is one header field.
+type Field struct {
+	Name  string `protobuf:"bytes,1,opt,name=name,proto3"`
+	Value string `protobuf:"bytes,2,opt,name=value,proto3"`
+}
+
+// hop lists the fields that describe one connection. Expect is among them because the daemon itself answers
+// it when it reads the body.
+var hop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// Of returns the fields of a header.
+func Of(header http.Header) []Field {
+	fields := make([]Field, 0, len(header))
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, Field{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+// Add adds the fields to a header.
+func Add(header http.Header, fields []Field) {
+	for _, each := range fields {
+		header.Add(each.Name, each.Value)
+	}
+}
+
+// StripHop removes the fields that concern one connection, and those that Connection names.
+func StripHop(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hop {
+		header.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/field/field_test.go
@@ -0,0 +1,18 @@
+package field
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against fields of one connection that are passed on, also those that only Connection names.
+func TestStripHop(t *testing.T) {
+	header := http.Header{"Connection": {"close, X-Once"}, "X-Once": {"1"}, "Transfer-Encoding": {"chunked"}, "Kept": {"1", "2"}}
+	StripHop(header)
+	assert.DeepEqual(t, header, http.Header{"Kept": {"1", "2"}})
+	again := http.Header{}
+	Add(again, Of(header))
+	assert.DeepEqual(t, again, header)
+}
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -227,7 +228,7 @@
 		Method:        r.Method,
 		Target:        r.Target,
 		Host:          r.Host,
-		Header:        fieldsOf(r.Header),
+		Header:        field.Of(r.Header),
 		ContentLength: r.ContentLength,
 		Timeout:       r.Deadline.Sub(now),
 		Retries:       retries,
--- a/internal/root/call/header.go
+++ b/internal/root/call/header.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 )
 
 // Header fields of this system.
@@ -25,13 +27,6 @@
 	bearerPrefix = "bearer "
 )
 
-// hopHeaders describe one connection and are not passed on. Expect is among them because the daemon itself
-// answers it when it reads the body.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // credentialHeaders can carry a caller's key and never reach a backend server.
 var credentialHeaders = []string{"Authorization", "Proxy-Authorization", HeaderKey}
 
@@ -51,7 +46,7 @@
 // this system, and any other field that contains the key.
 func forwardHeader(header http.Header, key string) http.Header {
 	out := header.Clone()
-	removeHop(out)
+	field.StripHop(out)
 	removeOwn(out)
 	for name, values := range out {
 		if slices.Contains(credentialHeaders, hyphened(name)) || carriesKey(strings.ToLower(name), strings.ToLower(key)) ||
@@ -93,22 +88,11 @@
 // of this system, which only a daemon may set.
 func answerHeader(header http.Header) http.Header {
 	out := header.Clone()
-	removeHop(out)
+	field.StripHop(out)
 	removeOwn(out)
 	return out
 }
 
-func removeHop(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-}
-
 func removeOwn(header http.Header) {
 	for name := range header {
 		if strings.HasPrefix(hyphened(name), ownPrefix) {
--- a/internal/root/call/message.go
+++ b/internal/root/call/message.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -33,12 +33,6 @@
 )
 
 type (
-	// Field is one header field.
-	Field struct {
-		Name  string `protobuf:"bytes,1,opt,name=name,proto3"`
-		Value string `protobuf:"bytes,2,opt,name=value,proto3"`
-	}
-
 	// Head starts a call on a stream.
 	Head struct {
 		RequestID     string        `protobuf:"bytes,1,opt,name=request_id,proto3"`
@@ -50,7 +44,7 @@
 		Method        string        `protobuf:"bytes,9,opt,name=method,proto3"`
 		Target        string        `protobuf:"bytes,10,opt,name=target,proto3"` // path and query
 		Host          string        `protobuf:"bytes,11,opt,name=host,proto3"`
-		Header        []Field       `protobuf:"bytes,12,rep,name=header,proto3"`
+		Header        []field.Field `protobuf:"bytes,12,rep,name=header,proto3"`
 		ContentLength int64         `protobuf:"varint,13,opt,name=content_length,proto3"` // -1 if unknown
 		Timeout       time.Duration `protobuf:"varint,14,opt,name=timeout,proto3"`
 		Retries       uint32        `protobuf:"varint,15,opt,name=retries,proto3"` // lent to this call
@@ -79,16 +73,16 @@
 
 	// Answer is the head of the backend server's response.
 	Answer struct {
-		Status        int32   `protobuf:"varint,1,opt,name=status,proto3"`
-		Header        []Field `protobuf:"bytes,2,rep,name=header,proto3"`
-		ContentLength int64   `protobuf:"varint,3,opt,name=content_length,proto3"`
-		Report        Report  `protobuf:"bytes,4,opt,name=report,proto3"`
+		Status        int32         `protobuf:"varint,1,opt,name=status,proto3"`
+		Header        []field.Field `protobuf:"bytes,2,rep,name=header,proto3"`
+		ContentLength int64         `protobuf:"varint,3,opt,name=content_length,proto3"`
+		Report        Report        `protobuf:"bytes,4,opt,name=report,proto3"`
 	}
 
 	// End follows the last byte of a whole response.
 	End struct {
-		Report  Report  `protobuf:"bytes,1,opt,name=report,proto3"`
-		Trailer []Field `protobuf:"bytes,2,rep,name=trailer,proto3"`
+		Report  Report        `protobuf:"bytes,1,opt,name=report,proto3"`
+		Trailer []field.Field `protobuf:"bytes,2,rep,name=trailer,proto3"`
 	}
 )
 
@@ -133,30 +127,14 @@
 // Check reports a trailer that HTTP does not allow.
 func (e *End) Check() error { return checkFields(e.Trailer) }
 
-func checkFields(fields []Field) error {
+func checkFields(fields []field.Field) error {
 	if len(fields) > maxHeaders {
 		return fmt.Errorf("%d header fields, limit %d", len(fields), maxHeaders)
 	}
-	for _, field := range fields {
-		if field.Name == "" {
+	for _, each := range fields {
+		if each.Name == "" {
 			return errors.New("header field without a name")
 		}
 	}
 	return nil
 }
-
-func fieldsOf(header http.Header) []Field {
-	fields := make([]Field, 0, len(header))
-	for name, values := range header {
-		for _, value := range values {
-			fields = append(fields, Field{Name: name, Value: value})
-		}
-	}
-	return fields
-}
-
-func addFields(header http.Header, fields []Field) {
-	for _, field := range fields {
-		header.Add(field.Name, field.Value)
-	}
-}
--- a/internal/root/call/respond.go
+++ b/internal/root/call/respond.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -74,7 +75,7 @@
 }
 
 // writeEnd completes the answer.
-func writeEnd(to sink, trailer []Field) error {
+func writeEnd(to sink, trailer []field.Field) error {
 	switch to := to.(type) {
 	case *stream:
 		return to.end(trailer)
@@ -92,7 +93,7 @@
 func (s *stream) start(answer *Answer) error {
 	s.started = true
 	header := s.writer.Header()
-	addFields(header, answer.Header)
+	field.Add(header, answer.Header)
 	if answer.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
@@ -103,7 +104,7 @@
 }
 
 // end sends the trailer, for which the answer has to be chunked and its header sent.
-func (s *stream) end(trailer []Field) error {
+func (s *stream) end(trailer []field.Field) error {
 	if len(trailer) == 0 {
 		return nil
 	}
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
@@ -133,7 +134,7 @@
 	}
 }
 
-func fieldValue(fields []Field, name string) string {
+func fieldValue(fields []field.Field, name string) string {
 	for _, field := range fields {
 		if strings.EqualFold(field.Name, name) {
 			return field.Value
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -308,7 +309,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("build backend request: %w", err)
 	}
-	addFields(request.Header, c.head.Header)
+	field.Add(request.Header, c.head.Header)
 	request.ContentLength = c.head.ContentLength
 	request.Host = c.head.Host
 	if _, ok := request.Header["User-Agent"]; !ok {
@@ -328,7 +329,7 @@
 	failed := response.StatusCode >= http.StatusInternalServerError
 	answer := &Answer{
 		Status:        int32(response.StatusCode),
-		Header:        fieldsOf(answerHeader(response.Header)),
+		Header:        field.Of(answerHeader(response.Header)),
 		ContentLength: response.ContentLength,
 		Report:        c.report(failed),
 	}
@@ -360,7 +361,7 @@
 	}
 	end := &End{Report: c.report(failed)}
 	if len(response.Trailer) > 0 {
-		end.Trailer = fieldsOf(answerHeader(response.Trailer))
+		end.Trailer = field.Of(answerHeader(response.Trailer))
 	}
 	return wire.WriteMessage(c.writer, kindEnd, end)
 }
--- a/internal/root/relay/conn.go
+++ b/internal/root/relay/conn.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 )
 
 const (
@@ -171,7 +173,8 @@
 	}
 	conn.until = time.Now().Add(idleTime(answer.Header))
 	response = Response{Status: answer.StatusCode, Header: answer.Header, Body: body}
-	StripHop(response.Header)
+	field.StripHop(response.Header)
+	response.Header.Del("Content-Length") // it is set anew
 	return response, notes, !answer.Close, nil
 }
 
@@ -289,21 +292,3 @@
 	})
 	return err == nil && quiet
 }
-
-// hopHeaders describe one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// StripHop removes the fields that concern one connection, and those that Connection names.
-func StripHop(header http.Header) {
-	for _, value := range header["Connection"] {
-		for _, name := range strings.Split(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(header, name)
-	}
-}
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -44,12 +45,6 @@
 type (
 	endKind uint32
 
-	// Field is one header field.
-	Field struct {
-		Name  string `protobuf:"bytes,1,opt,name=name,proto3"`
-		Value string `protobuf:"bytes,2,opt,name=value,proto3"`
-	}
-
 	// Send is a request for the backend server beside the receiver.
 	Send struct {
 		Number      uint64        `protobuf:"varint,1,opt,name=number,proto3"` // unique on the lane
@@ -66,7 +61,7 @@
 		Method      string        `protobuf:"bytes,12,opt,name=method,proto3"`
 		Target      string        `protobuf:"bytes,13,opt,name=target,proto3"`
 		Host        string        `protobuf:"bytes,14,opt,name=host,proto3"`
-		Header      []Field       `protobuf:"bytes,15,rep,name=header,proto3"`
+		Header      []field.Field `protobuf:"bytes,15,rep,name=header,proto3"`
 		Body        []byte        `protobuf:"bytes,16,opt,name=body,proto3"`
 		More        bool          `protobuf:"varint,17,opt,name=more,proto3"` // parts of the body follow
 		Fingerprint string        `protobuf:"bytes,18,opt,name=fingerprint,proto3"`
@@ -100,7 +95,7 @@
 		End     endKind       `protobuf:"varint,2,opt,name=end,proto3"`
 		Report  Report        `protobuf:"bytes,3,opt,name=report,proto3"`
 		Status  int32         `protobuf:"varint,4,opt,name=status,proto3"`
-		Header  []Field       `protobuf:"bytes,5,rep,name=header,proto3"`
+		Header  []field.Field `protobuf:"bytes,5,rep,name=header,proto3"`
 		Body    []byte        `protobuf:"bytes,6,opt,name=body,proto3"`
 		More    bool          `protobuf:"varint,7,opt,name=more,proto3"`
 		Reason  retry.Reason  `protobuf:"bytes,8,opt,name=reason,proto3"`
@@ -183,28 +178,16 @@
 	return nil
 }
 
-func checkPart(header []Field, body []byte) error {
+func checkPart(header []field.Field, body []byte) error {
 	if len(header) > maxFields || len(body) > maxPart {
 		return fmt.Errorf("%d header fields and %d bytes, limits %d and %d", len(header), len(body), maxFields, maxPart)
 	}
 	return nil
 }
 
-func fieldsOf(header http.Header) []Field {
-	fields := make([]Field, 0, len(header))
-	for name, values := range header {
-		for _, value := range values {
-			fields = append(fields, Field{Name: name, Value: value})
-		}
-	}
-	return fields
-}
-
-func headerOf(fields []Field) http.Header {
+func headerOf(fields []field.Field) http.Header {
 	header := make(http.Header, len(fields))
-	for _, field := range fields {
-		header[field.Name] = append(header[field.Name], field.Value)
-	}
+	field.Add(header, fields)
 	return header
 }
 
@@ -222,7 +205,7 @@
 	var failure retry.Failure
 	switch ended := ended.(type) {
 	case answered:
-		r.End, r.Status, r.Header = endAnswered, int32(ended.response.Status), fieldsOf(ended.response.Header)
+		r.End, r.Status, r.Header = endAnswered, int32(ended.response.Status), field.Of(ended.response.Header)
 		r.Body = ended.response.Body
 		return r
 	case turned:
