--- a/internal/root/relay/pass.go
+++ b/internal/root/relay/pass.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
