--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -41,9 +41,6 @@
 	// minAfter and maxAfter bound the advice when to come back.
 	minAfter = 100 * time.Millisecond
 	maxAfter = 2 * time.Second
-
-	// returnShare is the part of the server's rate that those who come back are spread over.
-	returnShare = 0.35
 )
 
 type (
@@ -108,8 +105,7 @@
 		routes  map[string]*route
 		run     time.Duration // average over all routes
 
-		returns  time.Time // when the refused request that comes back last was told to
-		behind   float64   // strain that calls of this server have met
+		behind   float64 // strain that calls of this server have met
 		behindAt time.Time
 	}
 
@@ -168,7 +164,7 @@
 	run := time.Duration(marginRun * float64(r.expected(g.run)))
 	late := now.Add(wait + run).Sub(latest(t))
 	if late > 0 || g.waiting >= maxWaiting {
-		return Refused{After: g.comeBack(now, r, late), Wait: wait}
+		return Refused{After: min(max(late, minAfter), maxAfter), Wait: wait}
 	}
 	t.state = queued
 	own.queue = append(own.queue, t)
@@ -176,22 +172,6 @@
 	return Queued{Wait: wait}
 }
 
-// comeBack returns when a refused request has a place again. Each one is told a later time than the one
-// before, at the rate at which places become free: those who return together would be refused together.
-func (g *Gate) comeBack(now time.Time, r *route, late time.Duration) time.Duration {
-	run := max(r.expected(g.run), time.Millisecond)
-	perSecond := returnShare * min(r.limit, float64(g.slots)) / run.Seconds()
-	earliest := now.Add(max(late, minAfter))
-	if g.returns.Before(earliest) {
-		g.returns = earliest
-	}
-	g.returns = g.returns.Add(time.Duration(float64(time.Second) / perSecond))
-	if g.returns.Sub(now) > maxAfter {
-		g.returns = now.Add(maxAfter / 2) // nobody waits longer, so that the second half is shared by all
-	}
-	return g.returns.Sub(now)
-}
-
 // latest returns until when an answer has to be predicted for a request to get a place in the queue. The
 // most urgent requests may be late; the others would displace answers that count in full.
 func latest(t *Ticket) time.Time {
