--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 // Guards against a request that is changed on its way, a key that reaches the server, and marks that a
@@ -359,3 +361,31 @@
 	assert.NilError(t, fresh.Notice(context.Background(), again))
 	assert.Assert(t, fresh.current != first)
 }
+
+// Guards against a request that ends each server which runs it and is sent to the next one: it has to be
+// reported when the server no longer accepts connections, and refused once it is quarantined.
+func TestCrashingRequest(t *testing.T) {
+	w := newWorld(t, 1)
+	assert.Equal(t, w.ask(w.daemons[0], "c", "/open/crash", "", "").StatusCode, 502)
+	reported := func() []string {
+		w.control.mu.Lock()
+		defer w.control.mu.Unlock()
+		if len(w.control.crashes) == 0 {
+			return nil
+		}
+		return w.control.crashes[0]
+	}
+	for range 100 {
+		if reported() != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(reported()), 1)
+	w.control.mu.Lock()
+	w.control.blocked = map[string]wire.Stamp{w.control.crashes[0][0]: wire.StampOf(time.Now().Add(time.Minute))}
+	w.control.mu.Unlock()
+	refused := w.ask(w.daemons[0], "again", "/open/crash", "", "")
+	assert.Equal(t, refused.Header.Get("Reason"), "quarantined")
+	assert.Equal(t, refused.Header.Get("Outcome"), "not-run")
+}
