--- a/internal/root/relay/caller.go
+++ b/internal/root/relay/caller.go
@@ -213,7 +213,7 @@
 		c.front.active.Add(1)
 		defer c.front.active.Add(-1)
 		response := c.front.Path.Serve(c.ctx, &request)
-		c.finish(place, request.Method, response, last || response.Close)
+		c.finish(place, request.Method, response, last)
 	})
 	return endAfter(last)
 }
--- a/internal/root/relay/conn.go
+++ b/internal/root/relay/conn.go
@@ -60,7 +60,6 @@
 		net.Conn
 		reader *bufio.Reader
 		until  time.Time // by which an idle connection is used or closed
-		used   bool      // has carried an answer
 	}
 
 	// exchange is one request on its way to the server.
@@ -239,7 +238,6 @@
 }
 
 func (p *pool) put(conn *serverConn) {
-	conn.used = true
 	now := time.Now()
 	var expired []*serverConn
 	p.mu.Lock()
--- a/internal/root/relay/front.go
+++ b/internal/root/relay/front.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +41,6 @@
 	open    atomic.Int64 // connections
 	leaving atomic.Bool
 	refuse  atomic.Bool // no further request is taken
-	conns   sync.WaitGroup
 }
 
 // Run accepts connections until ctx ends.
@@ -63,10 +61,10 @@
 			continue
 		}
 		f.open.Add(1)
-		f.conns.Go(func() {
+		go func() {
 			defer f.open.Add(-1)
 			f.serve(conn)
-		})
+		}()
 	}
 }
 
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -51,18 +51,17 @@
 type (
 	// Path takes requests from their callers to backend servers.
 	Path struct {
-		Clock    clock.Clock
-		Control  Control
-		Dialect  Dialect
-		Lanes    *Lanes
-		Beside   *Beside
-		Suspects *crash.Suspects
-		Meter    *meter.Meter
-		Log      zerolog.Logger
-		Own      string // peer address of this daemon
-		Zone     string
-		Service  string // of the backend server beside this daemon
-		Seed     uint64
+		Clock   clock.Clock
+		Control Control
+		Dialect Dialect
+		Lanes   *Lanes
+		Beside  *Beside
+		Meter   *meter.Meter
+		Log     zerolog.Logger
+		Own     string // peer address of this daemon
+		Zone    string
+		Service string // of the backend server beside this daemon
+		Seed    uint64
 
 		RetryRatio  float64       // repeats per request that the fleet allows
 		RetryWindow time.Duration // over which they are counted
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -42,10 +42,12 @@
 	// fewSlots is what a server is taken to have that has not said so and is alone in its service.
 	fewSlots = 8
 
+	// callHeaderTimeout and callIdleTimeout bound connections of the platform, which sends small calls.
 	callHeaderTimeout = 2 * time.Second
 	callStop          = 100 * time.Millisecond // for calls in progress at the end
 	callIdleTimeout   = 30 * time.Second
 
+	// maxConnections leaves descriptors for lanes and backend servers below the 4,096 of a process.
 	maxConnections = 1500
 )
 
@@ -94,7 +96,7 @@
 	}
 	lanes := &Lanes{Clock: clk, Dialer: dialer, Log: log}
 	path := &Path{
-		Clock: clk, Control: control, Dialect: dialect, Lanes: lanes, Beside: beside, Suspects: suspects, Meter: m,
+		Clock: clk, Control: control, Dialect: dialect, Lanes: lanes, Beside: beside, Meter: m,
 		Log: requests, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed,
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -30,8 +30,6 @@
 		Status int
 		Header http.Header
 		Body   []byte
-		// Close asks to close the caller's connection after the answer.
-		Close bool
 	}
 
 	// Marks are what the daemon tells a backend server about a request.
