--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -186,16 +186,15 @@
 	return &turned{failure: failure}
 }
 
-// identify finds the client account of the key. A request without a key on a keyed route is a call of the
-// backend server beside this daemon, which serves a request whose key has been checked.
+// identify finds the client account of the key. Calls of backend servers carry none; the routes that they
+// use are open.
 func (x *passing) identify(set *rules.Set, presented string) retry.Failure {
 	if x.route.Access == rules.AccessOpen {
 		x.nested = presented == ""
 		return nil
 	}
 	if presented == "" {
-		x.nested = true
-		return nil
+		return retry.KeyMissing{}
 	}
 	key, active := set.KeyFor(presented)
 	switch {
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -50,6 +50,7 @@
 	}{
 		{"/nowhere/x", "", 404, "no-route"},
 		{"/keyed/echo", "Key: unknown\r\n", 401, "key-unknown"},
+		{"/keyed/echo", "", 401, "key-missing"},
 		{"/keyed/echo", "Key: poor-key\r\n", 429, "rate"},
 		{"/open/echo", "Big: " + strings.Repeat("x", 5<<10) + "\r\n", 431, "header-too-large"},
 	} {
