--- /dev/null
+++ b/internal/root/relay/fuzz_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
+)
+
+// fuzzMessage guards against a panic on bytes from another daemon, and against an accepted message that
+// cannot be encoded and accepted again.
+func fuzzMessage[T any, M wire.Message[T]](f *testing.F, seed M, use func(M)) {
+	body, err := wire.Encode[T](seed)
+	assert.NilError(f, err)
+	f.Add(body)
+	f.Add(body[:len(body)/2])
+	f.Fuzz(func(t *testing.T, body []byte) {
+		message, err := wire.Decode[T, M](body)
+		if err != nil {
+			return
+		}
+		use(message)
+		again, err := wire.Encode[T](message)
+		assert.NilError(t, err)
+		_, err = wire.Decode[T, M](again)
+		assert.NilError(t, err)
+	})
+}
+
+func FuzzSend(f *testing.F) {
+	fuzzMessage(f, &Send{
+		Number: 1, ID: "a", Service: "s", Route: "r", Left: time.Second, Age: time.Millisecond, Objective: time.Second,
+		Method: "GET", Target: "/x", Host: "h", Header: []field.Field{{Name: "A", Value: "b"}}, Body: []byte("body"), Fingerprint: "f",
+	}, func(s *Send) { jobOf(time.Unix(1_000_000, 0), s) })
+}
+
+func FuzzReply(f *testing.F) {
+	seed := reply(7, turned{failure: retry.QueueFull{}, after: time.Second}, Report{Wait: time.Second, Slots: 3, Strain: 1.5})
+	fuzzMessage(f, seed, func(r *Reply) {
+		r.ended()
+		r.Report.forPlace()
+	})
+}
+
+func FuzzTell(f *testing.F) {
+	fuzzMessage(f, &Tell{Number: 1, Instance: "i", Service: "s", Address: "10.0.0.1:1", Slots: 2, State: StateReady, Born: 5}, func(t *Tell) { t.notice() })
+}
