--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -305,6 +305,7 @@
 	decision := s.gate.Offer(now, ticket)
 	switch decision := decision.(type) {
 	case gate.Admitted:
+		s.probing = s.silent >= silentLimit // this request finds out whether the server answers again
 		b.mu.Unlock()
 		return s, ticket, nil
 	case gate.Refused:
@@ -349,8 +350,6 @@
 		return turned{failure: retry.Unreached{}}
 	case s.silent >= silentLimit && s.probing:
 		return turned{failure: retry.Unreached{}}
-	case s.silent >= silentLimit:
-		s.probing = true // this request finds out
 	}
 	return nil
 }
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -390,3 +391,30 @@
 	assert.Equal(t, refused.Header.Get("Reason"), "quarantined")
 	assert.Equal(t, refused.Header.Get("Outcome"), "not-run")
 }
+
+// Guards against a server that stays out of use because the one request that was to find out whether it
+// answers again was turned away by the gate.
+func TestSilentServerIsTriedAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	b := w.daemons[0].relay.Beside
+	assert.Equal(t, w.ask(w.daemons[0], "w", "/once/slow?ms=100", "", "").StatusCode, 200) // run times are known
+	now := time.Now()
+	late := &job{service: "shop", route: "/once/", arrived: now, deadline: now.Add(time.Millisecond), request: &Request{ID: "late"}}
+	b.mu.Lock()
+	var running []*gate.Ticket
+	for range 2 { // the slots are taken, so that the gate refuses what cannot wait
+		ticket := &gate.Ticket{Route: "/once/", Arrived: now, Deadline: now.Add(time.Minute)}
+		b.current.gate.Offer(now, ticket)
+		running = append(running, ticket)
+	}
+	b.current.silent = silentLimit
+	b.mu.Unlock()
+	_, _, refused := b.admit(context.Background(), late)
+	assert.Assert(t, refused != nil)
+	b.mu.Lock()
+	for _, ticket := range running {
+		b.current.gate.Done(now, ticket, gate.Aborted{})
+	}
+	b.mu.Unlock()
+	assert.Equal(t, w.ask(w.daemons[0], "t", "/once/echo", "", "").StatusCode, 200)
+}
