--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -17,7 +17,6 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
-	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 // wantTimeout bounds the wait for the first list of a service's instances.
@@ -128,7 +127,7 @@
 		earlier = retry.Merge(earlier, got.failureOrLost())
 		f.Meter.Retry(r.Route.Service)
 		// The quarantine is read again after the pause, because the crash may have set it.
-		if !f.pause(ctx, again.After) || quarantined(f.Control.Snapshot(), r, f.Clock.Now()) {
+		if !f.pause(ctx, again.After) || f.Control.Snapshot().Quarantined(r.Fingerprint, f.Clock.Now()) {
 			return failed{Failure: earlier, Final: true}
 		}
 		if current := f.instances(ctx, r); current != nil {
@@ -343,12 +342,6 @@
 	return failed{Failure: failure, Final: final, Overloaded: got.report.Overloaded || overloadFailure(got.failure)}
 }
 
-// quarantined reports whether the request's fingerprint is quarantined at now.
-func quarantined(snapshot *snap.Snapshot, r *Request, now time.Time) bool {
-	until, ok := snapshot.Quarantine[r.Fingerprint]
-	return ok && wire.StampOf(now) < until
-}
-
 func (f *Forwarder) pause(ctx context.Context, d time.Duration) bool {
 	timer := f.Clock.NewTimer(d)
 	defer timer.Stop()
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -187,7 +187,7 @@
 		// Otherwise the server reads the rest of the body itself, and drops it, when the answer begins.
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	if quarantined(h.Control.Snapshot(), request, started) {
+	if h.Control.Snapshot().Quarantined(request.Fingerprint, started) {
 		return h.finish(w, request, failed{Failure: retry.Quarantined{}, Final: true})
 	}
 	key := request.Header.Get(HeaderIdempotencyKey)
--- a/internal/root/ctrl/draft.go
+++ b/internal/root/ctrl/draft.go
@@ -115,11 +115,7 @@
 		Number: draft.Number, Text: draft.Text, Author: draft.Author, Origin: l.cfg.PeerAddress,
 		Hash: hash[:], At: l.voter.machine.Stamp(now), Based: true, Base: draft.Base,
 	}
-	if current := l.voter.machine.InForce(); current != nil && current.Number == draft.Base {
-		if hunks, ok := state.Difference(current.Text, draft.Text); ok {
-			command.Hunks, command.Text = hunks, nil
-		}
-	}
+	l.shorten(command, draft.Base)
 	l.propose(now, command, draftProposal{reply: event.reply, draft: draft})
 }
 
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -257,15 +257,22 @@
 		Number: message.Number, Text: message.Text, Author: message.Author,
 		Origin: s.peer, Hash: message.Hash, At: l.voter.machine.Stamp(now),
 	}
-	// A difference keeps the log small: at thousands of changes a day whole texts would fill gigabytes.
-	if current := l.voter.machine.InForce(); current != nil && current.Number+1 == message.Number {
-		if hunks, ok := state.Difference(current.Text, message.Text); ok {
-			command.Hunks, command.Text = hunks, nil
-		}
-	}
+	l.shorten(command, message.Number-1)
 	l.propose(now, command, waiting)
 }
 
+// shorten replaces the text of a proposal by a difference if base is in force, which keeps the log small: at
+// thousands of changes a day whole texts would fill gigabytes.
+func (l *Loop) shorten(command *state.ProposeConfig, base uint64) {
+	current := l.voter.machine.InForce()
+	if current == nil || current.Number != base {
+		return
+	}
+	if hunks, ok := state.Difference(current.Text, command.Text); ok {
+		command.Hunks, command.Text = hunks, nil
+	}
+}
+
 func (d *leaderState) crashed(now time.Time, l *Loop, report *CrashReport) {
 	for _, fingerprint := range report.Fingerprints {
 		if report.Cleared {
--- a/internal/root/relay/lane.go
+++ b/internal/root/relay/lane.go
@@ -91,19 +91,12 @@
 	number, pending := to.register(l.Clock.Now())
 	defer to.forget(number)
 	send.Number = number
-	send.Body, send.More = body[:min(len(body), maxPart)], len(body) > maxPart
-	first, err := frameOf(kindSend, send)
+	first, rest := cut(body)
+	send.Body, send.More = first, len(rest) > 0
+	frames, err := framesOf(kindSend, send, number, rest)
 	if err != nil {
 		return nil, false, err
 	}
-	frames := []wire.Frame{first}
-	if send.More {
-		rest, err := partFrames(number, body[maxPart:])
-		if err != nil {
-			return nil, false, err
-		}
-		frames = append(frames, rest...)
-	}
 	if !to.box.send(frames...) {
 		l.drop(to)
 		return nil, false, fmt.Errorf("%w: %s", errLaneClosed, address)
--- a/internal/root/relay/outbox.go
+++ b/internal/root/relay/outbox.go
@@ -119,9 +119,19 @@
 	return wire.Frame{Kind: kind, Body: body}, nil
 }
 
-// partFrames encodes what follows the first part of a body.
-func partFrames(number uint64, rest []byte) ([]wire.Frame, error) {
-	var frames []wire.Frame
+// cut returns the first part of a body, which its message carries, and the rest.
+func cut(body []byte) (first, rest []byte) {
+	n := min(len(body), maxPart)
+	return body[:n], body[n:]
+}
+
+// framesOf encodes a message that carries the first part of a body, and the parts that follow it.
+func framesOf[T any, M wire.Message[T]](kind wire.Kind, m M, number uint64, rest []byte) ([]wire.Frame, error) {
+	first, err := frameOf[T](kind, m)
+	if err != nil {
+		return nil, err
+	}
+	frames := []wire.Frame{first}
 	for len(rest) > 0 {
 		n := min(len(rest), maxPart)
 		frame, err := frameOf(kindPart, &Part{Number: number, Body: rest[:n], More: n < len(rest)})
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -17,9 +17,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/share"
-	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
-	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 const (
@@ -168,7 +166,7 @@
 	}
 	x.deadline = now.Add(min(allowed, route.Deadline))
 	x.fingerprint = crash.Fingerprint(r.Method, r.Target, x.accountName(), int64(len(r.Body)), r.Body)
-	if quarantined(snapshot, x.fingerprint, now) {
+	if snapshot.Quarantined(x.fingerprint, now) {
 		return x, &turned{failure: retry.Quarantined{}, after: rateAfter}
 	}
 	x.service = route.Service
@@ -256,11 +254,6 @@
 	return known
 }
 
-func quarantined(snapshot *snap.Snapshot, fingerprint string, now time.Time) bool {
-	until, ok := snapshot.Quarantine[fingerprint]
-	return ok && wire.StampOf(now) < until
-}
-
 // split chooses the part of a divided route.
 func (p *Path) split(route *rules.Route) string {
 	p.mu.Lock()
--- a/internal/root/relay/serve.go
+++ b/internal/root/relay/serve.go
@@ -151,24 +151,14 @@
 
 func (l *laneServer) reply(number uint64, ended outcome, report Report) {
 	message := reply(number, ended, report)
-	body := message.Body
-	message.Body, message.More = body[:min(len(body), maxPart)], len(body) > maxPart
-	first, err := frameOf(kindReply, message)
+	first, rest := cut(message.Body)
+	message.Body, message.More = first, len(rest) > 0
+	frames, err := framesOf(kindReply, message, number, rest)
 	if err != nil {
 		l.server.Log.Error().Err(err).Msg("reply-not-encoded")
 		l.box.close()
 		return
 	}
-	frames := []wire.Frame{first}
-	if message.More {
-		rest, err := partFrames(number, body[maxPart:])
-		if err != nil {
-			l.server.Log.Error().Err(err).Msg("reply-not-encoded")
-			l.box.close()
-			return
-		}
-		frames = append(frames, rest...)
-	}
 	l.box.send(frames...)
 }
 
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -28,3 +28,9 @@
 func (s *Snapshot) Fresh(now time.Time) bool {
 	return now.Before(s.FreshUntil) && now.Round(0).Before(s.FreshUntil.Round(0))
 }
+
+// Quarantined reports whether requests with the fingerprint are refused at now.
+func (s *Snapshot) Quarantined(fingerprint string, now time.Time) bool {
+	until, ok := s.Quarantine[fingerprint]
+	return ok && wire.StampOf(now) < until
+}
