--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -10,6 +10,11 @@
 	// maxWaiting bounds the queue; a longer one could not be served within any objective.
 	maxWaiting = 2048
 
+	// reserveShare is the part of a server's slots that is left free, because servers get slower when nearly
+	// all of their slots are taken. A server with fewer than minReserved slots keeps none free.
+	reserveShare = 0.055
+	minReserved  = 16
+
 	// runWeight is the weight of one run in the average run time of a route.
 	runWeight = 0.08
 
@@ -98,7 +103,7 @@
 
 	// Gate holds the state of one start of a backend server; its user serializes the calls.
 	Gate struct {
-		slots   int
+		slots   int // that are used
 		running int
 		waiting int
 		classes []*class // the most urgent first
@@ -143,11 +148,19 @@
 
 // New returns the gate of a server with the given number of slots.
 func New(slots int) *Gate {
-	return &Gate{slots: max(slots, 1), routes: map[string]*route{}}
+	return &Gate{slots: usable(slots), routes: map[string]*route{}}
 }
 
 // SetSlots changes the number of slots.
-func (g *Gate) SetSlots(slots int) { g.slots = max(slots, 1) }
+func (g *Gate) SetSlots(slots int) { g.slots = usable(slots) }
+
+// usable returns how many of a server's slots are used.
+func usable(slots int) int {
+	if slots < minReserved {
+		return max(slots, 1)
+	}
+	return slots - int(math.Ceil(reserveShare*float64(slots)))
+}
 
 // Offer decides about a request that has just arrived. It is answered at once: what cannot be served in
 // time is better off elsewhere or later, and costs its caller the more the longer it is held.
--- a/internal/root/relay/gate/load_test.go
+++ b/internal/root/relay/gate/load_test.go
@@ -198,3 +198,51 @@
 	assert.Assert(t, limited.wasted <= total/5, "%d runs for nothing, %d served", limited.wasted, total)
 	assert.Assert(t, total > open.served["low"]+open.served["high"])
 }
+
+// Replays twice the load that a server has room for; the server gets slower while nearly all of its slots are
+// taken. Guards against a gate that fills the server up and loses the room that it had.
+func TestServerThatSlowsDownWhenNearlyFull(t *testing.T) {
+	const (
+		slots = 35
+		work  = 30 * time.Millisecond
+		span  = 10 * time.Second
+	)
+	r := &replay{t: t, now: t0, random: rand.New(rand.NewPCG(1, 2)), front: New(slots)}
+	served, waiting := 0, map[*Ticket]bool{}
+	var begin func(*Ticket)
+	begin = func(each *Ticket) {
+		took := work
+		if float64(r.front.Running()) >= 0.95*slots {
+			took = took * 13 / 10
+		}
+		r.at(took, func() {
+			served++
+			r.front.Done(r.now, each, Ran{})
+			started, dropped := r.front.Next(r.now)
+			for _, next := range started {
+				delete(waiting, next)
+				begin(next)
+			}
+			for _, lost := range dropped {
+				delete(waiting, lost)
+			}
+		})
+	}
+	for at := time.Duration(0); at < span; at += work / (2 * slots) {
+		r.at(at, func() {
+			each := &Ticket{Route: "inner", Nested: true, Arrived: r.now, Objective: r.now.Add(300 * time.Millisecond), Deadline: r.now.Add(700 * time.Millisecond)}
+			switch r.front.Offer(r.now, each).(type) {
+			case Admitted:
+				begin(each)
+			case Queued:
+				waiting[each] = true
+			case Refused:
+			}
+		})
+	}
+	r.play()
+	room := slots * 95 / 100 * int(span/work)
+	t.Logf("served %d of %d that there is room for", served, room)
+	assert.Assert(t, served >= room*95/100, "served %d of %d that there is room for", served, room)
+	assert.Equal(t, len(waiting), 0)
+}
