--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -46,6 +45,15 @@
 
 	// runWeight is the weight of one report of a run time.
 	runWeight = 0.3
+
+	// runHalf is the time without a report in which half of what a server's run time exceeds the shortest by is
+	// forgotten, so that a server that was slow for a while is used again.
+	runHalf = 1500 * time.Millisecond
+
+	// silentRuns is the number of its longest average run times, minSilence at least, for which a server may
+	// answer none of its requests before it counts as slow.
+	silentRuns = 3
+	minSilence = 300 * time.Millisecond
 )
 
 type (
@@ -96,7 +104,8 @@
 		at       time.Time // of the report
 		sent     int       // requests sent since the report
 		open     int       // requests in progress
-		runs     map[string]time.Duration
+		progress time.Time // since when none of them has ended
+		runs     map[string]runTime
 		failing  float64 // share of recent failures
 		failedAt time.Time
 		downTill time.Time
@@ -105,6 +114,15 @@
 		used     time.Time
 		known    time.Time // since when the server is on the board
 	}
+
+	// runTime is the average run time of one route at one server.
+	runTime struct {
+		mean time.Duration
+		at   time.Time // of the latest report
+	}
+
+	// usual is what the servers of a board need for a route, zero when nothing is known.
+	usual struct{ least, middle time.Duration }
 )
 
 func (Served) result()    {}
@@ -129,7 +147,7 @@
 		at := slices.IndexFunc(b.servers, func(s *server) bool {
 			return s.endpoint.ID == endpoint.ID && s.endpoint.Incarnation == endpoint.Incarnation
 		})
-		known := &server{runs: map[string]time.Duration{}, known: now}
+		known := &server{runs: map[string]runTime{}, known: now}
 		if at >= 0 {
 			known = b.servers[at]
 		}
@@ -143,7 +161,7 @@
 // Choose returns the server with the shortest predicted time to an answer, the own availability zone
 // preferred.
 func (b *Board) Choose(now time.Time, ask Ask) (snap.Endpoint, bool) {
-	typical := b.typical(ask.Route)
+	typical := b.usual(ask.Route)
 	var best *server
 	var least time.Duration
 	for _, s := range b.servers {
@@ -161,6 +179,9 @@
 	if other := b.explore(now, ask, best); other != nil {
 		best = other
 	}
+	if best.open == 0 {
+		best.progress = now
+	}
 	best.sent++
 	best.open++
 	best.used = now
@@ -195,15 +216,11 @@
 		return
 	}
 	s := b.servers[at]
-	s.open = max(s.open-1, 0)
+	s.open, s.progress = max(s.open-1, 0), now
 	if report != nil {
 		s.report, s.at, s.sent = *report, now, 0
 		if report.Run > 0 {
-			known := s.runs[route]
-			if known == 0 {
-				known = report.Run
-			}
-			s.runs[route] = known + time.Duration(runWeight*float64(report.Run-known))
+			s.learn(now, route, report.Run)
 		}
 	}
 	switch result := result.(type) {
@@ -226,26 +243,55 @@
 // Servers returns the number of servers on the board.
 func (b *Board) Servers() int { return len(b.servers) }
 
-// typical returns the middle run time of a route over the servers, zero when none is known.
-func (b *Board) typical(route string) time.Duration {
+// usual returns the shortest and the middle run time of a route over the servers.
+func (b *Board) usual(route string) usual {
 	var runs []time.Duration
 	for _, s := range b.servers {
-		if run := s.runs[route]; run > 0 {
+		if run := s.runs[route].mean; run > 0 {
 			runs = append(runs, run)
 		}
 	}
 	if len(runs) == 0 {
-		return 0
+		return usual{}
+	}
+	slices.Sort(runs)
+	return usual{least: runs[0], middle: runs[len(runs)/2]}
+}
+
+// learn takes a reported run time into the average.
+func (s *server) learn(now time.Time, route string, run time.Duration) {
+	mean := run
+	if known := s.runs[route]; known.mean > 0 {
+		mean = known.mean + time.Duration(runWeight*float64(run-known.mean))
+	}
+	s.runs[route] = runTime{mean: mean, at: now}
+}
+
+// run returns the run time to reckon with. A server that has answered none of its requests for long is
+// reckoned with that time, whatever it needed before.
+func (s *server) run(now time.Time, route string, typical usual) time.Duration {
+	run := typical.middle
+	if known := s.runs[route]; known.mean > 0 {
+		halves := float64(now.Sub(known.at)) / float64(runHalf)
+		run = typical.least + time.Duration(float64(known.mean-typical.least)*math.Exp2(-halves))
+	}
+	if silent := now.Sub(s.progress); s.open > 0 && silent > max(silentRuns*s.longest(), minSilence) {
+		run = max(run, silent)
 	}
-	slices.SortFunc(runs, func(a, b time.Duration) int { return cmp.Compare(a, b) })
-	return runs[len(runs)/2]
+	return run
 }
 
-func (s *server) cost(now time.Time, ask Ask, typical time.Duration) time.Duration {
-	run := s.runs[ask.Route]
-	if run == 0 {
-		run = typical
+// longest returns the longest average run time of the server's routes.
+func (s *server) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, each := range s.runs {
+		longest = max(longest, each.mean)
 	}
+	return longest
+}
+
+func (s *server) cost(now time.Time, ask Ask, typical usual) time.Duration {
+	run := s.run(now, ask.Route, typical)
 	cost := run + s.wait(now, run)
 	if easy := time.Duration(easyShare * float64(ask.Left)); ask.Left > 0 && cost > easy {
 		cost += hastyFactor * (cost - easy)
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -158,3 +158,30 @@
 	b.Done(now, "s0", "r", nil, Unreached{})
 	assert.Equal(t, b.servers[0].downTill.Sub(now), downFor)
 }
+
+// Replays a restart: the server of the own zone is slow at first, and all its requests are nested calls, which
+// explore nothing. Guards against calls that go to another zone for as long as they last.
+func TestServerThatWasSlowIsUsedAgain(t *testing.T) {
+	b := board()
+	b.Done(t0, "s0", "r", &Report{Slots: 10, Run: 600 * time.Millisecond}, Served{})
+	now, first := t0, time.Duration(0)
+	for first == 0 && now.Sub(t0) < 20*time.Second {
+		now = now.Add(20 * time.Millisecond)
+		id := choose(t, b, now)
+		if id == "s0" {
+			first = now.Sub(t0)
+		}
+		b.Done(now, id, "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
+	}
+	assert.Assert(t, first > 500*time.Millisecond && first < 4*time.Second, "used again after %s", first)
+}
+
+// Guards against a server that has stopped answering and gets requests until the first of them has failed.
+func TestAvoidsServerThatAnswersNothing(t *testing.T) {
+	b := board()
+	assert.Equal(t, choose(t, b, t0), "s0")
+	assert.Equal(t, choose(t, b, t0.Add(200*time.Millisecond)), "s0")
+	assert.Assert(t, choose(t, b, t0.Add(400*time.Millisecond)) != "s0")
+	b.Done(t0.Add(500*time.Millisecond), "s0", "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
+	assert.Equal(t, choose(t, b, t0.Add(600*time.Millisecond)), "s0")
+}
