--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -48,6 +48,16 @@
 // Snapshot returns the control state that was published last.
 func (l *Loop) Snapshot() *snap.Snapshot { return l.snapshot.Load() }
 
+// AwaitConfig waits until a configuration has been in force on this daemon once, or until ctx ends, and returns
+// the present snapshot.
+func (l *Loop) AwaitConfig(ctx context.Context) *snap.Snapshot {
+	select {
+	case <-l.live:
+	case <-ctx.Done():
+	}
+	return l.Snapshot()
+}
+
 // TakeToken takes one rate token of the client account, waiting for a grant until ctx ends.
 func (l *Loop) TakeToken(ctx context.Context, account string) call.TokenVerdict {
 	cell := (*l.cells.Load())[account]
@@ -78,7 +88,7 @@
 	}
 }
 
-// Want subscribes to the instances of a service and waits for the first list until ctx ends.
+// Want subscribes to the instances of a service and waits until there is one or ctx ends.
 func (l *Loop) Want(ctx context.Context, service string) *snap.Endpoints {
 	reply := make(chan *snap.Endpoints, 1)
 	list, _ := await(ctx, l, serviceWanted{service: service, reply: reply}, reply)
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -111,6 +111,10 @@
 		Endpoints:  endpoints,
 		Quarantine: d.quarantine,
 	})
+	if !l.started && d.rules.set != nil && !d.freshUntil.IsZero() {
+		l.started = true
+		close(l.live)
+	}
 }
 
 // sendUp sends a message to the leader if there is a control stream.
@@ -318,7 +322,7 @@
 
 func (l *Loop) want(event serviceWanted) {
 	d := l.daemon
-	if instances, ok := d.views.Services[event.service]; ok {
+	if instances := d.views.Services[event.service]; len(instances) > 0 {
 		event.reply <- &snap.Endpoints{Version: d.versions[event.service], Instances: instances}
 		return
 	}
@@ -344,6 +348,9 @@
 	d.versions[change.Service]++
 	l.dirty = true
 	list := &snap.Endpoints{Version: d.versions[change.Service], Instances: d.views.Services[change.Service]}
+	if len(list.Instances) == 0 {
+		return
+	}
 	for _, reply := range d.wanted[change.Service] {
 		reply <- list
 	}
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -60,6 +60,7 @@
 
 		events   chan Event                             // to the loop
 		stopped  chan struct{}                          // closed when the loop has ended
+		live     chan struct{}                          // closed once a configuration is known to be in force
 		snapshot atomic.Pointer[snap.Snapshot]          // published by the loop
 		cells    atomic.Pointer[map[string]*limit.Cell] // published by the loop
 		controls atomic.Pointer[[]string]               // peer addresses of control instances, the best first
@@ -68,6 +69,7 @@
 		sent     uint64                                 // bytes to the leader
 		parsed   parsedRules
 		dirty    bool // the snapshot has to be published again
+		started  bool // live is closed
 
 		daemon *daemonState
 		voter  *voterState // nil on daemons without a data folder
@@ -80,6 +82,7 @@
 		cfg: cfg, boot: cfg.Boot, clock: clk, log: log, dialer: dialer,
 		events:  make(chan Event, eventQueue),
 		stopped: make(chan struct{}),
+		live:    make(chan struct{}),
 	}
 	if l.cfg.Lease == 0 {
 		l.cfg.Lease = leaseLife
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -265,6 +265,23 @@
 	assert.Assert(t, took <= 4*time.Second, "a lost instance was listed for %s", took)
 }
 
+// Guards against a service that counts as one without servers because the first list came before they were
+// announced.
+func TestWantWaitsForTheFirstInstance(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	first, second := make(chan *snap.Endpoints, 1), make(chan *snap.Endpoints, 1)
+	f.loops["d2"].handle(f.clock.Now(), serviceWanted{service: "library", reply: first})
+	for range 100 {
+		f.step(10 * time.Millisecond)
+	}
+	f.loops["d2"].handle(f.clock.Now(), serviceWanted{service: "library", reply: second})
+	assert.Equal(t, len(first)+len(second), 0)
+	f.announce("d1", "127.0.0.1:1", "1")
+	f.until("two answers", func() bool { return len(first) == 1 && len(second) == 1 })
+	assert.Equal(t, len((<-first).Instances), 1)
+	assert.Equal(t, len((<-second).Instances), 1)
+}
+
 // Guards M1: daemons keep their views over a change of leader, whose registry is empty at first.
 func TestNewLeaderDoesNotEmptyViews(t *testing.T) {
 	f := newTestFleet(t, 3, 3)
--- a/internal/root/relay/pass.go
+++ b/internal/root/relay/pass.go
@@ -43,14 +43,20 @@
 
 // refresh brings the board of a service to the published list.
 func (p *Path) refresh(ctx context.Context, x *passing, to *service) bool {
-	list := p.Control.Snapshot().Endpoints[x.service]
+	list, wait := p.Control.Snapshot().Endpoints[x.service], p.patience(x)
 	if list == nil {
-		waiting, cancel := context.WithTimeout(ctx, listWait)
+		wait = max(wait, listWait)
+	}
+	if list == nil || len(list.Instances) == 0 && wait > 0 {
+		waiting, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
-		if list = p.Control.Want(waiting, x.service); list == nil {
-			return false
+		if first := p.Control.Want(waiting, x.service); first != nil {
+			list = first
 		}
 	}
+	if list == nil {
+		return false
+	}
 	to.mu.Lock()
 	defer to.mu.Unlock()
 	to.board.Update(p.Clock.Now(), list)
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/share"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -32,6 +33,12 @@
 	// listWait bounds the wait for the first list of a service's servers.
 	listWait = 500 * time.Millisecond
 
+	// startSpan is how long after its start a daemon lets requests wait for what it does not know yet, and
+	// startShare the part of its time that a request may wait. The control instances have mostly started at
+	// the same time and are about to answer.
+	startSpan  = 2 * time.Second
+	startShare = 0.5
+
 	// passage is the time in which an answer gets from the server to its caller; a server's own failure at
 	// the deadline still arrives.
 	passage = 2 * answerSlack
@@ -60,6 +67,7 @@
 		Zone    string
 		Service string // of the backend server beside this daemon
 		Seed    uint64
+		Started time.Time // of this daemon
 
 		RetryRatio  float64       // repeats per request that the fleet allows
 		RetryWindow time.Duration // over which they are counted
@@ -132,12 +140,13 @@
 
 // classify finds the route and the client account of a request under one snapshot of the configuration.
 func (p *Path) classify(ctx context.Context, r *Request, now time.Time) (*passing, *turned) {
-	snapshot := p.Control.Snapshot()
-	x := &passing{request: r, started: now, heard: snapshot.HeardAt}
+	x := &passing{request: r, started: now}
+	snapshot := p.config(ctx, x)
+	x.heard = snapshot.HeardAt
 	if snapshot.Rules == nil {
 		return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
 	}
-	set, fresh := snapshot.Rules, snapshot.Fresh(now)
+	set, fresh := snapshot.Rules, snapshot.Fresh(p.Clock.Now())
 	x.revision = set.Revision
 	route, ok := set.MatchHost(r.Host, r.Path)
 	if !ok {
@@ -151,7 +160,7 @@
 		if !fresh {
 			return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
 		}
-		granted, refused := p.takeToken(ctx, x.account)
+		granted, refused := p.takeToken(ctx, x)
 		if refused != nil {
 			return x, refused
 		}
@@ -160,10 +169,7 @@
 			x.rank = *x.account.Rank
 		}
 	}
-	allowed := r.Allowed
-	if allowed <= 0 {
-		allowed = defaultAllowed
-	}
+	allowed := r.allowed()
 	x.deadline = now.Add(min(allowed, route.Deadline))
 	x.fingerprint = crash.Fingerprint(r.Method, r.Target, x.accountName(), int64(len(r.Body)), r.Body)
 	if snapshot.Quarantined(x.fingerprint, now) {
@@ -176,6 +182,34 @@
 	return x, nil
 }
 
+// config returns the control state to serve a request by. A daemon that has just started lets it wait for the
+// first configuration.
+func (p *Path) config(ctx context.Context, x *passing) *snap.Snapshot {
+	snapshot, wait := p.Control.Snapshot(), p.patience(x)
+	if wait <= 0 || snapshot.Rules != nil && snapshot.Fresh(x.started) {
+		return snapshot
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	return p.Control.AwaitConfig(ctx)
+}
+
+// patience returns how long a request may wait for what a daemon that has just started does not know yet,
+// zero at any other daemon.
+func (p *Path) patience(x *passing) time.Duration {
+	now := p.Clock.Now()
+	most := time.Duration(startShare * float64(x.request.allowed()))
+	return max(min(startSpan-now.Sub(p.Started), most-now.Sub(x.started)), 0)
+}
+
+// allowed returns how long the caller waits.
+func (r *Request) allowed() time.Duration {
+	if r.Allowed <= 0 {
+		return defaultAllowed
+	}
+	return r.Allowed
+}
+
 // unlessStale refuses for good only under a configuration that is known to be in force.
 func unlessStale(fresh bool, failure retry.Failure) *turned {
 	if !fresh {
@@ -213,11 +247,12 @@
 }
 
 // takeToken counts a request against the rate of its client account; granted tells that a token was spent.
-func (p *Path) takeToken(ctx context.Context, account *rules.Account) (granted bool, refused *turned) {
+func (p *Path) takeToken(ctx context.Context, x *passing) (granted bool, refused *turned) {
+	account := x.account
 	if account.Rate.Count == 0 {
 		return false, nil
 	}
-	wait := tokenWait
+	wait := max(tokenWait, p.patience(x))
 	if p.Clock.Now().Sub(p.Control.Snapshot().HeardAt) > unheardAfter {
 		wait = tokenGlance // nobody is there to grant any
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -97,7 +97,7 @@
 	lanes := &Lanes{Clock: clk, Dialer: dialer, Log: log}
 	path := &Path{
 		Clock: clk, Control: control, Dialect: dialect, Lanes: lanes, Beside: beside, Meter: m,
-		Log: requests, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed,
+		Log: requests, Own: o.Own, Zone: o.Zone, Service: o.Service, Seed: o.Seed, Started: clk.Now(),
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
 	limits := o.Limits
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -77,6 +78,49 @@
 	assert.Equal(t, w.ask(w.daemons[0], "r", "/open/echo", "", "").StatusCode, 200)
 }
 
+// Replays a restart of the whole fleet, in which callers press while the configuration is on its way. Guards
+// against refusals that callers use their only repeat for, and against holding requests long after the start.
+func TestRequestsWaitForTheFirstConfig(t *testing.T) {
+	w := newWorld(t, 1)
+	set := w.control.set
+	setRules := func(to *rules.Set) {
+		w.control.mu.Lock()
+		defer w.control.mu.Unlock()
+		w.control.set = to
+	}
+	setRules(nil)
+	w.daemons[0].relay.Front.Path.Started = time.Now()
+	time.AfterFunc(200*time.Millisecond, func() { setRules(set) })
+	assert.Equal(t, w.ask(w.daemons[0], "r1", "/keyed/echo", "Key: rich-key\r\n", "").StatusCode, 200)
+
+	setRules(nil)
+	began := time.Now()
+	assert.Equal(t, w.ask(w.daemons[0], "r2", "/open/echo", "Left: 100ms\r\n", "").Header.Get("Reason"), "stale-config")
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "held for %s of 100ms", time.Since(began))
+
+	w.daemons[0].relay.Front.Path.Started = time.Now().Add(-startSpan)
+	began = time.Now()
+	assert.Equal(t, w.ask(w.daemons[0], "r3", "/open/echo", "", "").Header.Get("Reason"), "stale-config")
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond, "held for %s long after the start", time.Since(began))
+}
+
+// Replays the moment after a restart of the whole fleet at which the configuration is there and the servers are
+// not all announced yet. Guards against refusals for want of a server that come too early.
+func TestRequestsWaitForTheFirstServer(t *testing.T) {
+	w := newWorld(t, 1)
+	w.daemons[0].relay.Front.Path.Started = time.Now()
+	w.control.mu.Lock()
+	list := w.control.list
+	w.control.list, w.control.version = nil, w.control.version+1
+	w.control.mu.Unlock()
+	time.AfterFunc(200*time.Millisecond, func() {
+		w.control.mu.Lock()
+		defer w.control.mu.Unlock()
+		w.control.list, w.control.version = list, w.control.version+1
+	})
+	assert.Equal(t, w.ask(w.daemons[0], "r1", "/open/echo", "", "").StatusCode, 200)
+}
+
 // Guards against refusing every keyed request while no control instance grants tokens.
 func TestGoesOnWithoutGrants(t *testing.T) {
 	w := newWorld(t, 1)
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -66,6 +66,7 @@
 	// Control is what the relay needs from the control loop.
 	Control interface {
 		Snapshot() *snap.Snapshot
+		AwaitConfig(ctx context.Context) *snap.Snapshot
 		TakeToken(ctx context.Context, account string) call.TokenVerdict
 		ReturnToken(account string)
 		Want(ctx context.Context, service string) *snap.Endpoints
