--- a/internal/root/relay/share/retries.go
+++ b/internal/root/relay/share/retries.go
@@ -8,7 +8,7 @@
 
 	// shedShare is the part of the fleet's ratio that daemons use at one level of the call graph for requests
 	// that a server has shed. They have made no calls.
-	shedShare = 0.65
+	shedShare = 0.55
 
 	// lostShare is that part for requests whose answer was lost: a repeated request repeats the calls that it
 	// makes, which count at the services behind.
@@ -17,9 +17,6 @@
 	// failedShare is that part for requests that the server failed. The cause often lies in a call that was
 	// repeated already.
 	failedShare = 0.05
-
-	// totalShare is that part for all causes together; calls of repeated requests count at the services behind.
-	totalShare = 0.75
 )
 
 // Causes of a repeat.
@@ -36,9 +33,8 @@
 var shares = [...]float64{Shed: shedShare, Lost: lostShare, Failed: failedShare}
 
 type (
-	// Retries is the budget of one daemon for the requests that it sends again to one service. It follows the
-	// requests of the window, of the one before it, or of the one half a window before it, whichever has most:
-	// a service that sheds gets fewer requests, because those that call it fail.
+	// Retries is the budget of one daemon for the requests that it sends again to one service. The requests
+	// of the window before count too, so that a fall in traffic does not take the budget away at once.
 	//
 	// Repeats for each cause have a budget of their own.
 	Retries struct {
@@ -68,33 +64,19 @@
 // Repeat counts and allows one more send of a request, or refuses it.
 func (r *Retries) Repeat(now time.Time, cause Cause) bool {
 	r.move(now)
-	firsts := max(r.firsts(0), r.firsts(buckets/2), r.firsts(buckets))
-	repeats, total := 0, 0
+	firsts, repeats := 0, 0
 	for i := range int64(buckets) {
-		for each, n := range r.at(r.epoch - i).repeats {
-			total += n
-			if Cause(each) == cause {
-				repeats += n
-			}
-		}
+		slot := r.at(r.epoch - i)
+		firsts += slot.firsts
+		repeats += slot.repeats[cause]
 	}
-	budget := r.Ratio * float64(firsts)
-	if float64(repeats+1) > max(shares[cause]*budget, 1) || repeats > 0 && float64(total+1) > totalShare*budget {
+	if float64(repeats+1) > max(shares[cause]*r.Ratio*float64(firsts), 1) {
 		return false
 	}
 	r.at(r.epoch).repeats[cause]++
 	return true
 }
 
-// firsts returns the requests of the window that ended the given number of buckets ago.
-func (r *Retries) firsts(ago int64) int {
-	sum := 0
-	for i := range int64(buckets) {
-		sum += r.at(r.epoch - ago - i).firsts
-	}
-	return sum
-}
-
 // move drops the buckets that are older than two windows.
 func (r *Retries) move(now time.Time) {
 	width := int64(max(r.Window/buckets, time.Millisecond))
