--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -21,6 +21,10 @@
 	easyShare   = 0.55
 	hastyFactor = 4
 
+	// waitFactor is what a wait for a slot counts more than the same time in a run. A wait of about one run time
+	// makes those who call the service take fewer requests, so that room elsewhere has to be used before.
+	waitFactor = 5
+
 	// failCost is what a server that failed all recent requests has to be faster by.
 	failCost = 2 * time.Second
 
@@ -292,10 +296,12 @@
 
 func (s *server) cost(now time.Time, ask Ask, typical usual) time.Duration {
 	run := s.run(now, ask.Route, typical)
-	cost := run + s.wait(now, run)
+	wait := s.wait(now, run)
+	cost := run + wait
 	if easy := time.Duration(easyShare * float64(ask.Left)); ask.Left > 0 && cost > easy {
 		cost += hastyFactor * (cost - easy)
 	}
+	cost += (waitFactor - 1) * wait
 	if s.endpoint.Zone != ask.Zone {
 		cost += max(time.Duration(awayShare*float64(ask.Objective)), minAway)
 	}
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -185,3 +185,21 @@
 	b.Done(t0.Add(500*time.Millisecond), "s0", "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
 	assert.Equal(t, choose(t, b, t0.Add(600*time.Millisecond)), "s0")
 }
+
+// Replays an incident: the service has room in another availability zone only, and all who call it are in the
+// own one. Guards against callers that are cut back for a wait of two run times while a server stands idle.
+func TestUsesRoomElsewhereBeforeCallersAreCutBack(t *testing.T) {
+	b := board()
+	const run = 20 * time.Millisecond
+	ask := Ask{Route: "r", Objective: 300 * time.Millisecond, Left: 700 * time.Millisecond, Zone: "a", Urgent: true}
+	for i, wait := range []time.Duration{2 * run, 2 * run, 0} {
+		for range 10 {
+			b.Done(t0, fmt.Sprint("s", i), "r", &Report{Slots: 10, Running: 10, Wait: wait, Run: run}, Served{})
+		}
+	}
+	endpoint, _ := b.Choose(t0, ask)
+	assert.Equal(t, endpoint.ID, "s2")
+	b.Done(t0, "s0", "r", &Report{Slots: 10, Running: 9, Run: 2 * run}, Served{}) // room again, though slower
+	endpoint, _ = b.Choose(t0, ask)
+	assert.Equal(t, endpoint.ID, "s0")
+}
