--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -287,6 +287,9 @@
 		Account: j.account, Caller: j.caller,
 	}}
 	response, notes, err := s.pool.do(ctx, x)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		err = fmt.Errorf("%w: %w", context.Canceled, err) // says nothing about the server
+	}
 	result, ended := b.judge(ctx, s, j, response, notes, err)
 	b.done(s, ticket, result, err)
 	return ended, b.report(s, j)
--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -156,6 +156,10 @@
 	if failure := x.identify(set, r.Key); failure != nil {
 		return x, unlessStale(fresh, failure)
 	}
+	x.fingerprint = crash.Fingerprint(r.Method, r.Target, x.accountName(), int64(len(r.Body)), r.Body)
+	if snapshot.Quarantined(x.fingerprint, now) {
+		return x, &turned{failure: retry.Quarantined{}, after: rateAfter}
+	}
 	if x.account != nil {
 		if !fresh {
 			return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
@@ -171,10 +175,6 @@
 	}
 	allowed := r.allowed()
 	x.deadline = now.Add(min(allowed, route.Deadline))
-	x.fingerprint = crash.Fingerprint(r.Method, r.Target, x.accountName(), int64(len(r.Body)), r.Body)
-	if snapshot.Quarantined(x.fingerprint, now) {
-		return x, &turned{failure: retry.Quarantined{}, after: rateAfter}
-	}
 	x.service = route.Service
 	if len(route.Parts) > 0 {
 		x.service = p.split(route)
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -436,6 +437,20 @@
 	assert.Equal(t, refused.Header.Get("Outcome"), "not-run")
 }
 
+// Guards against a client account whose rate is used up by requests that are refused as quarantined.
+func TestQuarantinedRequestTakesNoToken(t *testing.T) {
+	w := newWorld(t, 1)
+	fingerprint := crash.Fingerprint(http.MethodGet, "/keyed/crash", "rich", 0, nil)
+	w.control.mu.Lock()
+	w.control.blocked = map[string]wire.Stamp{fingerprint: wire.StampOf(time.Now().Add(time.Minute))}
+	w.control.mu.Unlock()
+	refused := w.ask(w.daemons[0], "r", "/keyed/crash", "Key: rich-key\r\n", "")
+	assert.Equal(t, refused.Header.Get("Reason"), "quarantined")
+	w.control.mu.Lock()
+	defer w.control.mu.Unlock()
+	assert.Equal(t, w.control.taken, 0)
+}
+
 // Guards against a server that stays out of use because the one request that was to find out whether it
 // answers again was turned away by the gate.
 func TestSilentServerIsTriedAgain(t *testing.T) {
@@ -462,3 +477,24 @@
 	b.mu.Unlock()
 	assert.Equal(t, w.ask(w.daemons[0], "t", "/once/echo", "", "").StatusCode, 200)
 }
+
+// Replays callers that leave, one after the other. Guards against a server that counts as silent because nobody
+// waited for its answers.
+func TestCallersThatLeaveDoNotMakeAServerSilent(t *testing.T) {
+	w := newWorld(t, 1)
+	b := w.daemons[0].relay.Beside
+	for i := range silentLimit + 1 {
+		now := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		j := &job{
+			service: "shop", route: "/open/", arrived: now, deadline: now.Add(time.Second),
+			request: &Request{ID: fmt.Sprint("left", i), Method: http.MethodGet, Target: "/open/slow?ms=300", Host: "shop.example", Header: http.Header{}},
+		}
+		time.AfterFunc(20*time.Millisecond, cancel)
+		b.serve(ctx, j)
+		cancel()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	assert.Equal(t, b.current.silent, 0)
+}
--- a/internal/root/relay/world_test.go
+++ b/internal/root/relay/world_test.go
@@ -53,6 +53,7 @@
 		version  uint64
 		silent   bool // nobody grants tokens
 		returned int
+		taken    int // tokens
 		crashes  [][]string
 		blocked  map[string]wire.Stamp // quarantine
 	}
@@ -132,6 +133,7 @@
 func (f *fakeControl) TakeToken(ctx context.Context, account string) call.TokenVerdict {
 	f.mu.Lock()
 	silent := f.silent
+	f.taken++
 	f.mu.Unlock()
 	switch {
 	case account == "poor":
