--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -33,11 +33,12 @@
 	// listWait bounds the wait for the first list of a service's servers.
 	listWait = 500 * time.Millisecond
 
-	// startSpan is how long after its start a daemon lets requests wait for what it does not know yet, and
-	// startShare the part of its time that a request may wait. The control instances have mostly started at
-	// the same time and are about to answer.
+	// startSpan is how long after its start a daemon lets requests wait for what it does not know yet. The
+	// control instances have mostly started at the same time and are about to answer. A request waits for
+	// startShare of its time and for startWait at most, because its route may allow less than its caller.
 	startSpan  = 2 * time.Second
 	startShare = 0.5
+	startWait  = time.Second
 
 	// passage is the time in which an answer gets from the server to its caller; a server's own failure at
 	// the deadline still arrives.
@@ -198,7 +199,11 @@
 // zero at any other daemon.
 func (p *Path) patience(x *passing) time.Duration {
 	now := p.Clock.Now()
-	most := time.Duration(startShare * float64(x.request.allowed()))
+	most := x.request.allowed()
+	if x.route != nil {
+		most = min(most, x.route.Deadline)
+	}
+	most = min(time.Duration(startShare*float64(most)), startWait)
 	return max(min(startSpan-now.Sub(p.Started), most-now.Sub(x.started)), 0)
 }
 
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -122,6 +122,19 @@
 	assert.Equal(t, w.ask(w.daemons[0], "r1", "/open/echo", "", "").StatusCode, 200)
 }
 
+// Guards against a request that a daemon which has just started holds for longer than its route allows.
+func TestStartKeepsToTheTimeOfTheRoute(t *testing.T) {
+	w := newWorld(t, 1)
+	path := w.daemons[0].relay.Front.Path
+	path.Started = time.Now()
+	x := &passing{request: &Request{Allowed: time.Minute}, started: time.Now()}
+	assert.Assert(t, path.patience(x) <= startWait)
+	x.route = &rules.Route{Deadline: 400 * time.Millisecond}
+	assert.Assert(t, path.patience(x) > 0 && path.patience(x) <= 200*time.Millisecond, "%s", path.patience(x))
+	x.started = x.started.Add(-200 * time.Millisecond)
+	assert.Equal(t, path.patience(x), time.Duration(0))
+}
+
 // Guards against refusing every keyed request while no control instance grants tokens.
 func TestGoesOnWithoutGrants(t *testing.T) {
 	w := newWorld(t, 1)
