--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -30,8 +30,9 @@
 	unheardAfter = 900 * time.Millisecond
 	tokenGlance  = 2 * time.Millisecond
 
-	// paceAfter is that age above which a daemon goes on at its own pace. A leader that answers and grants no
-	// token has none left: all daemons together would exceed the rate. Leaders are asked every 500 ms.
+	// paceAfter is the age of the leader's latest answer above which a daemon goes on at its own pace. A leader
+	// that answers and grants no token has none left, and the daemons' paces would come on top of the rate.
+	// The leader is asked every 500 ms.
 	paceAfter = 700 * time.Millisecond
 
 	// listWait bounds the wait for the first list of a service's servers.
@@ -165,21 +166,10 @@
 	if snapshot.Quarantined(x.fingerprint, now) {
 		return x, &turned{failure: retry.Quarantined{}, after: rateAfter}
 	}
-	if x.account != nil {
-		if !fresh {
-			return x, &turned{failure: retry.StaleConfig{}, after: noServerAfter}
-		}
-		granted, refused := p.takeToken(ctx, x)
-		if refused != nil {
-			return x, refused
-		}
-		x.granted = granted
-		if x.account.Rank != nil {
-			x.rank = *x.account.Rank
-		}
+	if refused := p.charge(ctx, x, fresh); refused != nil {
+		return x, refused
 	}
-	allowed := r.allowed()
-	x.deadline = now.Add(min(allowed, route.Deadline))
+	x.deadline = now.Add(min(r.allowed(), route.Deadline))
 	x.service = route.Service
 	if len(route.Parts) > 0 {
 		x.service = p.split(route)
@@ -187,6 +177,26 @@
 	return x, nil
 }
 
+// charge counts a request against its client account. A key may have been withdrawn under a newer configuration,
+// so that one which is not known to be in force admits nobody.
+func (p *Path) charge(ctx context.Context, x *passing, fresh bool) *turned {
+	if x.account == nil {
+		return nil
+	}
+	if !fresh {
+		return &turned{failure: retry.StaleConfig{}, after: noServerAfter}
+	}
+	granted, refused := p.takeToken(ctx, x)
+	if refused != nil {
+		return refused
+	}
+	x.granted = granted
+	if x.account.Rank != nil {
+		x.rank = *x.account.Rank
+	}
+	return nil
+}
+
 // config returns the control state to serve a request by. A daemon that has just started lets it wait for the
 // first configuration.
 func (p *Path) config(ctx context.Context, x *passing) *snap.Snapshot {
