--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -279,7 +279,7 @@
 		halves := float64(now.Sub(known.at)) / float64(runHalf)
 		run = typical.least + time.Duration(float64(known.mean-typical.least)*math.Exp2(-halves))
 	}
-	if silent := now.Sub(s.progress); s.open > 0 && silent > max(silentRuns*s.longest(), minSilence) {
+	if silent := now.Sub(s.progress); s.open > 0 && silent > minSilence && silent > silentRuns*s.longest() {
 		run = max(run, silent)
 	}
 	return run
