--- a/internal/root/ctrl/open_test.go
+++ b/internal/root/ctrl/open_test.go
@@ -13,6 +13,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
 )
 
 // newOpenFleet starts control instances that find each other by three seeds, and two daemons.
@@ -151,6 +152,15 @@
 	f.until("the new disk has the configuration", func() bool { return f.loops[lost].voter.revision() == 3 })
 }
 
+// Guards against an instance with an emptied disk that reports itself as a voter while only its old disk
+// is one: the loss of another instance would then leave no majority.
+func TestEmptiedDiskIsALearnerUntilItVotes(t *testing.T) {
+	status := raft.Status{Voters: []raft.Voter{{Name: "c1", Disk: "old"}, {Name: "c2", Disk: "two"}, {Name: "c3", Disk: "three"}}}
+	assert.Equal(t, roleOf(status), admin.RoleLearner)
+	status.Admitted = true
+	assert.Equal(t, roleOf(status), admin.RoleFollower)
+}
+
 // Guards against a group that stays smaller after a control instance was replaced by one at another
 // address, with and without notice.
 func TestOpenGroupReplacesAnInstance(t *testing.T) {
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -118,7 +118,7 @@
 	}
 	if l.voter != nil {
 		member := l.voter.node.Status()
-		status.Role, status.Term = roleOf(member, l.voter.name), member.Term
+		status.Role, status.Term = roleOf(member), member.Term
 		for _, voter := range member.Voters {
 			status.Voters = append(status.Voters, voter.Name)
 		}
@@ -129,7 +129,9 @@
 	return status
 }
 
-func roleOf(status raft.Status, name string) admin.Role {
+// roleOf calls a member a follower only when its own disk votes: the voter of its name may be the disk
+// that it has lost.
+func roleOf(status raft.Status) admin.Role {
 	switch {
 	case status.Failed != "" || status.Fenced:
 		return admin.RoleFailed
@@ -137,7 +139,7 @@
 		return admin.RoleLeader
 	case status.Role == raft.Candidate || status.Role == raft.PreCandidate:
 		return admin.RoleCandidate
-	case !slices.ContainsFunc(status.Voters, func(v raft.Voter) bool { return v.Name == name }):
+	case !status.Admitted:
 		return admin.RoleLearner
 	}
 	return admin.RoleFollower
