--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -28,9 +28,14 @@
 	// failCost is what a server that failed all recent requests has to be faster by.
 	failCost = 2 * time.Second
 
-	// failWeight is the weight of one result in the share of failures, which halves in failHalf.
-	failWeight = 0.15
-	failHalf   = 2 * time.Second
+	// failHalf is the time in which the results of a server lose half of their weight in its share of failures.
+	// failPrior is the number of answers that every server counts as having given beside them, so that one lost
+	// answer does not turn all requests away from a server.
+	failHalf  = 2 * time.Second
+	failPrior = 12
+
+	// failsMost is the share of failures from which on a server is not explored.
+	failsMost = 0.7
 
 	// reportAge is the time after which a report of a server's load says nothing any more.
 	reportAge = 700 * time.Millisecond
@@ -110,8 +115,9 @@
 		open     int       // requests in progress
 		progress time.Time // since when none of them has ended
 		runs     map[string]runTime
-		failing  float64 // share of recent failures
-		failedAt time.Time
+		ended    float64 // recent results, and the failures among them, as of endedAt
+		failed   float64
+		endedAt  time.Time
 		downTill time.Time
 		downs    int // times in a row that the server could not be reached
 		leaving  bool
@@ -206,7 +212,7 @@
 		if known >= newFor && s.endpoint.Zone != ask.Zone {
 			continue
 		}
-		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < 0.9 && b.random.IntN(4) == 0 {
+		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < failsMost && b.random.IntN(4) == 0 {
 			return s
 		}
 	}
@@ -336,16 +342,19 @@
 	return wait
 }
 
+// note counts one result.
 func (s *server) note(now time.Time, failed float64) {
-	share := s.share(now)
-	s.failing, s.failedAt = share+failWeight*(failed-share), now
+	weight := s.weight(now)
+	s.ended, s.failed, s.endedAt = s.ended*weight+1, s.failed*weight+failed, now
 }
 
 // share returns the share of recent failures, which fades while nothing is reported.
 func (s *server) share(now time.Time) float64 {
-	if s.failedAt.IsZero() || s.failing == 0 {
-		return 0
-	}
-	halves := float64(max(now.Sub(s.failedAt), 0)) / float64(failHalf)
-	return s.failing * math.Exp2(-halves)
+	weight := s.weight(now)
+	return s.failed * weight / (s.ended*weight + failPrior)
+}
+
+// weight returns what the results counted so far weigh now.
+func (s *server) weight(now time.Time) float64 {
+	return math.Exp2(-float64(max(now.Sub(s.endedAt), 0)) / float64(failHalf))
 }
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -203,3 +203,31 @@
 	endpoint, _ = b.Choose(t0, ask)
 	assert.Equal(t, endpoint.ID, "s0")
 }
+
+// Replays a service of which one server loses 3 of 100 answers, another is slow and the third has no room
+// left. Guards against a server that is left for seconds after a single lost answer, while its callers are
+// turned away elsewhere.
+func TestServerThatLosesFewAnswersIsUsed(t *testing.T) {
+	b := board()
+	ask := Ask{Route: "r", Objective: 300 * time.Millisecond, Left: 700 * time.Millisecond, Zone: "a", Urgent: true}
+	reports := map[string]*Report{
+		"s0": {Slots: 10, Running: 3, Run: 20 * time.Millisecond},
+		"s1": {Slots: 10, Running: 9, Run: 50 * time.Millisecond},
+		"s2": {Slots: 10, Running: 10, Run: 20 * time.Millisecond, Wait: 12 * time.Millisecond},
+	}
+	const requests = 400
+	used := 0
+	for i := range requests {
+		now := t0.Add(time.Duration(i) * 10 * time.Millisecond)
+		endpoint, _ := b.Choose(now, ask)
+		if endpoint.ID == "s0" {
+			used++
+		}
+		if endpoint.ID == "s0" && used%33 == 10 {
+			b.Done(now, endpoint.ID, "r", nil, Missed{})
+			continue
+		}
+		b.Done(now, endpoint.ID, "r", reports[endpoint.ID], Served{})
+	}
+	assert.Assert(t, used > requests*9/10, "%d of %d requests", used, requests)
+}
