--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -51,7 +51,8 @@
 	// serverState is one start of the server.
 	serverState struct {
 		notice      Notice
-		start       string // tells this start from others
+		start       string    // tells this start from others
+		found       time.Time // when the daemon heard of it first
 		incarnation uint64
 		gate        *gate.Gate
 		pool        *pool
@@ -139,17 +140,25 @@
 	return n.Born != 0 && n.Born < known.Born
 }
 
-// startOf tells the starts of servers apart; a server may start again under its id. A server that was found
-// by its health answer, which does not say when it started, is the one that says so later.
+// startOf tells the starts of servers apart; a server may start again under its id.
 func (b *Beside) startOf(n Notice) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.current; s != nil && s.notice.Born == 0 && s.notice.Instance == n.Instance {
+	if s := b.current; s != nil && s.isOf(n) {
 		return s.start
 	}
 	return fmt.Sprintf("%s/%d", n.Instance, n.Born)
 }
 
+// isOf reports whether a notice comes from this start of the server. A start that was found by its health
+// answer has not said when it was; it is that of the notice, unless the notice tells of a later one.
+func (s *serverState) isOf(n Notice) bool {
+	if s.notice.Instance != n.Instance {
+		return false
+	}
+	return s.notice.Born == n.Born || s.notice.Born == 0 && n.Born <= s.found.UnixMilli()
+}
+
 // ready puts a server in place, a new start with a new gate and new connections.
 func (b *Beside) ready(n Notice, start string, incarnation uint64) {
 	b.mu.Lock()
@@ -167,7 +176,7 @@
 		b.retire(old)
 	}
 	b.current = &serverState{
-		notice: n, start: start, incarnation: incarnation, gate: gate.New(int(n.Slots)),
+		notice: n, start: start, found: b.Clock.Now(), incarnation: incarnation, gate: gate.New(int(n.Slots)),
 		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
@@ -191,7 +200,7 @@
 	known := s != nil && s.notice.Instance == n.Instance
 	if known && !s.leaving {
 		s.leaving = true
-		s.notice.Sequence = n.Sequence
+		s.notice.Sequence = max(s.notice.Sequence, n.Sequence)
 		b.flush(s, turned{failure: retry.Draining{}})
 		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("backend-server-leaving")
 	}
