--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -34,6 +34,11 @@
 	marginRun = 1.2
 	spanShare = 0.85
 
+	// overdueRuns is the number of average run times after which the answer of a run is taken for lost once
+	// overtakenBy runs of its route that started later have ended. Both tell it from a server that is slow.
+	overdueRuns = 6
+	overtakenBy = 16
+
 	// strainUnit is the least run time that a wait is compared with.
 	strainUnit = 20 * time.Millisecond
 
@@ -58,8 +63,10 @@
 		Objective time.Time // answers until then count in full
 		Deadline  time.Time // answers after it are worthless
 
-		state   state
-		started time.Time
+		state     state
+		started   time.Time
+		overtaken int  // runs of its route that started later and have ended
+		overdue   bool // its answer is taken for lost
 	}
 
 	// Decision is Admitted, Queued or Refused.
@@ -105,6 +112,7 @@
 	Gate struct {
 		slots   int // that are used
 		running int
+		overdue int // runs that are not counted in running any more
 		waiting int
 		classes []*class // the most urgent first
 		routes  map[string]*route
@@ -255,16 +263,23 @@
 		return
 	}
 	t.state = done
-	g.running--
 	r := g.route(t.Route)
-	r.inFlight--
+	if t.overdue {
+		g.overdue--
+	} else {
+		g.running--
+		r.inFlight--
+	}
+	_, ran := result.(Ran)
+	r.remove(t, ran)
 	took := now.Sub(t.started)
 	switch result.(type) {
 	case Ran:
 		r.mean, g.run = average(r.mean, took), average(g.run, took)
 	case Shed:
 	case Aborted:
-		if took >= r.mean { // tells that a run takes at least this long
+		// Tells that a run takes at least this long, unless others have shown that it does not.
+		if took >= r.mean && t.overtaken < overtakenBy {
 			r.mean, g.run = average(r.mean, took), average(g.run, took)
 		}
 	}
@@ -273,6 +288,31 @@
 	}
 }
 
+// Started returns when the request got its slot.
+func (t *Ticket) Started() time.Time { return t.started }
+
+// Overdue returns the runs whose answer is taken for lost from now on, and gives their slots to others.
+// Done has to be called for them nevertheless.
+func (g *Gate) Overdue(now time.Time) []*Ticket {
+	var all []*Ticket
+	for _, r := range g.routes {
+		for _, t := range r.running {
+			if g.overdue >= g.slots/2 || now.Sub(t.started) < overdueRuns*r.mean {
+				break
+			}
+			if t.overdue || t.overtaken < overtakenBy {
+				continue
+			}
+			t.overdue = true
+			g.overdue++
+			g.running--
+			r.inFlight--
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
 // Called reports the strain that a call of this server has met at the service it went to.
 func (g *Gate) Called(now time.Time, strain float64) {
 	known := g.strainBehind(now)
@@ -317,8 +357,8 @@
 	}
 }
 
-// Running returns the number of requests in the server.
-func (g *Gate) Running() int { return g.running }
+// Running returns the number of requests in the server, with those whose answer is taken for lost.
+func (g *Gate) Running() int { return g.running + g.overdue }
 
 // Waiting returns the number of requests in the queue.
 func (g *Gate) Waiting() int { return g.waiting }
@@ -338,6 +378,7 @@
 	t.state, t.started = running, now
 	g.running++
 	r.inFlight++
+	r.running = append(r.running, t)
 }
 
 // ahead counts the waiting requests that go before a new one of the class.
--- a/internal/root/relay/gate/route.go
+++ b/internal/root/relay/gate/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -38,6 +39,7 @@
 	limit    float64       // runs at the same time
 	most     float64
 	inFlight int
+	running  []*Ticket // in the order of their starts, with those that are overdue
 	changed  time.Time // when the limit was changed last
 }
 
@@ -49,6 +51,20 @@
 // outer requests hold slots already.
 func (r *route) open(t *Ticket) bool { return t.Nested || float64(r.inFlight) < r.limit }
 
+// remove takes a run out that has ended. If it ran, it has overtaken those that started before it.
+func (r *route) remove(t *Ticket, ran bool) {
+	at := slices.Index(r.running, t)
+	if at < 0 {
+		return
+	}
+	if ran {
+		for _, earlier := range r.running[:at] {
+			earlier.overtaken++
+		}
+	}
+	r.running = slices.Delete(r.running, at, at+1)
+}
+
 // expected returns the run time to reckon with.
 func (r *route) expected(overall time.Duration) time.Duration {
 	if r.mean == 0 {
