--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -21,10 +21,6 @@
 	// rateSpan is the time over which arrivals are averaged.
 	rateSpan = time.Second
 
-	// minRateShare is the part of the server's rate that the least urgent class counts on, however busy the
-	// more urgent ones are.
-	minRateShare = 0.05
-
 	// nestedShare is the part of its objective for which a nested call may wait: its outer request makes
 	// several calls, and has a deadline of its own.
 	nestedShare = 0.7
@@ -34,11 +30,6 @@
 	marginRun = 1.2
 	spanShare = 0.85
 
-	// overdueRuns is the number of average run times after which the answer of a run is taken for lost once
-	// overtakenBy runs of its route that started later have ended. Both tell it from a server that is slow.
-	overdueRuns = 6
-	overtakenBy = 16
-
 	// strainUnit is the least run time that a wait is compared with.
 	strainUnit = 20 * time.Millisecond
 
@@ -128,6 +119,7 @@
 		rank     int
 		queue    []*Ticket
 		arrivals rate
+		owed     float64 // starts that are due to it
 	}
 
 	// rate is an average of events per second that decays with time.
@@ -209,6 +201,7 @@
 
 // Next starts what there is room for and returns it, and drops what can no longer be served in time.
 func (g *Gate) Next(now time.Time) (started, dropped []*Ticket) {
+	started = g.startOwed(now)
 	for _, c := range g.classes {
 		kept := c.queue[:0]
 		for _, t := range c.queue {
@@ -288,31 +281,6 @@
 	}
 }
 
-// Started returns when the request got its slot.
-func (t *Ticket) Started() time.Time { return t.started }
-
-// Overdue returns the runs whose answer is taken for lost from now on, and gives their slots to others.
-// Done has to be called for them nevertheless.
-func (g *Gate) Overdue(now time.Time) []*Ticket {
-	var all []*Ticket
-	for _, r := range g.routes {
-		for _, t := range r.running {
-			if g.overdue >= g.slots/2 || now.Sub(t.started) < overdueRuns*r.mean {
-				break
-			}
-			if t.overdue || t.overtaken < overtakenBy {
-				continue
-			}
-			t.overdue = true
-			g.overdue++
-			g.running--
-			r.inFlight--
-			all = append(all, t)
-		}
-	}
-	return all
-}
-
 // Called reports the strain that a call of this server has met at the service it went to.
 func (g *Gate) Called(now time.Time, strain float64) {
 	known := g.strainBehind(now)
@@ -379,6 +347,7 @@
 	g.running++
 	r.inFlight++
 	r.running = append(r.running, t)
+	g.owe(t)
 }
 
 // ahead counts the waiting requests that go before a new one of the class.
@@ -401,7 +370,7 @@
 func (g *Gate) predict(now time.Time, own *class, r *route, ahead int) time.Duration {
 	wait := time.Duration(0)
 	if g.running >= g.slots || ahead > 0 {
-		wait = g.drain(now, own, ahead)
+		wait = min(g.drain(now, own, ahead), g.floorWait(own))
 	}
 	return max(wait, r.wait(own.waitingOf(r.name)))
 }
@@ -420,7 +389,7 @@
 		}
 		left -= c.arrivals.now(now)
 	}
-	left = max(left, perSecond*minRateShare)
+	left = max(left, perSecond*floorShare)
 	// The first of them gets the place of the run that ends next.
 	return time.Duration((float64(n) + 1) / left * float64(time.Second))
 }
