--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -25,14 +25,17 @@
 	// makes those who call the service take fewer requests, so that room elsewhere has to be used before.
 	waitFactor = 5
 
-	// failCost is what a server that failed all recent requests has to be faster by.
+	// failCost is what a server that failed all recent requests has to be faster by, if the request has that
+	// much time left: more than its time a failure cannot cost.
 	failCost = 2 * time.Second
 
 	// failHalf is the time in which the results of a server lose half of their weight in its share of failures.
 	// failPrior is the number of answers that every server counts as having given beside them, so that one lost
-	// answer does not turn all requests away from a server.
-	failHalf  = 2 * time.Second
+	// answer does not turn all requests away from a server. No more than failMost results count, so that a
+	// server which has failed for a while is used again a few seconds later.
+	failHalf  = time.Second
 	failPrior = 12
+	failMost  = 40
 
 	// failsMost is the share of failures from which on a server is not explored.
 	failsMost = 0.7
@@ -311,7 +314,11 @@
 	if s.endpoint.Zone != ask.Zone {
 		cost += max(time.Duration(awayShare*float64(ask.Objective)), minAway)
 	}
-	cost += time.Duration(s.share(now) * float64(failCost))
+	failure := failCost
+	if ask.Left > 0 {
+		failure = min(failure, ask.Left)
+	}
+	cost += time.Duration(s.share(now) * float64(failure))
 	if s.leaving {
 		cost += time.Minute
 	}
@@ -345,6 +352,9 @@
 // note counts one result.
 func (s *server) note(now time.Time, failed float64) {
 	weight := s.weight(now)
+	if over := s.ended*weight + 1 - failMost; over > 0 {
+		weight *= 1 - over/(s.ended*weight)
+	}
 	s.ended, s.failed, s.endedAt = s.ended*weight+1, s.failed*weight+failed, now
 }
 
--- a/internal/root/relay/place/board_test.go
+++ b/internal/root/relay/place/board_test.go
@@ -231,3 +231,23 @@
 	}
 	assert.Assert(t, used > requests*9/10, "%d of %d requests", used, requests)
 }
+
+// Replays the end of an outage in which all servers failed, the own one most. Guards against requests that go to
+// another availability zone for many seconds after the own server answers again.
+func TestServerIsUsedAgainSoonAfterItFailed(t *testing.T) {
+	b := board()
+	ask := Ask{Route: "r", Objective: 1500 * time.Millisecond, Left: 5 * time.Second, Zone: "a", Urgent: true}
+	for range 300 {
+		b.Done(t0, "s0", "r", nil, Missed{})
+	}
+	now, first := t0, time.Duration(0)
+	for first == 0 && now.Sub(t0) < 20*time.Second {
+		now = now.Add(50 * time.Millisecond)
+		endpoint, _ := b.Choose(now, ask)
+		if endpoint.ID == "s0" {
+			first = now.Sub(t0)
+		}
+		b.Done(now, endpoint.ID, "r", &Report{Slots: 10, Run: 100 * time.Millisecond}, Served{})
+	}
+	assert.Assert(t, first > 500*time.Millisecond && first < 5*time.Second, "used again after %s", first)
+}
