--- a/internal/root/relay/gate/route.go
+++ b/internal/root/relay/gate/route.go
@@ -14,7 +14,7 @@
 	// as a part of itself, and regain the same once the services behind are hardly strained any more.
 	decrease = 0.88
 	increase = 0.06
-	regain   = 0.8
+	regain   = 0.3
 
 	// limitStep is the time between two changes of a limit: what a change does to the services behind is
 	// seen after about one run.
