--- a/internal/root/relay/path.go
+++ b/internal/root/relay/path.go
@@ -272,7 +272,7 @@
 		return false, nil
 	}
 	wait := max(tokenWait, p.patience(x))
-	if p.Clock.Now().Sub(p.Control.Snapshot().HeardAt) > unheardAfter {
+	if p.silence() > unheardAfter {
 		wait = tokenGlance // nobody is there to grant any
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -289,12 +289,15 @@
 	case call.TokenRefused:
 		return false, &turned{failure: retry.Rate{}, after: rateAfter}
 	}
-	if now.Sub(p.Control.Snapshot().HeardAt) > paceAfter && pace.Take(now, account.Rate.PerSecond()) {
+	if p.silence() > paceAfter && pace.Take(now, account.Rate.PerSecond()) {
 		return false, nil
 	}
 	return false, &turned{failure: retry.RateUnavailable{}, after: noServerAfter}
 }
 
+// silence returns how old the leader's latest answer is.
+func (p *Path) silence() time.Duration { return p.Clock.Now().Sub(p.Control.Snapshot().HeardAt) }
+
 // pace returns the pace of a client account at this daemon; the lock is held.
 func (p *Path) pace(account string) *share.Pace {
 	if p.paces == nil {
