--- a/internal/root/relay/place/board.go
+++ b/internal/root/relay/place/board.go
@@ -31,14 +31,14 @@
 
 	// failHalf is the time in which the results of a server lose half of their weight in its share of failures.
 	// failPrior is the number of answers that every server counts as having given beside them, so that one lost
-	// answer does not turn all requests away from a server. No more than failMost results count, so that a
+	// answer does not turn all requests away from a server. No more than maxResults of them count, so that a
 	// server which has failed for a while is used again a few seconds later.
-	failHalf  = time.Second
-	failPrior = 12
-	failMost  = 40
+	failHalf   = time.Second
+	failPrior  = 12
+	maxResults = 40
 
-	// failsMost is the share of failures from which on a server is not explored.
-	failsMost = 0.7
+	// maxExplored is the share of failures up to which a server is explored.
+	maxExplored = 0.7
 
 	// reportAge is the time after which a report of a server's load says nothing any more.
 	reportAge = 700 * time.Millisecond
@@ -215,7 +215,7 @@
 		if known >= newFor && s.endpoint.Zone != ask.Zone {
 			continue
 		}
-		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < failsMost && b.random.IntN(4) == 0 {
+		if s != best && quiet && !s.leaving && now.After(s.downTill) && s.share(now) < maxExplored && b.random.IntN(4) == 0 {
 			return s
 		}
 	}
@@ -352,7 +352,7 @@
 // note counts one result.
 func (s *server) note(now time.Time, failed float64) {
 	weight := s.weight(now)
-	if over := s.ended*weight + 1 - failMost; over > 0 {
+	if over := s.ended*weight + 1 - maxResults; over > 0 {
 		weight *= 1 - over/(s.ended*weight)
 	}
 	s.ended, s.failed, s.endedAt = s.ended*weight+1, s.failed*weight+failed, now
