--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -65,7 +65,6 @@
 		Body        []byte        `protobuf:"bytes,16,opt,name=body,proto3"`
 		More        bool          `protobuf:"varint,17,opt,name=more,proto3"` // parts of the body follow
 		Fingerprint string        `protobuf:"bytes,18,opt,name=fingerprint,proto3"`
-		Repeatable  bool          `protobuf:"varint,19,opt,name=repeatable,proto3"` // sent again once its answer is taken for lost
 	}
 
 	// Part continues the body of a Send or a Reply.
--- a/internal/root/relay/pass.go
+++ b/internal/root/relay/pass.go
@@ -83,7 +83,6 @@
 		ID: x.request.ID, Service: x.service, Route: x.route.Name, Account: x.accountName(), Caller: p.caller(),
 		Nested: x.nested, Rank: uint32(max(x.rank, 0)), Age: now.Sub(x.started), Objective: x.route.Objective, Left: left,
 		Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Fingerprint: x.fingerprint,
-		Repeatable: x.idempotent() && x.sends == 0 && x.route.Sends > 1,
 	}
 	if endpoint.Daemon == p.Own {
 		j := jobOf(now, send)
--- a/internal/root/relay/serve.go
+++ b/internal/root/relay/serve.go
@@ -182,7 +182,7 @@
 	j := &job{
 		service: send.Service, route: send.Route, caller: send.Caller, account: send.Account,
 		fingerprint: send.Fingerprint, nested: send.Nested, rank: int(send.Rank),
-		arrived: arrived, deadline: now.Add(send.Left), repeatable: send.Repeatable,
+		arrived: arrived, deadline: now.Add(send.Left),
 		request: &Request{
 			ID: send.ID, Method: send.Method, Target: send.Target, Host: send.Host,
 			Header: headerOf(send.Header), Body: send.Body,
