--- a/internal/root/relay/beside.go
+++ b/internal/root/relay/beside.go
@@ -57,7 +57,6 @@
 		gate        *gate.Gate
 		pool        *pool
 		waiting     map[*gate.Ticket]chan admission
-		jobs        map[*gate.Ticket]*job // in the server
 		leaving     bool
 		downTill    time.Time
 		silent      int // runs in a row that ended without an answer
@@ -179,7 +178,7 @@
 	b.current = &serverState{
 		notice: n, start: start, found: b.Clock.Now(), incarnation: incarnation, gate: gate.New(int(n.Slots)),
 		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody},
-		waiting: map[*gate.Ticket]chan admission{}, jobs: map[*gate.Ticket]*job{},
+		waiting: map[*gate.Ticket]chan admission{},
 	}
 	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
 		Uint64("incarnation", incarnation).Msg("backend-server-ready")
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -47,7 +47,8 @@
 type (
 	// Ticket is one request at the gate; the gate owns the fields without a comment on their source.
 	Ticket struct {
-		Route     string    // set by the caller, as are the fields up to Deadline
+		Request   string // id for the log; set by the caller, as are the fields up to Deadline
+		Route     string
 		Nested    bool      // a call of another backend server, whose own request holds a slot already
 		Rank      int       // 0 is the most urgent
 		Arrived   time.Time // at the first daemon
--- a/internal/root/relay/run.go
+++ b/internal/root/relay/run.go
@@ -51,7 +51,6 @@
 		ID: j.request.ID, Allowed: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
 		Account: j.account, Caller: j.caller,
 	}}
-	b.begin(s, ticket, j)
 	response, notes, err := s.pool.do(ctx, x)
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = fmt.Errorf("%w: %w", context.Canceled, err) // says nothing about the server
@@ -175,7 +174,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.gate.Done(now, t, result)
-	delete(s.jobs, t)
 	var refused *net.OpError
 	switch {
 	case err == nil:
@@ -194,21 +192,12 @@
 	b.settle(now, s)
 }
 
-// begin remembers a run, to name it when its answer is taken for lost.
-func (b *Beside) begin(s *serverState, t *gate.Ticket, j *job) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s.jobs[t] = j
-}
-
 // yield gives the slots of runs whose answer is taken for lost to others; the answers are still waited for, as
 // a few runs are only long. The lock is held.
 func (b *Beside) yield(now time.Time, s *serverState) {
 	for _, t := range s.gate.Overdue(now) {
-		if j := s.jobs[t]; j != nil {
-			b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Str("instance", s.notice.Instance).
-				Dur("waited", now.Sub(t.Started())).Msg("answer-taken-for-lost")
-		}
+		b.Requests.Info().Str("request", t.Request).Str("route", t.Route).Str("instance", s.notice.Instance).
+			Dur("waited", now.Sub(t.Started())).Msg("answer-taken-for-lost")
 	}
 }
 
@@ -263,6 +252,6 @@
 
 func (j *job) ticket() *gate.Ticket {
 	return &gate.Ticket{
-		Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
+		Request: j.request.ID, Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
 	}
 }
