--- a/internal/opctl/examples_test.go
+++ b/internal/opctl/examples_test.go
@@ -17,6 +17,7 @@
 	for example, sizes := range map[string]map[string]size{
 		"quillhaven":     {"reader": {110, 750}, "scriptorium": {110, 750}, "bindery": {110, 750}, "kudos": {30, 280}},
 		"voix-du-fleuve": {"suivi": {100, 700}, "cachet": {130, 900}, "bobine": {130, 900}, "cabine": {30, 280}},
+		"chlodny-szlak":  {"katalog": {103, 718}, "kasa": {138, 928}, "rezerwacje": {138, 928}, "wydania": {19, 214}},
 	} {
 		t.Run(example, func(t *testing.T) {
 			folder := filepath.Join("../../examples", example)
