--- a/internal/bench/added.go
+++ b/internal/bench/added.go
@@ -14,6 +14,7 @@
 	Rate    int           `arg:"--rate" default:"0" help:"calls per second and kind over all callers; 0 calls without a pause"`
 	For     time.Duration `arg:"--for" default:"5s" help:"time for each row"`
 	Voters  []int         `arg:"--voters" help:"voters for run=once calls [default: 1 3]"`
+	NoReuse bool          `arg:"--no-reuse" help:"backend servers do not return the attempt, so that each request gets a new connection"`
 }
 
 // measureAdded compares the latency of calls through one and two daemons with that of direct calls by the same
@@ -48,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	backend.returnsAttempt = !c.NoReuse
 	for i, daemon := range daemons {
 		if err := backend.announce(ctx, daemon, serviceName(i)); err != nil {
 			return err
--- a/internal/bench/backend.go
+++ b/internal/bench/backend.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 )
 
@@ -22,6 +23,8 @@
 type stubBackend struct {
 	address string
 	server  *http.Server
+	// returnsAttempt is announced; without it the daemon opens a connection for each request.
+	returnsAttempt bool
 }
 
 func startStubBackend() (*stubBackend, error) {
@@ -30,9 +33,12 @@
 		return nil, fmt.Errorf("bind stub backend server: %w", err)
 	}
 	response := bytes.Repeat([]byte("a"), responseSize)
-	s := &stubBackend{address: listener.Addr().String(), server: &http.Server{
+	s := &stubBackend{address: listener.Addr().String(), returnsAttempt: true, server: &http.Server{
 		ReadHeaderTimeout: time.Second,
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(response) }),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(call.HeaderAttempt, r.Header.Get(call.HeaderAttempt))
+			_, _ = w.Write(response)
+		}),
 	}}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -42,7 +48,7 @@
 // when the daemon has accepted the first announcement.
 func (s *stubBackend) announce(ctx context.Context, node *Node, service string) error {
 	body, err := json.Marshal(member.Announcement{
-		Service: service, Address: s.address, Slots: 512, Connections: 1024, Start: "measurement",
+		Service: service, Address: s.address, Slots: 512, Connections: 1024, Start: "measurement", ReturnsAttempt: s.returnsAttempt,
 	})
 	if err != nil {
 		return fmt.Errorf("encode announcement: %w", err)
--- a/internal/daemon/quick.go
+++ b/internal/daemon/quick.go
@@ -18,6 +18,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/logs"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -109,6 +110,7 @@
 // serveStandIn handles requests as the stand-in backend server; the response names the client account.
 func serveStandIn(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(call.HeaderAttempt, r.Header.Get(call.HeaderAttempt))
 	_ = json.NewEncoder(w).Encode(map[string]string{
 		"method": r.Method, "path": r.URL.Path, "account": r.Header.Get("Buckthorn-Account"),
 	})
@@ -116,7 +118,7 @@
 
 // announce registers the stand-in backend server and renews its lease until ctx ends.
 func announce(ctx context.Context, local, address string) {
-	body := fmt.Sprintf(`{"service":"library","address":%q,"slots":16,"connections":64,"start":"%d-%d"}`,
+	body := fmt.Sprintf(`{"service":"library","address":%q,"slots":16,"connections":64,"start":"%d-%d","returns-attempt":true}`,
 		address, os.Getpid(), time.Now().UnixNano())
 	for ctx.Err() == nil {
 		delay := announceInterval
--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -38,6 +38,15 @@
 		transport *http.Transport
 		leaving   atomic.Bool
 		died      atomic.Bool
+
+		// returnsAttempt is set if each response names the attempt that it belongs to. Only then may a
+		// connection carry more than one request: any bytes of an earlier request, however late, would
+		// otherwise be taken for the next response.
+		returnsAttempt bool
+
+		// singleUse is set once a response has named another attempt. From then on each request gets its own
+		// connection, so that a server that repeats its responses loses no more of them.
+		singleUse atomic.Bool
 	}
 
 	// backends is the registry of the local backend servers, by instance id.
@@ -53,31 +62,36 @@
 )
 
 // register adds an endpoint that the control loop has accepted. An incarnation that is already registered
-// keeps its limiter and connections.
-func (b *backends) register(endpoint snap.Endpoint) {
+// keeps its limiter, and its connections unless returnsAttempt has changed.
+func (b *backends) register(endpoint snap.Endpoint, returnsAttempt bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byID == nil {
 		b.byID = make(map[string]*backend)
 	}
 	current := b.byID[endpoint.ID]
-	if current != nil && current.endpoint.Incarnation == endpoint.Incarnation {
+	registered := current != nil && current.endpoint.Incarnation == endpoint.Incarnation
+	if registered && current.returnsAttempt == returnsAttempt {
 		current.leaving.Store(endpoint.Leaving)
 		return
 	}
-	now := b.clock.Now()
-	if current != nil {
+	next := &backend{endpoint: endpoint, transport: newTransport(endpoint, returnsAttempt, b.timeout), returnsAttempt: returnsAttempt}
+	next.leaving.Store(endpoint.Leaving)
+	if registered {
+		next.limiter = current.limiter
+	} else {
+		next.limiter = admit.NewLimiter(b.clock.Now(), int(endpoint.Slots))
+	}
+	if current != nil && !registered {
 		go b.declareDead(current)
-		current.transport.CloseIdleConnections()
 	}
-	b.byID[endpoint.ID] = &backend{
-		endpoint:  endpoint,
-		limiter:   admit.NewLimiter(now, int(endpoint.Slots)),
-		transport: newTransport(endpoint, b.timeout),
+	if current != nil {
+		current.transport.CloseIdleConnections()
 	}
+	b.byID[endpoint.ID] = next
 }
 
-func newTransport(endpoint snap.Endpoint, timeout time.Duration) *http.Transport {
+func newTransport(endpoint snap.Endpoint, reuse bool, timeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -92,9 +106,16 @@
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeader,
 		DisableCompression:     true, // responses pass unchanged
+		DisableKeepAlives:      !reuse,
 	}
 }
 
+// stopReuse ends the reuse of connections after a response has named another attempt.
+func (b *backend) stopReuse() {
+	b.singleUse.Store(true)
+	b.transport.CloseIdleConnections()
+}
+
 // loads returns the state of each limiter. Services that are not in the rules are reported as "other",
 // to bound the values of the metric label.
 func (b *backends) loads() []meter.Load {
--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -49,6 +49,13 @@
 
 func (t *connTracker) wrote() bool { return t.conn.written.Load() != t.writtenBefore }
 
+// discard closes the connection of the request, so that no other request uses it.
+func (t *connTracker) discard() {
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // mayHaveReached reports whether a byte of the request may have reached the backend server. When the call's
 // context has ended, the transport may still be about to write.
 func (t *connTracker) mayHaveReached(ctx context.Context) bool {
--- a/internal/root/call/header.go
+++ b/internal/root/call/header.go
@@ -16,6 +16,7 @@
 	HeaderCall           = "Buckthorn-Call"
 	HeaderDeadline       = "Buckthorn-Deadline"
 	HeaderRequest        = "Buckthorn-Request"
+	HeaderAttempt        = "Buckthorn-Attempt"
 	HeaderAccount        = "Buckthorn-Account"
 	HeaderOutcome        = "Buckthorn-Outcome"
 	HeaderReason         = "Buckthorn-Reason"
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -51,7 +51,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	h.backends.register(endpoint)
+	h.backends.register(endpoint, announcement.ReturnsAttempt)
 	writeJSON(w, map[string]any{"instance": endpoint.ID, "incarnation": endpoint.Incarnation})
 }
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -31,7 +31,9 @@
 const refusalWriteTimeout = time.Second
 
 var (
-	errNoLength = errors.New("response has neither a length nor chunks")
+	errNoLength     = errors.New("response has neither a length nor chunks")
+	errOtherAttempt = errors.New("response does not name the attempt that it follows")
+	errNoBody       = errors.New("no part of the response body can be read")
 
 	// These pools save five allocations of 4 to 32 KiB for each call.
 	readerPool     = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
@@ -257,7 +259,8 @@
 	token := c.server.parents.add(c.parent)
 	defer c.server.parents.remove(token)
 	c.server.suspects.Begin(incarnation, c.head.Fingerprint)
-	request, err := c.newBackendRequest(ctx, token)
+	attempt := newToken()
+	request, err := c.newBackendRequest(ctx, token, attempt)
 	if err != nil {
 		c.endSuspect(false)
 		c.refuse(retry.BadRequest{})
@@ -272,15 +275,25 @@
 	now := c.server.Clock.Now()
 	backendLatency := now.Sub(started)
 	latency := c.parent.selfTime(now, now.Sub(started))
-	if endsWithConnection(response) {
+	switch {
+	case c.backend.returnsAttempt && response.Header.Get(HeaderAttempt) != attempt:
+		c.endSuspect(false)
+		c.backend.stopReuse()
+		c.conns.discard()
+		c.refuseResponse(errOtherAttempt)
+		return admit.Lost{}
+	case endsWithConnection(response):
 		c.endSuspect(true)
-		c.server.Log.Warn().Str("service", c.backend.endpoint.Service).Str("route", c.head.Route).Err(errNoLength).Msg("answer-refused")
 		c.parent.budget.MarkFinal()
-		c.refuse(retry.BackendLost{})
+		c.refuseResponse(errNoLength)
 		return admit.Completed{Latency: latency}
 	}
 	c.backend.limiter.Responded(now, c.ticket, latency)
-	if err := c.relay(response, backendLatency); err != nil {
+	err = c.relay(response, backendLatency)
+	if errors.Is(err, errNoBody) {
+		return c.roundTripFailed(ctx, started, err)
+	}
+	if err != nil {
 		return c.bodyFailed(ctx, err)
 	}
 	c.endSuspect(true)
@@ -290,13 +303,19 @@
 	return admit.Completed{}
 }
 
+// refuseResponse refuses a call whose response cannot be passed on. The backend server may have run it.
+func (c *incomingCall) refuseResponse(cause error) {
+	c.server.Log.Warn().Str("service", c.backend.endpoint.Service).Str("route", c.head.Route).Err(cause).Msg("answer-refused")
+	c.refuse(retry.BackendLost{})
+}
+
 // endsWithConnection reports whether only the end of the connection marks the end of the response. That end
 // looks the same when the backend server dies, so the response cannot be known to be complete.
 func endsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
 
-func (c *incomingCall) newBackendRequest(ctx context.Context, token string) (*http.Request, error) {
+func (c *incomingCall) newBackendRequest(ctx context.Context, token, attempt string) (*http.Request, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.conns = &connTracker{cancel: cancel}
 	trace := &httptrace.ClientTrace{GotConn: c.conns.gotConn}
@@ -317,6 +336,8 @@
 	}
 	request.Header.Set(HeaderCall, token)
 	request.Header.Set(HeaderRequest, c.head.RequestID)
+	request.Header.Set(HeaderAttempt, attempt)
+	request.Close = c.backend.singleUse.Load()
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(c.parent.deadline).Milliseconds(), 10))
 	if c.head.Account != "" {
 		request.Header.Set(HeaderAccount, c.head.Account)
@@ -325,8 +346,16 @@
 }
 
 // relay streams a response to the sending daemon. Its error wraps errTruncated when the backend server ended
-// the response early.
+// the response early, and errNoBody when it did so before the first part of the body, so that nothing has been
+// sent.
 func (c *incomingCall) relay(response *http.Response, backendLatency time.Duration) error {
+	block := dataFramePool.Get().(*[wire.HeaderSize + dataFrameSize]byte)
+	defer dataFramePool.Put(block)
+	buf := block[:]
+	n, err := response.Body.Read(buf[wire.HeaderSize:])
+	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("%w: %w", errNoBody, err)
+	}
 	failed := response.StatusCode >= http.StatusInternalServerError
 	head := &ResponseHead{
 		Status:        int32(response.StatusCode),
@@ -338,11 +367,7 @@
 	if err := wire.WriteMessage(c.writer, kindResponseHead, head); err != nil {
 		return fmt.Errorf("send response head: %w", err)
 	}
-	block := dataFramePool.Get().(*[wire.HeaderSize + dataFrameSize]byte)
-	defer dataFramePool.Put(block)
-	buf := block[:]
-	for {
-		n, err := response.Body.Read(buf[wire.HeaderSize:])
+	for ; ; n, err = response.Body.Read(buf[wire.HeaderSize:]) {
 		if n > 0 {
 			wire.PutHeader(buf, kindData, n)
 			if _, werr := c.writer.Write(buf[:wire.HeaderSize+n]); werr != nil {
--- a/internal/root/ctrl/member/message.go
+++ b/internal/root/ctrl/member/message.go
@@ -30,6 +30,8 @@
 		Connections uint32 `json:"connections"`
 		// Start differs for each start of the backend server.
 		Start string `json:"start"`
+		// ReturnsAttempt is set if the server's responses name the attempt that they belong to.
+		ReturnsAttempt bool `json:"returns-attempt"`
 	}
 
 	// Announce goes from a daemon to the leader when an instance is new or has changed.
