--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,6 +30,9 @@
 	// headerReadSlack is the number of bytes that may be read beyond the header limit, because the same read
 	// may return the beginning of the body.
 	headerReadSlack = 4 << 10
+
+	// unlimited is the limit of a limitedReader while a body is read.
+	unlimited = math.MaxInt64
 )
 
 type (
@@ -60,17 +64,14 @@
 		close    bool // the connection closes after this response
 	}
 
-	// limitedReader fails once remaining bytes have been read.
+	// limitedReader fails with errHeaderSize once remaining bytes have been read.
 	limitedReader struct {
 		reader    io.Reader
 		remaining int64
 	}
 )
 
-var (
-	errHeaderSize = errors.New("request header exceeds the size limit")
-	errBodySize   = errors.New("request body exceeds the size limit")
-)
+var errHeaderSize = errors.New("header exceeds the size limit")
 
 // Read implements io.Reader.
 func (c *limitedReader) Read(p []byte) (int, error) {
@@ -124,15 +125,17 @@
 		if err != nil {
 			return c.handleParseError(err)
 		}
-		c.limit.remaining = 1 << 62
+		c.limit.remaining = unlimited
 		if size := headerSize(parsed); size > limits.HeaderSize {
 			return c.refuse(parsed, retry.HeaderTooLarge{})
 		}
 		body, err := c.readBody(parsed, limits)
-		if errors.Is(err, errBodySize) {
+		switch {
+		case errors.Is(err, errBodySize):
 			return c.refuse(parsed, retry.BodyTooLarge{})
-		}
-		if err != nil {
+		case errors.Is(err, errBodyBudget):
+			return c.refuse(parsed, retry.Overload{})
+		case err != nil:
 			return err
 		}
 		_ = c.conn.SetReadDeadline(time.Time{})
@@ -163,38 +166,42 @@
 	}
 }
 
-func (c *callerConn) readBody(r *http.Request, limits rules.Limits) ([]byte, error) {
+// readBody reads the body of a request. The caller releases it once the request has ended.
+func (c *callerConn) readBody(r *http.Request, limits rules.Limits) (*bodyBuffer, error) {
+	body := &bodyBuffer{budget: c.frontend.Bodies, limit: int(limits.BodySize)}
 	if r.ContentLength > limits.BodySize {
 		return nil, errBodySize
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return body, nil
 	}
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, fmt.Errorf("write 100 Continue: %w", err)
 		}
 	}
-	var body bytes.Buffer
 	for {
 		// The timeout applies to each pause, not to the whole body.
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.frontend.BodyStall))
-		n, err := io.CopyN(&body, r.Body, 32<<10)
-		switch {
-		case int64(body.Len()) > limits.BodySize:
-			return nil, errBodySize
-		case errors.Is(err, io.EOF):
-			return body.Bytes(), nil
-		case err != nil:
+		err := body.read(r.Body)
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			body.release()
 			return nil, fmt.Errorf("read body: %w", err)
-		case n == 0:
-			return body.Bytes(), nil
 		}
 	}
 }
 
 // startRequest serves a request in its own goroutine.
-func (c *callerConn) startRequest(parsed *http.Request, body []byte, last bool) error {
+func (c *callerConn) startRequest(parsed *http.Request, body *bodyBuffer, last bool) error {
+	started := false
+	defer func() {
+		if !started {
+			body.release()
+		}
+	}()
 	slot, err := c.reserveSlot(last)
 	if err != nil {
 		return err
@@ -210,8 +217,10 @@
 		c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, retry.Draining{}, noServerRetryAfter), true)
 		return stopAfter(true)
 	}
-	request.Body = body
+	request.Body = body.data
+	started = true
 	c.inProgress.Go(func() {
+		defer body.release()
 		c.frontend.active.Add(1)
 		defer c.frontend.active.Add(-1)
 		response := c.frontend.Forwarder.Serve(c.ctx, &request)
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -35,6 +35,8 @@
 	Limits rules.Limits
 	// BodyStall is the longest pause within a request body.
 	BodyStall time.Duration
+	// Bodies bounds the bodies of all requests in progress.
+	Bodies *bodyBudget
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
@@ -77,7 +79,7 @@
 	}
 	limit := &limitedReader{reader: conn}
 	caller := &callerConn{frontend: f, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
-	limit.remaining = 1 << 62
+	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
 
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -25,6 +25,14 @@
 
 	// healthCheckTimeout bounds one health check.
 	healthCheckTimeout = 700 * time.Millisecond
+
+	// maxStartSkew is how far in the future the start of a server may lie, because its clock may be ahead of the
+	// daemon's.
+	maxStartSkew = time.Minute
+
+	// maxSequence is the highest sequence number of a notice. Numbers above it are not exact in every JSON
+	// encoder.
+	maxSequence = 1 << 53
 )
 
 // errNotice reports a notice that does not identify a usable server.
@@ -41,6 +49,7 @@
 		Requests zerolog.Logger // log of single requests
 		Suspects *crash.Suspects
 		MaxBody  int64 // limit of a response in bytes
+		Bodies   *bodyBudget
 
 		mu       sync.Mutex
 		current  *serverProcess // nil before the first notice
@@ -67,8 +76,8 @@
 // Notice processes a notice of the server. The error wraps errNotice if the notice does not identify a usable
 // server.
 func (b *LocalBackend) Notice(ctx context.Context, n Notice) error {
-	if n.Instance == "" || n.State < StateReady || n.State > StateGone {
-		return fmt.Errorf("%w: instance %q in state %d", errNotice, n.Instance, n.State)
+	if err := n.check(b.Clock.Now()); err != nil {
+		return err
 	}
 	b.mu.Lock()
 	if old := b.current; old != nil && isOutdated(n, old.notice) {
@@ -100,6 +109,20 @@
 	return nil
 }
 
+// check returns an error for a notice that cannot come from a server of this daemon. A start or a sequence number
+// that is too large would make all later notices of the server look outdated.
+func (n *Notice) check(now time.Time) error {
+	switch {
+	case n.Instance == "" || n.State < StateReady || n.State > StateGone:
+		return fmt.Errorf("%w: instance %q in state %d", errNotice, n.Instance, n.State)
+	case n.StartUnixMilli > now.Add(maxStartSkew).UnixMilli():
+		return fmt.Errorf("%w: instance %q starts in the future, at %d ms", errNotice, n.Instance, n.StartUnixMilli)
+	case n.Sequence > maxSequence:
+		return fmt.Errorf("%w: instance %q with sequence number %d", errNotice, n.Instance, n.Sequence)
+	}
+	return nil
+}
+
 // CheckHealth sends a health check to the server at n.Address and registers the server if it accepts requests,
 // unless the server has sent a notice meanwhile. A daemon that starts next to a running server thus need not
 // wait for the server's next notice.
@@ -116,7 +139,7 @@
 	if err != nil {
 		return fmt.Errorf("check health of backend server: %w", err)
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeader}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return fmt.Errorf("check health of backend server: %w", err)
@@ -181,7 +204,7 @@
 	}
 	b.current = &serverProcess{
 		notice: n, start: start, firstSeen: b.Clock.Now(), incarnation: incarnation, controller: gate.New(int(n.Slots)),
-		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody},
+		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
 	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -141,7 +141,7 @@
 			return gate.Aborted{}, notRun{failure: retry.DeadlineBefore{}}
 		}
 		return gate.Aborted{}, notRun{failure: retry.Unreached{}}
-	case ctx.Err() != nil || !now.Before(j.deadline) || errors.Is(err, errInvalidResponse) || errors.Is(err, errResponseTooLarge):
+	case ctx.Err() != nil || !now.Before(j.deadline) || isRejected(err):
 		b.endSuspect(s, j, false)
 		if !now.Before(j.deadline) {
 			return gate.Aborted{}, unknown{failure: retry.DeadlineAfter{}}
@@ -154,6 +154,17 @@
 	return gate.Aborted{}, unknown{failure: retry.BackendLost{}}
 }
 
+// isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so that
+// the error does not mean that the server has crashed.
+func isRejected(err error) bool {
+	for _, cause := range []error{errInvalidResponse, errHeaderSize, errBodySize, errBodyBudget} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // retryAfter returns the delay that the server advises before a retry, zero without advice.
 func (r Response) retryAfter() time.Duration {
 	seconds, err := time.ParseDuration(r.Header.Get("Retry-After") + "s")
--- a/internal/root/relay/notice_test.go
+++ b/internal/root/relay/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -110,3 +111,27 @@
 	assert.NilError(t, fresh.Notice(context.Background(), restarted))
 	assert.Assert(t, fresh.current != first)
 }
+
+// Guards against a server that is lost because one notice of another writer carries a number too large: the
+// server's own notices then looked older and were ignored.
+func TestNoticeWithANumberTooLarge(t *testing.T) {
+	for name, change := range map[string]func(*Notice){
+		"start":    func(n *Notice) { n.Instance, n.StartUnixMilli = "other", math.MaxInt64 },
+		"sequence": func(n *Notice) { n.Sequence = math.MaxUint64 },
+		"slots":    func(n *Notice) { n.Slots = math.MaxUint32 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			d := f.daemons[0]
+			odd := d.notice(StateReady)
+			change(&odd)
+			assert.ErrorIs(t, d.relay.LocalBackend.Notice(context.Background(), odd), errNotice)
+			next := d.notice(StateLeaving)
+			next.Sequence = 2
+			assert.NilError(t, d.relay.LocalBackend.Notice(context.Background(), next))
+			d.relay.LocalBackend.mu.Lock()
+			defer d.relay.LocalBackend.mu.Unlock()
+			assert.Assert(t, d.relay.LocalBackend.current.leaving, "a later notice of the server is ignored")
+		})
+	}
+}
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -33,6 +33,9 @@
 	// maxSkippedResponses bounds the responses to other requests that are skipped on one connection.
 	maxSkippedResponses = 4
 
+	// maxResponseHeader bounds the header of a response together with interim responses before it, in bytes.
+	maxResponseHeader = 64 << 10
+
 	// maxSyncWrite is the size in bytes up to which a request fits into the buffers of a connection.
 	maxSyncWrite = 16 << 10
 
@@ -41,9 +44,8 @@
 )
 
 var (
-	errInvalidResponse  = errors.New("response is incomplete, not signed by the server or for another request")
-	errResponseTooLarge = errors.New("response exceeds the size limit")
-	errNotSent          = errors.New("request was not sent in full")
+	errInvalidResponse = errors.New("response is incomplete, not signed by the server or for another request")
+	errNotSent         = errors.New("request was not sent in full")
 )
 
 type (
@@ -52,6 +54,7 @@
 		address string
 		dialect Dialect
 		maxBody int64 // limit of a response in bytes
+		bodies  *bodyBudget
 
 		mu     sync.Mutex
 		idle   []*backendConn // most recently used last
@@ -60,6 +63,7 @@
 
 	backendConn struct {
 		net.Conn
+		limit     *limitedReader // below reader
 		reader    *bufio.Reader
 		idleUntil time.Time // when an idle connection expires
 	}
@@ -151,6 +155,7 @@
 // readResponse reads one complete response; reusable reports whether the connection can be used again.
 func (p *pool) readResponse(conn *backendConn, ex *exchange) (response Response, responseMeta ResponseMetadata, reusable bool, err error) {
 	var httpResponse *http.Response
+	conn.limit.remaining = maxResponseHeader
 	for {
 		httpResponse, err = http.ReadResponse(conn.reader, &http.Request{Method: ex.request.Method})
 		if err != nil {
@@ -160,14 +165,12 @@
 			break
 		}
 	}
-	defer func() { _ = httpResponse.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, p.maxBody+1))
+	conn.limit.remaining = unlimited
+	// The body is not closed, because that would read the rest of a body that is too large.
+	body, err := p.readBody(httpResponse.Body)
 	if err != nil {
 		return response, responseMeta, false, fmt.Errorf("read response: %w", err)
 	}
-	if int64(len(body)) > p.maxBody {
-		return response, responseMeta, false, errResponseTooLarge
-	}
 	responseMeta = p.dialect.DecodeResponseMetadata(httpResponse.StatusCode, httpResponse.Header)
 	if httpResponse.Header.Get("Content-Encoding") != "" || responseMeta.Signed && responseMeta.ID == "" ||
 		httpResponse.StatusCode < http.StatusMultipleChoices && !responseMeta.Signed {
@@ -180,6 +183,21 @@
 	return response, responseMeta, !httpResponse.Close, nil
 }
 
+// readBody reads the body of a response.
+func (p *pool) readBody(body io.Reader) ([]byte, error) {
+	buffer := bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
+	defer buffer.release()
+	for {
+		err := buffer.read(body)
+		if errors.Is(err, io.EOF) {
+			return buffer.data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // idleTimeout returns how long the connection may stay idle according to the server's Keep-Alive field.
 func idleTimeout(header http.Header) time.Duration {
 	for _, word := range strings.Split(header.Get("Keep-Alive"), ",") {
@@ -237,7 +255,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{Conn: conn, reader: bufio.NewReaderSize(conn, 4<<10)}, nil
+	limit := &limitedReader{reader: conn}
+	return &backendConn{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}, nil
 }
 
 func (p *pool) put(conn *backendConn) {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -94,8 +94,10 @@
 func New(o Options, dialect Dialect, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log, requests zerolog.Logger) *Relay {
 	suspects := crash.NewSuspects()
 	maxBody := o.MemoryLimit / 16
+	bodies := newBodyBudget(o.MemoryLimit)
 	backend := &LocalBackend{
-		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects, MaxBody: maxBody,
+		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
+		MaxBody: maxBody, Bodies: bodies,
 	}
 	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
 	forwarder := &Forwarder{
@@ -110,7 +112,7 @@
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
 			Listener: o.Ingress, Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
-			MaxConnections: maxConnections,
+			Bodies: bodies, MaxConnections: maxConnections,
 		},
 	}
 }
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -356,6 +356,9 @@
 			return
 		case "unsealed":
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 2\r\n\r\nno")
+		case "endless":
+			writeEndless(conn, strings.Split(r.URL.Path, "/")[3])
+			return
 		case "garbage":
 			_, _ = io.WriteString(conn, "what is this\r\n\r\n")
 			return
