--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -223,12 +224,19 @@
 		defer body.release()
 		c.frontend.active.Add(1)
 		defer c.frontend.active.Add(-1)
-		response := c.frontend.Forwarder.Serve(c.ctx, &request)
-		c.complete(slot, request.Method, response, last)
+		c.complete(slot, request.Method, c.forward(&request), last)
 	})
 	return stopAfter(last)
 }
 
+// forward forwards a request. After a panic it is not known whether the request has run.
+func (c *callerConn) forward(request *Request) (response Response) {
+	defer super.Recover(&c.frontend.Log, "request", func() {
+		response = c.frontend.Dialect.EncodeRefusal(request.ID, retry.BackendLost{}, 0)
+	})
+	return c.frontend.Forwarder.Serve(c.ctx, request)
+}
+
 func stopAfter(last bool) error {
 	if last {
 		return &readStopped{"the caller asked to close the connection"}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
@@ -66,6 +67,7 @@
 		f.open.Add(1)
 		go func() {
 			defer f.open.Add(-1)
+			defer super.Recover(&f.Log, "connection", func() { _ = conn.Close() })
 			f.serve(conn)
 		}()
 	}
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -204,7 +204,7 @@
 	}
 	b.current = &serverProcess{
 		notice: n, start: start, firstSeen: b.Clock.Now(), incarnation: incarnation, controller: gate.New(int(n.Slots)),
-		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies},
+		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies, log: b.Log},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
 	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -63,32 +63,10 @@
 // admit offers the request to the admission controller and waits for its decision.
 func (b *LocalBackend) admit(ctx context.Context, j *job) (*serverProcess, *gate.Ticket, outcome) {
 	now := b.Clock.Now()
-	b.mu.Lock()
-	s := b.current
-	if refused := b.unavailable(now, s, j); refused != nil {
-		b.mu.Unlock()
-		return s, nil, refused
-	}
-	ticket := j.ticket()
-	decision := s.controller.Offer(now, ticket)
-	switch decision := decision.(type) {
-	case gate.Admitted:
-		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
-		b.mu.Unlock()
-		return s, ticket, nil
-	case gate.Refused:
-		running, waiting := s.controller.Running(), s.controller.Waiting()
-		b.mu.Unlock()
-		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
-			Dur("predicted-wait", decision.Wait).Dur("after", decision.RetryAfter).Int("running", running).Int("waiting", waiting).
-			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
-		return s, nil, notRun{failure: retry.QueueFull{}, retryAfter: decision.RetryAfter}
-	case gate.Queued:
+	s, ticket, decided, refused := b.offer(now, j)
+	if refused != nil || decided == nil {
+		return s, ticket, refused
 	}
-	decided := make(chan admission, 1)
-	s.waiting[ticket] = decided
-	b.scheduleWake(now, s)
-	b.mu.Unlock()
 	select {
 	case a := <-decided:
 		b.Meter.QueueWait(b.Clock.Now().Sub(now))
@@ -107,6 +85,33 @@
 	return s, nil, notRun{failure: retry.DeadlineBefore{}}
 }
 
+// offer offers the request to the admission controller. The decision about a queued request arrives at decided,
+// which is nil for a request that starts or is refused at once.
+func (b *LocalBackend) offer(now time.Time, j *job) (s *serverProcess, ticket *gate.Ticket, decided chan admission, refused outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s = b.current
+	if refused := b.unavailable(now, s, j); refused != nil {
+		return s, nil, nil, refused
+	}
+	ticket = j.ticket()
+	switch decision := s.controller.Offer(now, ticket).(type) {
+	case gate.Admitted:
+		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
+	case gate.Refused:
+		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
+			Dur("predicted-wait", decision.Wait).Dur("after", decision.RetryAfter).
+			Int("running", s.controller.Running()).Int("waiting", s.controller.Waiting()).
+			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
+		return s, nil, nil, notRun{failure: retry.QueueFull{}, retryAfter: decision.RetryAfter}
+	case gate.Queued:
+		decided = make(chan admission, 1)
+		s.waiting[ticket] = decided
+		b.scheduleWake(now, s)
+	}
+	return s, ticket, decided, nil
+}
+
 // unavailable returns the outcome of a request that cannot be sent to the server at present, nil if it can;
 // b.mu is held.
 func (b *LocalBackend) unavailable(now time.Time, s *serverProcess, j *job) outcome {
@@ -154,10 +159,10 @@
 	return gate.Aborted{}, unknown{failure: retry.BackendLost{}}
 }
 
-// isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so that
-// the error does not mean that the server has crashed.
+// isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
+// that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errHeaderSize, errBodySize, errBodyBudget} {
+	for _, cause := range []error{errInvalidResponse, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -10,7 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -101,7 +103,10 @@
 		if err != nil {
 			return err
 		}
-		p.requests.Go(func() { p.handleNotice(ctx, request) })
+		p.requests.Go(func() {
+			defer super.Recover(&p.server.Log, "peer-notice")
+			p.handleNotice(ctx, request)
+		})
 	default:
 		return fmt.Errorf("%w: unexpected frame kind %d on a peer stream", wire.ErrDecode, frame.Kind)
 	}
@@ -132,6 +137,9 @@
 	p.mu.Unlock()
 	p.requests.Go(func() {
 		defer cancel()
+		defer super.Recover(&p.server.Log, "peer-request", func() {
+			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
+		})
 		result, report := p.server.LocalBackend.serve(ctx, decodeJob(p.server.Clock.Now(), send))
 		p.mu.Lock()
 		delete(p.cancels, send.Number)
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -13,6 +13,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -183,6 +184,7 @@
 		close(stream.ready)
 		return
 	}
+	defer super.Recover(&p.Log, "peer-stream", func() { p.remove(stream) })
 	stream.writer = newFrameWriter(conn)
 	stream.lastReceived = p.Clock.Now()
 	close(stream.ready)
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -15,7 +15,10 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
 
 const (
@@ -46,6 +49,7 @@
 var (
 	errInvalidResponse = errors.New("response is incomplete, not signed by the server or for another request")
 	errNotSent         = errors.New("request was not sent in full")
+	errExchangePanic   = errors.New("panic while the response was read")
 )
 
 type (
@@ -55,6 +59,7 @@
 		dialect Dialect
 		maxBody int64 // limit of a response in bytes
 		bodies  *bodyBudget
+		log     zerolog.Logger
 
 		mu     sync.Mutex
 		idle   []*backendConn // most recently used last
@@ -84,7 +89,7 @@
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	response, responseMeta, reusable, err := p.roundTrip(conn, ex)
+	response, responseMeta, reusable, err := p.roundTripRecovering(conn, ex)
 	if !stop() || !reusable || err != nil {
 		_ = conn.Close()
 	} else {
@@ -93,6 +98,12 @@
 	return response, responseMeta, err
 }
 
+// roundTripRecovering turns a panic, which a response may cause, into an error, so that the run is recorded.
+func (p *pool) roundTripRecovering(conn *backendConn, ex *exchange) (response Response, responseMeta ResponseMetadata, reusable bool, err error) {
+	defer super.Recover(&p.log, "exchange", func() { reusable, err = false, errExchangePanic })
+	return p.roundTrip(conn, ex)
+}
+
 func (p *pool) roundTrip(conn *backendConn, ex *exchange) (response Response, responseMeta ResponseMetadata, reusable bool, err error) {
 	// Deadlines of real I/O use the system clock.
 	if err := conn.SetDeadline(time.Now().Add(max(time.Until(ex.deadline), 0) + responseGrace)); err != nil {
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -76,6 +76,9 @@
 var testSecret = []byte("a secret of the test daemons")
 
 func (testDialect) DecodeRequest(r *http.Request) (Request, error) {
+	if r.Header.Get("Panic") == "decode" {
+		panic("request that causes a panic")
+	}
 	request := Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
 		Header: r.Header, APIKey: r.Header.Get("Key"),
@@ -94,6 +97,9 @@
 }
 
 func (testDialect) SetRequestMetadata(header http.Header, metadata RequestMetadata) {
+	if header.Get("Panic") == "send" {
+		panic("request that causes a panic when it is sent")
+	}
 	header.Set("Id", metadata.ID)
 	header.Set("Left", metadata.TimeLeft.String())
 	header.Set("Account", metadata.Account)
@@ -102,6 +108,9 @@
 }
 
 func (testDialect) DecodeResponseMetadata(_ int, header http.Header) ResponseMetadata {
+	if header.Get("Panic") != "" {
+		panic("response that causes a panic")
+	}
 	return ResponseMetadata{ID: header.Get("Id"), Signed: header.Get("Seal") != "", NotRun: header.Get("Not-Run") != ""}
 }
 
@@ -356,6 +365,8 @@
 			return
 		case "unsealed":
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 2\r\n\r\nno")
+		case "panic":
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPanic: 1\r\nContent-Length: 0\r\n\r\n")
 		case "endless":
 			writeEndless(conn, strings.Split(r.URL.Path, "/")[3])
 			return
