--- a/internal/root/call/control.go
+++ b/internal/root/call/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
@@ -43,7 +44,9 @@
 	TokenTaken struct{}
 
 	// TokenRefused means that the client account has exceeded its rate and burst.
-	TokenRefused struct{}
+	TokenRefused struct {
+		RetryAfter time.Duration // until a token is expected, zero if unknown
+	}
 
 	// TokenUnavailable means that the owner of the tokens did not reply in time.
 	TokenUnavailable struct{}
--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -68,8 +68,8 @@
 	if pool.Take(now) {
 		return call.TokenTaken{}
 	}
-	if pool.RetryAfter(now) > 0 {
-		return call.TokenRefused{}
+	if retryAfter := pool.RetryAfter(now); retryAfter > 0 {
+		return call.TokenRefused{RetryAfter: retryAfter}
 	}
 	reply := make(chan call.TokenVerdict, 1)
 	waiter := l.lastWaiterID.Add(1)
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -77,7 +78,7 @@
 	return &daemonState{
 		unansweredHeartbeats: map[uint64]time.Time{},
 		nextHeartbeat:        now,
-		tokenHolder:          limit.NewHolder(now, cfg.Boot),
+		tokenHolder:          limit.NewHolder(now, cfg.Boot, cmp.Or(cfg.TokenWait, limit.MaxWait)),
 		tokenWaiters:         map[uint64]chan<- call.TokenVerdict{},
 		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Boot),
 		views:                member.NewViews(),
@@ -275,7 +276,7 @@
 		case *limit.Admit:
 			l.replyToTokenWaiter(action.Waiter, call.TokenTaken{})
 		case *limit.Refuse:
-			l.replyToTokenWaiter(action.Waiter, call.TokenRefused{})
+			l.replyToTokenWaiter(action.Waiter, call.TokenRefused{RetryAfter: action.RetryAfter})
 		}
 	}
 }
--- a/internal/root/ctrl/limit/event.go
+++ b/internal/root/ctrl/limit/event.go
@@ -8,7 +8,7 @@
 	// OwnerLifetime is how long the owner counts a grant as outstanding, measured from its issue. The 200 ms
 	// more than HolderLifetime allow for clocks that run at different speeds.
 	OwnerLifetime = 1200 * time.Millisecond
-	// MaxWait is how long a request waits for a token before it is refused.
+	// MaxWait is the longest time that a request waits for a token before it is refused.
 	MaxWait = time.Second
 
 	maxRetryAfter = time.Second
--- a/internal/root/ctrl/limit/holder.go
+++ b/internal/root/ctrl/limit/holder.go
@@ -30,7 +30,7 @@
 	// the time without prefetches after the owner granted no tokens.
 	replyTimeout = 300 * time.Millisecond
 	// minUpdateInterval is the least time between requests that only raise the number of waiting requests.
-	minUpdateInterval = 100 * time.Millisecond
+	minUpdateInterval = 30 * time.Millisecond
 )
 
 type (
@@ -42,6 +42,7 @@
 
 		base, lastTime time.Time
 		boot           uint64
+		tokenWait      time.Duration // for which a request waits for a token
 		// seq is that of the last request; epoch is the highest of all received grants.
 		seq, epoch uint64
 		accounts   map[string]*poolState
@@ -99,9 +100,10 @@
 	}
 )
 
-// NewHolder returns a holder without accounts; boot differs for each start of the daemon.
-func NewHolder(now time.Time, boot uint64) *Holder {
-	return &Holder{base: now, lastTime: now, boot: boot, accounts: make(map[string]*poolState)}
+// NewHolder returns a holder without accounts; boot differs for each start of the daemon. tokenWait, at most
+// MaxWait, is how long requests usually wait for a token; the owner refuses those that would get none in it.
+func NewHolder(now time.Time, boot uint64, tokenWait time.Duration) *Holder {
+	return &Holder{base: now, lastTime: now, boot: boot, tokenWait: min(tokenWait, MaxWait), accounts: make(map[string]*poolState)}
 }
 
 // Step applies one event and returns the resulting messages and the decisions about waiting requests.
@@ -344,6 +346,7 @@
 	request := &TokenRequest{
 		Account: s.account, Boot: h.boot, Seq: h.seq, Epoch: h.epoch,
 		Waiting: uint32(min(waiting, maxRequestTokens)), Prefetch: uint32(min(prefetch, maxRequestTokens)),
+		TokenWait: h.tokenWait,
 	}
 	s.grants = slices.DeleteFunc(s.grants, func(g *heldGrant) bool {
 		if g.epoch != h.epoch {
--- a/internal/root/ctrl/limit/message.go
+++ b/internal/root/ctrl/limit/message.go
@@ -54,6 +54,8 @@
 		// Epoch is that of the owner that issued the grants in Reports.
 		Epoch   uint64        `protobuf:"varint,6,opt,name=epoch"`
 		Reports []GrantReport `protobuf:"bytes,7,rep,name=reports"`
+		// TokenWait is how long the requests wait for a token; zero means MaxWait.
+		TokenWait time.Duration `protobuf:"varint,8,opt,name=token_wait"`
 	}
 
 	// Grant is the reply to a TokenRequest; a parked request gets several replies.
@@ -108,6 +110,8 @@
 		return fmt.Errorf("%w: token request without boot or seq", ErrMessage)
 	case t.Waiting > maxRequestTokens || t.Prefetch > maxRequestTokens:
 		return fmt.Errorf("%w: %d waiting and %d prefetched tokens requested, limit %d", ErrMessage, t.Waiting, t.Prefetch, maxRequestTokens)
+	case t.TokenWait < 0 || t.TokenWait > MaxWait:
+		return fmt.Errorf("%w: requests wait %v for a token, limit %v", ErrMessage, t.TokenWait, MaxWait)
 	case len(t.Reports) > maxReports:
 		return fmt.Errorf("%w: %d grant reports, limit %d", ErrMessage, len(t.Reports), maxReports)
 	}
--- a/internal/root/ctrl/limit/owner.go
+++ b/internal/root/ctrl/limit/owner.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// parkTime bounds the waiting requests of an account that may be parked to the tokens refilled in this
-	// time. Further ones would time out and are refused at once.
+	// parkTime bounds the waiting requests of an account that may be parked to the tokens expected in this
+	// time, or in the time that the requests wait if it is shorter. Further ones would time out and are refused
+	// at once.
 	parkTime = 500 * time.Millisecond
+	// replyMargin is the part of the waiting time that is left for the messages and for serveInterval.
+	replyMargin = 25 * time.Millisecond
 	// serveInterval is the least time between two rounds of grants to parked requests. Tokens that are
 	// refilled one by one are thus granted in one message.
 	serveInterval = 10 * time.Millisecond
@@ -284,23 +287,39 @@
 		o.unpark(b, h)
 		return append(out, o.grant(b, h, granted+prefetch, prefetch > 0, 0, at))
 	}
-	rate := int64(b.limit.Rate)
-	expected := max(1, rate*int64(parkTime)/b.unitsPerToken()) + b.outstanding
+	expected := b.expectedTokens(cmp.Or(request.TokenWait, MaxWait) - replyMargin)
 	others := int64(len(b.parked))
 	if h.waiting == 0 {
 		others++
 	}
-	share := max(1, min(expected-(b.parkedTokens-h.waiting), expected/others))
+	share := max(0, min(expected-(b.parkedTokens-h.waiting), max(1, expected/others)))
 	retryAfter := time.Duration(0)
 	if rest > share {
 		rest = share
-		retryAfter = min(maxRetryAfter, max(minRetryAfter, time.Duration(b.parkedTokens*b.unitsPerToken()/rate)))
+		missing := (b.parkedTokens-h.waiting+rest+1)*b.unitsPerToken() - b.level
+		retryAfter = min(maxRetryAfter, max(minRetryAfter, time.Duration(missing/int64(b.limit.Rate))))
+	}
+	if rest == 0 {
+		o.unpark(b, h)
+	} else {
+		o.park(b, h, rest, at)
 	}
-	o.park(b, h, rest, at)
 	out = append(out, o.grant(b, h, granted, false, retryAfter, at))
 	return o.recall(b, h, at, out)
 }
 
+// expectedTokens returns the number of tokens that are refilled for waiting requests within a time. Outstanding
+// tokens are not expected back: those of waiting requests are spent on arrival, and there are prefetched ones
+// only while the bucket is not empty.
+func (b *bucket) expectedTokens(within time.Duration) int64 {
+	rate := int64(b.limit.Rate)
+	refilled := (b.level + rate*int64(min(within, parkTime))) / b.unitsPerToken()
+	if refilled == 0 {
+		refilled = min(1, (b.level+rate*int64(within))/b.unitsPerToken())
+	}
+	return refilled
+}
+
 // grant debits the bucket and returns the reply to the holder; it may grant no tokens.
 func (o *Owner) grant(b *bucket, h *bucketHolder, tokens int64, prefetched bool, retryAfter time.Duration, at int64) *SendGrant {
 	message := &Grant{
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -44,6 +44,8 @@
 		// ServesTraffic is set on daemons that serve traffic and therefore need a control stream to the
 		// leader.
 		ServesTraffic bool
+		// TokenWait is how long requests wait for a rate token; zero means limit.MaxWait.
+		TokenWait time.Duration
 		// Lease is how long the configuration of a daemon stays fresh after it sent a heartbeat that the
 		// leader replied to; zero means defaultLease.
 		Lease time.Duration
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -133,7 +133,8 @@
 	b.loop, err = ctrl.New(ctrl.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
 		ControlAddresses: seedPeerAddresses(settings), Boot: boot, DynamicMembership: true, Bootstrap: bool(settings.Fleet.Bootstrap),
-		ServesTraffic: settings.IngressAddress.IsValid(), Lease: leaseDuration(settings.Fleet.RevokeWithin), Parse: platform.Parse, Reopen: openStorage,
+		ServesTraffic: settings.IngressAddress.IsValid(), Lease: leaseDuration(settings.Fleet.RevokeWithin), TokenWait: relay.TokenWait,
+		Parse: platform.Parse, Reopen: openStorage,
 	}, clk, b.controlDialer, storage, log)
 	if err != nil {
 		return nil, err
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -22,8 +23,8 @@
 )
 
 const (
-	// tokenWait bounds the wait for a rate token if this daemon has none.
-	tokenWait = 200 * time.Millisecond
+	// TokenWait bounds the wait for a rate token if this daemon has none.
+	TokenWait = 200 * time.Millisecond
 
 	// leaderLostAfter is the time since the last contact with the leader above which requests do not wait for
 	// tokens to be granted. localTokenWait then bounds taking a token that this daemon already has.
@@ -58,7 +59,8 @@
 	// conditions of the daemon that end soon.
 	noServerRetryAfter = 500 * time.Millisecond
 
-	// rateRetryAfter is the advised retry delay for a client account above its rate.
+	// rateRetryAfter is the advised retry delay for a client account above its rate if the owner of its tokens
+	// gives none.
 	rateRetryAfter = time.Second
 )
 
@@ -275,7 +277,7 @@
 	if account.Rate.Count == 0 {
 		return false, nil
 	}
-	wait := max(tokenWait, f.startupWait(state))
+	wait := max(TokenWait, f.startupWait(state))
 	if f.sinceLeaderContact() > leaderLostAfter {
 		wait = localTokenWait // no leader replies, so no token will be granted
 	}
@@ -286,12 +288,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	fallback := f.fallbackLimiter(account.Name)
-	switch verdict.(type) {
+	switch verdict := verdict.(type) {
 	case call.TokenTaken:
 		fallback.RecordGrant(now)
 		return true, nil
 	case call.TokenRefused:
-		return false, &notRun{failure: retry.Rate{}, retryAfter: rateRetryAfter}
+		return false, &notRun{failure: retry.Rate{}, retryAfter: cmp.Or(verdict.RetryAfter, rateRetryAfter)}
 	}
 	if f.sinceLeaderContact() > localRateAfter && fallback.Allow(now, account.Rate.PerSecond()) {
 		return false, nil
