--- a/internal/root/link/dialer.go
+++ b/internal/root/link/dialer.go
@@ -78,13 +78,28 @@
 	sess := d.sessions[address]
 	delete(d.sessions, address)
 	d.mu.Unlock()
-	if sess == nil {
+	sess.close()
+}
+
+// Detach forgets the session to address, so that the next stream uses a new connection, but leaves its streams
+// open. The returned function closes it.
+func (d *Dialer) Detach(address string) (closeSession func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sess := d.sessions[address]
+	delete(d.sessions, address)
+	return sess.close
+}
+
+// close closes an established session; sess may be nil.
+func (s *session) close() {
+	if s == nil {
 		return
 	}
 	select {
-	case <-sess.ready:
-		if sess.yamux != nil {
-			_ = sess.yamux.Close()
+	case <-s.ready:
+		if s.yamux != nil {
+			_ = s.yamux.Close()
 		}
 	default:
 	}
@@ -95,13 +110,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for address, sess := range d.sessions {
-		select {
-		case <-sess.ready:
-			if sess.yamux != nil {
-				_ = sess.yamux.Close()
-			}
-		default:
-		}
+		sess.close()
 		delete(d.sessions, address)
 	}
 }
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -28,7 +28,7 @@
 		if !ok {
 			return state.finalOutcome()
 		}
-		result, report := f.send(ctx, state, &endpoint)
+		result, report := f.send(ctx, state, svc, &endpoint)
 		state.tried = append(state.tried, endpoint.ID)
 		f.reportResult(svc, state, endpoint.ID, result, report)
 		state.recordOutcome(result)
@@ -74,7 +74,7 @@
 }
 
 // send sends the request once to the daemon of the endpoint.
-func (f *Forwarder) send(ctx context.Context, state *forwardState, endpoint *snap.Endpoint) (outcome, *Report) {
+func (f *Forwarder) send(ctx context.Context, state *forwardState, svc *serviceState, endpoint *snap.Endpoint) (outcome, *Report) {
 	now := f.Clock.Now()
 	left := state.deadline.Sub(now)
 	if left <= 0 {
@@ -92,7 +92,8 @@
 		return result, &report
 	}
 	send.Header = field.FromHeader(state.request.Header)
-	reply, sent, err := f.PeerStreams.Send(ctx, endpoint.Daemon, send, state.request.Body)
+	abandon := func() bool { return f.abandon(state, svc, endpoint.ID) }
+	reply, sent, err := f.PeerStreams.Send(ctx, endpoint.Daemon, send, state.request.Body, abandon)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && sent {
 			return unknown{failure: retry.DeadlineAfter{}}, nil
@@ -102,6 +103,21 @@
 	return reply.decodeOutcome(), &reply.Report
 }
 
+// abandon decides whether a request gives up on the daemon that it was sent to, which has fallen silent, because
+// it may be sent to another server. Otherwise it goes on waiting: the daemon may only be paused, and the request
+// may be running. In both cases later requests avoid the server.
+func (f *Forwarder) abandon(state *forwardState, svc *serviceState, id string) bool {
+	now := f.Clock.Now()
+	svc.mu.Lock()
+	defer svc.mu.Unlock()
+	svc.balancer.MarkUnreached(now, id)
+	if svc.balancer.Servers() < 2 || !state.mayRetryLost(now, state.sends+1) {
+		return false
+	}
+	state.retryAllowed = svc.retries.AllowRetry(now, share.Lost)
+	return state.retryAllowed
+}
+
 // callerService returns the service in whose name this daemon sends requests.
 func (f *Forwarder) callerService() string {
 	if n, _, _ := f.LocalBackend.Status(); n.Service != "" {
@@ -183,13 +199,15 @@
 	if !now.Before(state.deadline) {
 		return false
 	}
+	if state.retryAllowed {
+		state.retryAllowed = false
+		f.logRetry(state, result, now)
+		return true
+	}
 	cause := share.Lost
 	defer func() {
 		if retrying {
-			f.Meter.Retry(state.service)
-			f.Log.Info().Str("request", state.request.ID).Str("route", state.route.Name).Str("service", state.service).
-				Str("ended", outcomeName(result)).Strs("tried", slices.Clone(state.tried)).Int("sends", state.sends).
-				Dur("left", state.deadline.Sub(now)).Msg("sent-again")
+			f.logRetry(state, result, now)
 		}
 	}()
 	svc.mu.Lock()
@@ -209,7 +227,7 @@
 		}
 		cause = share.Shed
 	case unknown:
-		if !state.idempotent() || state.sends >= state.route.MaxSends || state.tooLateToRetry(now) {
+		if !state.mayRetryLost(now, state.sends) {
 			return false
 		}
 	}
@@ -219,6 +237,18 @@
 	return svc.retries.AllowRetry(now, cause)
 }
 
+func (f *Forwarder) logRetry(state *forwardState, result outcome, now time.Time) {
+	f.Meter.Retry(state.service)
+	f.Log.Info().Str("request", state.request.ID).Str("route", state.route.Name).Str("service", state.service).
+		Str("ended", outcomeName(result)).Strs("tried", slices.Clone(state.tried)).Int("sends", state.sends).
+		Dur("left", state.deadline.Sub(now)).Msg("sent-again")
+}
+
+// mayRetryLost reports whether a request without a response may be sent again, after the given number of sends.
+func (s *forwardState) mayRetryLost(now time.Time, sends int) bool {
+	return s.idempotent() && sends < s.route.MaxSends && !s.tooLateToRetry(now)
+}
+
 // tooLateToRetry reports whether the time left is too short for another run.
 func (s *forwardState) tooLateToRetry(now time.Time) bool {
 	return s.deadline.Sub(now) < s.deadline.Sub(s.started)/5
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -111,7 +111,8 @@
 		deadline      time.Time
 		service       string
 		tried         []string
-		sends         int // number of sends that reached a server
+		sends         int  // number of sends that reached a server
+		retryAllowed  bool // the retry budget has allowed the next send
 		callerOutcome outcome
 	}
 )
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -250,10 +250,25 @@
 		s.recordResult(now, 1)
 	case Unreached:
 		s.recordResult(now, 1)
-		if now.After(s.backoffUntil) { // requests that were in flight together count once
-			s.backoffUntil = now.Add(min(minBackoff<<min(s.backoffs, 8), maxBackoff))
-			s.backoffs++
-		}
+		s.backOff(now)
+	}
+}
+
+// MarkUnreached avoids the server with that endpoint id for a while, because its daemon has fallen silent. The
+// requests in flight there are not done.
+func (b *Balancer) MarkUnreached(now time.Time, id string) {
+	at := slices.IndexFunc(b.servers, func(s *server) bool { return s.endpoint.ID == id })
+	if at >= 0 {
+		b.servers[at].backOff(now)
+	}
+}
+
+// backOff avoids the server for a time that doubles with each consecutive call. Requests that were in flight
+// together count once.
+func (s *server) backOff(now time.Time) {
+	if now.After(s.backoffUntil) {
+		s.backoffUntil = now.Add(min(minBackoff<<min(s.backoffs, 8), maxBackoff))
+		s.backoffs++
 	}
 }
 
