--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -37,7 +37,6 @@
 // daemonState is the control state that every daemon has; the loop owns it.
 type daemonState struct {
 	session *session // control stream to the leader, nil while there is none
-	leader  string   // always empty; session.peer names the leader
 
 	heartbeatSeq         uint64
 	unansweredHeartbeats map[uint64]time.Time // send times of heartbeats without a reply, by sequence number
@@ -161,7 +160,7 @@
 	if d.session != s {
 		return
 	}
-	d.session, d.leader = nil, ""
+	d.session = nil
 	for id, reply := range d.queryWaiters {
 		reply <- reportResult{err: errNoLeader}
 		delete(d.queryWaiters, id)
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -153,7 +153,9 @@
 	case heartbeatMessage:
 		lead.handleHeartbeat(now, l, s, message.Heartbeat)
 	case announceMessage:
-		lead.registry.Announce(now, daemon, message.Announce)
+		if err := lead.registry.Announce(now, daemon, message.Announce); err != nil {
+			l.log.Warn().Str("daemon", daemon).Str("instance", message.Announce.Instance.ID).Err(err).Msg("announcement-refused")
+		}
 	case leaveMessage:
 		lead.registry.Leave(now, daemon, message.Leave)
 	case subscriptionMessage:
--- a/internal/root/ctrl/member/local.go
+++ b/internal/root/ctrl/member/local.go
@@ -55,7 +55,7 @@
 	}
 	current := l.leases[a.Address]
 	if current == nil && len(l.leases) >= maxInstances {
-		return nil, tooManyInstances(l.daemon)
+		return nil, tooManyInstances(l.daemon, maxInstances)
 	}
 	e := snap.Endpoint{
 		ID: l.daemon + "/" + a.Address, Service: a.Service, Daemon: l.daemon, Address: a.Address,
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -64,12 +64,12 @@
 
 func (n *Node) onHello(m *Hello) {
 	from := m.Header.From
-	if from.Name == n.self.Name || !n.addPeer(from.Name) {
-		return
-	}
 	if m.Header.Group != "" && n.group() != "" && m.Header.Group != n.group() {
 		return // the sender belongs to another group
 	}
+	if from.Name == n.self.Name || !n.addPeer(from.Name) {
+		return
+	}
 	reply := &HelloReply{Header: n.newHeader(from), Boot: m.Header.Boot, Start: m.Header.Start}
 	if current := n.membership(); current != nil {
 		copied := *current
@@ -231,6 +231,7 @@
 		if !isVoter && !slices.Contains(n.cfg.Peers, name) {
 			n.peers = slices.Delete(n.peers, i, i+1)
 			delete(n.acceptedBy, name)
+			delete(n.peersWithoutGroup, name)
 			return true
 		}
 	}
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -348,3 +348,15 @@
 	}
 	assert.Equal(t, taken, 100*size/bound)
 }
+
+// Guards against a member of another group that takes a place among the peers of an open group.
+func TestHelloOfAnotherGroup(t *testing.T) {
+	h := newHarness(t)
+	h.node.cfg.Open = true
+	known := len(h.node.peers)
+	m := &Hello{Header: h.headerFrom("b", 1)}
+	m.Header.From.Name, m.Header.Group = "stranger", "another group"
+	m.Header.Boot, m.Header.Start = 1, 11
+	h.receive(m)
+	assert.Equal(t, len(h.node.peers), known)
+}
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -16,7 +16,6 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/pkg/admin"
-	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 var (
@@ -170,10 +169,10 @@
 		ls.replyToInForceQueries(now, l)
 		return
 	case QueryHistory:
-		report = historyOf(machine, int(query.Limit))
+		report = l.historyOf(machine, int(query.Limit))
 	case QueryRevision:
 		if revision := machine.Revision(query.Revision); revision != nil {
-			report = revisionOf(revision, true)
+			report = l.revisionOf(revision, true)
 		}
 	case QueryLeaderDump:
 		report = ls.sections(now)
@@ -255,19 +254,19 @@
 // hashText formats the hash of a rules text for reports.
 func hashText(hash []byte) string { return "sha256:" + hex.EncodeToString(hash) }
 
-func historyOf(machine *state.Machine, limit int) *admin.History {
+func (l *Loop) historyOf(machine *state.Machine, limit int) *admin.History {
 	history := &admin.History{Revisions: []admin.Revision{}}
 	for i := len(machine.Revisions) - 1; i >= 0; i-- {
 		if len(history.Revisions) == limit {
 			history.More = true
 			break
 		}
-		history.Revisions = append(history.Revisions, *revisionOf(machine.Revisions[i], false))
+		history.Revisions = append(history.Revisions, *l.revisionOf(machine.Revisions[i], false))
 	}
 	return history
 }
 
-func revisionOf(revision *state.Revision, withText bool) *admin.Revision {
+func (l *Loop) revisionOf(revision *state.Revision, withText bool) *admin.Revision {
 	report := &admin.Revision{
 		Number: revision.Number, Author: revision.Author, Time: revision.Since.Time(),
 		Hash: hashText(revision.Hash),
@@ -276,7 +275,7 @@
 		report.Text = string(revision.Text)
 	}
 	if line, _, found := bytes.Cut(revision.Text, []byte("\n")); found {
-		if set, err := rules.Parse("rules", revision.Text); err == nil && len(line) > 0 {
+		if set, err := l.cfg.Parse("rules", revision.Text); err == nil && len(line) > 0 {
 			report.Reason = set.Reason
 		}
 	}
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -227,6 +227,10 @@
 	b.mu.Lock()
 	s := b.current
 	isCurrent := s != nil && s.notice.Instance == n.Instance
+	address := ""
+	if isCurrent {
+		address = s.notice.Address
+	}
 	if isCurrent && !s.leaving {
 		s.leaving = true
 		s.notice.Sequence = max(s.notice.Sequence, n.Sequence)
@@ -238,7 +242,7 @@
 		b.Log.Info().Str("instance", n.Instance).Msg("unknown-backend-server-left")
 		return nil
 	}
-	if err := b.Control.Leave(ctx, s.notice.Address); err != nil {
+	if err := b.Control.Leave(ctx, address); err != nil {
 		return fmt.Errorf("withdraw backend server: %w", err)
 	}
 	return nil
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxBody allows for a rules file of 4 MiB in which JSON escapes every third byte.
+	// maxBody allows for the longest rules file, of 2 MiB, in which JSON escapes every byte.
 	maxBody = 16 << 20
 
 	// DefaultTimeout is the time for one request, in addition to the time that ParamWait requests.
