--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -206,11 +206,14 @@
 func limitsOf(set *rules.Set) []limit.Limit {
 	limits := make([]limit.Limit, 0, len(set.Accounts))
 	for name, account := range set.Accounts {
+		if account.Rate.Count <= 0 {
+			continue // the account has no limit
+		}
 		limits = append(limits, limit.Limit{
 			Account: name,
-			Rate:    uint32(account.Rate.Count),
+			Rate:    uint32(min(account.Rate.Count, limit.MaxRate)),
 			Per:     account.Rate.Per,
-			Burst:   uint32(account.Burst),
+			Burst:   uint32(min(max(account.Burst, 1), limit.MaxRate)),
 		})
 	}
 	return limits
--- a/internal/root/ctrl/limit/owner.go
+++ b/internal/root/ctrl/limit/owner.go
@@ -432,12 +432,15 @@
 	}}}
 }
 
-// setLimits replaces the limits. A new account starts with an empty bucket, because its limit may have been
+// setLimits replaces the limits. A limit without a rate or burst counts as withdrawn. A new account starts with an empty bucket, because its limit may have been
 // withdrawn a moment ago under this owner or its predecessor, whose grants may still be spent.
 func (o *Owner) setLimits(at int64, limits []Limit) []OwnerAction {
 	var out []OwnerAction
 	kept := make(map[string]bool, len(limits))
 	for _, l := range limits {
+		if l.Check() != nil {
+			continue
+		}
 		kept[l.Account] = true
 		b := o.buckets[l.Account]
 		if b == nil {
--- a/internal/root/ctrl/limit/wait_test.go
+++ b/internal/root/ctrl/limit/wait_test.go
@@ -61,3 +61,23 @@
 		})
 	}
 }
+
+// Guards against a leader that ends with a division by zero: a configuration removes the limit of an account while
+// daemons with the earlier one still request tokens and requests are parked.
+func TestLimitIsRemoved(t *testing.T) {
+	limit := Limit{Account: "a", Rate: 2, Burst: 2}
+	o := NewOwner(epoch, 1, []Limit{limit})
+	at := epoch.Add(3 * time.Second)
+	request := func(seq uint64) []OwnerAction {
+		return o.Step(at, &TokensRequested{Holder: "h", Request: &TokenRequest{Account: "a", Boot: 1, Seq: seq, Waiting: 5}})
+	}
+	request(1)
+	o.Step(at, &SetLimits{Limits: []Limit{{Account: "a"}}})
+	at = at.Add(time.Second)
+	request(2)
+	o.Step(at, &Wake{})
+	o.Deadline()
+	o.Step(at, &SetLimits{Limits: []Limit{limit}})
+	at = at.Add(3 * time.Second)
+	assert.Equal(t, request(3)[0].(*SendGrant).Grant.Tokens, uint32(2))
+}
--- a/pkg/rules/host.go
+++ b/pkg/rules/host.go
@@ -14,6 +14,8 @@
 	maxServersPerAttempt = 100
 	// maxHostDeadline is the longest deadline of a route by host and prefix.
 	maxHostDeadline = 10 * time.Minute
+	// maxWeight bounds the weight of one part of a split route, so that sums of weights do not overflow.
+	maxWeight = 1_000_000_000
 )
 
 // ErrSet reports a set that exceeds a limit, has an invalid rule or refers to a rule that does not exist.
@@ -99,8 +101,8 @@
 		if s.Services[part.Service] == nil {
 			return invalid("the service %q is unknown", part.Service)
 		}
-		if part.Weight < 0 {
-			return invalid("the weight %d of service %q is negative", part.Weight, part.Service)
+		if part.Weight < 0 || part.Weight > maxWeight {
+			return invalid("the weight %d of service %q is not between 0 and %d", part.Weight, part.Service, maxWeight)
 		}
 		total += part.Weight
 	}
