--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -143,7 +143,7 @@
 	clear(d.unansweredHeartbeats)
 	l.sendToLeader(&Join{
 		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
-		Revision: d.rules.revision(), Hash: d.rules.hash, Views: len(d.views.Services) > 0,
+		Revision: d.rules.revision(), Hash: d.rules.hash, Views: len(d.views.Services) > 0, Decompresses: true,
 	})
 	for _, announce := range d.localInstances.AnnounceAll() {
 		l.sendToLeader(announceMessage{announce})
--- a/internal/root/ctrl/fleet_test.go
+++ b/internal/root/ctrl/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
 type (
@@ -187,6 +188,8 @@
 			moved = true
 		}
 		for _, frame := range p.leaderEnd.takeQueue(nil) {
+			frame, err := wire.Decompress(frame, wire.MaxFrame)
+			assert.NilError(f.t, err)
 			message, err := decodeLeaderMessage(frame)
 			assert.NilError(f.t, err)
 			if !f.isolated[name] && !f.isolated[p.leader] && !f.dropLeaderMessages[name] {
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -27,6 +27,12 @@
 )
 
 type (
+	// configFrameKey identifies an encoded Config message by its base revision and by whether it is compressed.
+	configFrameKey struct {
+		base       uint64
+		compressed bool
+	}
+
 	// leaderState is the state of the leader that is not replicated; it is empty at the start of each term.
 	// The loop owns it.
 	leaderState struct {
@@ -34,8 +40,8 @@
 		tokenOwner       *limit.Owner
 		registry         *member.Registry
 		crashReports     *crash.Collector
-		configFrames     map[uint64]wire.Frame // encoded Config messages for the accepted revision, by base revision
-		sessions         map[string]*session   // of joined daemons, by peer address
+		configFrames     map[configFrameKey]wire.Frame // encoded Config messages for the accepted revision
+		sessions         map[string]*session           // of joined daemons, by peer address
 		heartbeats       map[string]lastHeartbeat
 		inForceQueries   []inForceQuery
 		nextInForceCheck time.Time // when pending in-force queries are checked next
@@ -70,7 +76,7 @@
 		tokenOwner:      limit.NewOwner(now, term, l.acceptedLimits()),
 		registry:        member.NewRegistry(),
 		crashReports:    crash.NewCollector(),
-		configFrames:    map[uint64]wire.Frame{},
+		configFrames:    map[configFrameKey]wire.Frame{},
 		sessions:        map[string]*session{},
 		heartbeats:      map[string]lastHeartbeat{},
 		nextExpiryCheck: now.Add(expiryCheckInterval),
@@ -179,6 +185,7 @@
 		old.close()
 	}
 	s.join = join
+	s.compress.Store(join.Decompresses)
 	ls.sessions[join.Daemon] = s
 	ls.registry.Join(now, join.Daemon, join.Zone, join.Boot)
 	machine := l.voter.machine
@@ -312,14 +319,18 @@
 	if current == nil || s.sentRevision == current.Number {
 		return
 	}
-	frame, ok := ls.configFrames[s.sentRevision]
+	key := configFrameKey{base: s.sentRevision, compressed: s.compress.Load()}
+	frame, ok := ls.configFrames[key]
 	if !ok {
 		var err error
 		if frame, err = encodeLeaderMessage(configMessage(machine, s.sentRevision, current)); err != nil {
 			l.log.Error().Err(err).Msg("control-message-not-sent")
 			return
 		}
-		ls.configFrames[s.sentRevision] = frame
+		if key.compressed {
+			frame = wire.Compress(frame)
+		}
+		ls.configFrames[key] = frame
 	}
 	s.sendCounted(frame)
 	s.sentRevision = current.Number
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -401,3 +401,22 @@
 		}
 	})
 }
+
+// Guards against a fleet whose bytes between availability zones are mostly copies of the configuration: each daemon
+// that starts gets one. Daemons of an earlier version get it as it is.
+func TestLargeConfigIsCompressed(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	var lines strings.Builder
+	for i := range 300 {
+		fmt.Fprintf(&lines, "account account-%d rate=100/s burst=100 # requested by Ana\n", i)
+	}
+	text := rulesText(2, "Lou", lines.String())
+	leader := f.loops[f.leader()].voter.leader
+	leader.sessions[f.loops["d2"].cfg.PeerAddress].compress.Store(false)
+	queued := func(name string) uint64 { return leader.sessions[f.loops[name].cfg.PeerAddress].queuedBytes }
+	before1, before2 := queued("d1"), queued("d2")
+	f.accept(text)
+	f.waitUntil("the configuration", func() bool { return f.inForce(2) })
+	assert.Assert(t, queued("d1")-before1 < uint64(len(text)/3), "%d bytes for a text of %d", queued("d1")-before1, len(text))
+	assert.Assert(t, queued("d2")-before2 > uint64(len(text)/2))
+}
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -63,6 +63,8 @@
 		Hash     []byte `protobuf:"bytes,5,opt,name=hash"` // hash of the text of Revision
 		// Views is set when the daemon has views of services from an earlier leader.
 		Views bool `protobuf:"varint,6,opt,name=views"`
+		// Decompresses is set if the daemon accepts compressed frames.
+		Decompresses bool `protobuf:"varint,7,opt,name=decompresses"`
 	}
 
 	// OnceCall carries one idempotency command; the reply has the same ID.
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -63,7 +63,11 @@
 		s.close()
 		return false, ctx.Err()
 	}
-	err = s.serve(ctx, func(frame wire.Frame) error {
+	err = s.serve(ctx, func(received wire.Frame) error {
+		frame, err := wire.Decompress(received, wire.MaxFrame)
+		if err != nil {
+			return err
+		}
 		message, err := decodeLeaderMessage(frame)
 		if err != nil {
 			return err
@@ -73,7 +77,7 @@
 			return errRedirected
 		}
 		gotReply = true
-		l.bytesReceived.Add(uint64(len(frame.Body) + wire.HeaderSize))
+		l.bytesReceived.Add(uint64(len(received.Body) + wire.HeaderSize))
 		l.notify(leaderMessageReceived{session: s, message: message})
 		return nil
 	})
