--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -56,12 +56,17 @@
 func (n *Node) sendHellos() {
 	for _, name := range n.peers {
 		if name != n.self.Name && (n.acceptedBy[name] == "" || n.log.lastIndex() == 0) {
-			to := Voter{Name: name}
-			n.send(to, &Hello{Header: n.newHeader(to), Lineage: n.lineage, Extends: n.cfg.Extends})
+			n.sendHello(name)
 		}
 	}
 }
 
+func (n *Node) sendHello(name string) {
+	n.helloSentAt[name] = n.now
+	to := Voter{Name: name}
+	n.send(to, &Hello{Header: n.newHeader(to), Lineage: n.lineage, Extends: n.cfg.Extends})
+}
+
 func (n *Node) onHello(m *Hello) {
 	from := m.Header.From
 	if m.Header.Group != "" && n.group() != "" && m.Header.Group != n.group() {
@@ -114,7 +119,11 @@
 	}
 	if n.acceptedBy[from.Name] != from.Disk {
 		delete(n.acceptedBy, from.Name) // the peer's new disk has not accepted this start yet
-		n.nextHello = n.now
+		// The peer may have started after the last hello to it. The hello is not repeated within an interval,
+		// because the peer answers it in the same way.
+		if n.now.Sub(n.helloSentAt[from.Name]) >= n.cfg.Heartbeat {
+			n.sendHello(from.Name)
+		}
 	}
 	if stored := n.bootOf(from.Disk); stored != nil && stored.Number == m.Header.Boot {
 		return
@@ -232,6 +241,7 @@
 			n.peers = slices.Delete(n.peers, i, i+1)
 			delete(n.acceptedBy, name)
 			delete(n.peersWithoutGroup, name)
+			delete(n.helloSentAt, name)
 			return true
 		}
 	}
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -36,6 +36,7 @@
 		electionElapsed    time.Duration // since the election timer was reset
 		electionTimeout    time.Duration // duration of the election timer
 		nextHello          time.Time
+		helloSentAt        map[string]time.Time // by name of the peer
 
 		role        Role
 		leader      Voter
@@ -86,6 +87,7 @@
 		leaderSentAt:      -1,
 		acceptedBy:        map[string]string{},
 		peersWithoutGroup: map[string]Voter{},
+		helloSentAt:       map[string]time.Time{},
 	}
 	if n.cfg.BootstrapMembers == nil {
 		n.cfg.BootstrapMembers = cfg.Peers
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -360,3 +360,28 @@
 	h.receive(m)
 	assert.Equal(t, len(h.node.peers), known)
 }
+
+// Guards against a storm of hellos: members that had not accepted each other answered every hello with hellos to all
+// others at once. Ten members sent 100,000 of them, 15 MB, in the first seconds of a fleet.
+func TestHelloStorm(t *testing.T) {
+	h := newHarness(t)
+	count := func() int {
+		hellos := 0
+		for _, sent := range h.sent {
+			if _, ok := sent.Message.(*Hello); ok {
+				hellos++
+			}
+		}
+		return hellos
+	}
+	h.advance(time.Second)
+	before := count()
+	const received = 100
+	for range received {
+		h.now = h.now.Add(time.Millisecond)
+		h.receive(&Hello{Header: h.headerFrom("c", 1)})
+	}
+	interval := h.node.cfg.Heartbeat
+	assert.Assert(t, count()-before <= int(received*time.Millisecond/interval)+1, "%d hellos for %d", count()-before, received)
+	assert.Assert(t, count() > before, "a peer that may have missed the earlier ones gets a hello")
+}
