--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -54,6 +54,7 @@
 		slotFreed chan struct{}
 		broken    bool
 		idleSince time.Time // start of the current period without a request in progress
+		idle      idleState
 		last      bool      // no further request is read
 	}
 
@@ -91,7 +92,9 @@
 func (c *callerConn) serve(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.idleSince = time.Now()
+	c.frontend.idle.add(c, c.idleSince)
 	err := c.readRequests()
+	c.frontend.idle.remove(c)
 	var stopped *readStopped
 	if !errors.As(err, &stopped) {
 		c.cancel() // the caller has disconnected, which cancels its requests
@@ -153,6 +156,9 @@
 		limit := c.frontend.limits().IdleTimeout
 		_ = c.conn.SetReadDeadline(time.Now().Add(limit))
 		if _, err := c.reader.Peek(1); err == nil {
+			if !c.frontend.idle.remove(c) {
+				return net.ErrClosed
+			}
 			return nil
 		} else if netErr := net.Error(nil); !errors.As(err, &netErr) || !netErr.Timeout() {
 			return err
@@ -260,6 +266,7 @@
 			slot := &responseSlot{}
 			c.pipeline = append(c.pipeline, slot)
 			c.last = last
+			c.frontend.idle.requestRead(c)
 			c.mu.Unlock()
 			return slot, nil
 		}
@@ -286,6 +293,9 @@
 	}
 	if len(c.pipeline) == 0 {
 		c.idleSince = time.Now()
+		if !c.broken {
+			c.frontend.idle.add(c, c.idleSince)
+		}
 	}
 	if c.slotFreed != nil {
 		close(c.slotFreed)
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -21,6 +21,12 @@
 	// sends another request meanwhile must notice soon that it is not served.
 	lingerTime = 120 * time.Millisecond
 
+	// idleConnectionsShare is the share of the connection limit above which new connections replace idle ones.
+	idleConnectionsShare = 0.4
+
+	// minIdleTime is how long a connection has been idle before it is closed while there is still room.
+	minIdleTime = time.Second
+
 	// keepAlivePeriod is the TCP keep-alive interval. It detects callers that have disappeared without
 	// closing.
 	keepAlivePeriod = 15 * time.Second
@@ -41,6 +47,7 @@
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
+	idle     idleConns
 	active   atomic.Int64 // requests in progress
 	open     atomic.Int64 // connections
 	closing  atomic.Bool
@@ -59,9 +66,9 @@
 		if err != nil {
 			return fmt.Errorf("accept caller: %w", err)
 		}
-		if f.open.Load() >= int64(f.MaxConnections) {
+		if !f.makeRoom() {
 			_ = conn.Close()
-			f.Log.Warn().Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
+			f.Log.Info().Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
 			continue
 		}
 		f.open.Add(1)
@@ -73,6 +80,19 @@
 	}
 }
 
+// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it closes
+// connections that have been idle for a while, and at the limit any idle one.
+func (f *Frontend) makeRoom() bool {
+	open, now := f.open.Load(), time.Now()
+	switch {
+	case open >= int64(f.MaxConnections):
+		return f.idle.evict(now, 0)
+	case float64(open) >= idleConnectionsShare*float64(f.MaxConnections):
+		f.idle.evict(now, minIdleTime)
+	}
+	return true
+}
+
 // serve handles one connection. It continues after Run has returned, until the requests in progress have
 // ended.
 func (f *Frontend) serve(conn net.Conn) {
--- /dev/null
+++ b/internal/root/relay/idleconns.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+type (
+	// idleConns holds the callers' connections without a request, so that the one that has been idle longest can
+	// make room for a new one. Callers that retry often leave connections open behind them; without this, they
+	// would keep all others out until the idle timeout.
+	idleConns struct {
+		mu    sync.Mutex
+		conns list.List // of *callerConn, the one that has been idle longest first
+	}
+
+	// idleState is the state of one connection in idleConns; idleConns.mu guards it.
+	idleState struct {
+		element *list.Element // nil while a request is in progress
+		since   time.Time
+		reading bool // a request is being read
+		evicted bool
+	}
+)
+
+// add adds a connection that has no request in progress.
+func (i *idleConns) add(c *callerConn, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if c.idle.element == nil && !c.idle.reading && !c.idle.evicted {
+		c.idle.element, c.idle.since = i.conns.PushBack(c), now
+	}
+}
+
+// remove removes a connection on which a request arrives. It returns false if the connection has been evicted: the
+// request must not be read then.
+func (i *idleConns) remove(c *callerConn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if c.idle.element != nil {
+		i.conns.Remove(c.idle.element)
+		c.idle.element = nil
+	}
+	c.idle.reading = true
+	return !c.idle.evicted
+}
+
+// requestRead records that the request that was being read is in progress.
+func (i *idleConns) requestRead(c *callerConn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	c.idle.reading = false
+}
+
+// evict closes the connection that has been idle longest, if it has been idle for minIdle, and reports whether
+// there was one.
+func (i *idleConns) evict(now time.Time, minIdle time.Duration) bool {
+	i.mu.Lock()
+	front := i.conns.Front()
+	if front == nil || now.Sub(front.Value.(*callerConn).idle.since) < minIdle {
+		i.mu.Unlock()
+		return false
+	}
+	c := i.conns.Remove(front).(*callerConn)
+	c.idle.element, c.idle.evicted = nil, true
+	i.mu.Unlock()
+	_ = c.conn.Close()
+	return true
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	stdlog "log"
@@ -70,6 +71,7 @@
 		RetryRatio     float64
 		RetryWindow    time.Duration
 		MemoryLimit    int64 // bytes
+		MaxConnections int   // of callers, zero selects maxConnections
 		Seed           uint64
 	}
 
@@ -112,7 +114,7 @@
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
 			Listener: o.Ingress, Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
-			Bodies: bodies, MaxConnections: maxConnections,
+			Bodies: bodies, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
 		},
 	}
 }
