--- a/internal/root/relay/bench_test.go
+++ b/internal/root/relay/bench_test.go
@@ -62,4 +62,3 @@
 	close(calls)
 	group.Wait()
 }
-
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -55,7 +55,7 @@
 		broken    bool
 		idleSince time.Time // start of the current period without a request in progress
 		idle      idleState
-		last      bool      // no further request is read
+		last      bool // no further request is read
 	}
 
 	// responseSlot is the position of one response in the pipeline of a connection.
