--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -226,7 +226,9 @@
 	}
 	request.Body = body.data
 	started = true
-	c.inProgress.Go(func() {
+	c.inProgress.Add(1)
+	c.frontend.workers.Go(func() {
+		defer c.inProgress.Done()
 		defer body.release()
 		c.frontend.active.Add(1)
 		defer c.frontend.active.Add(-1)
@@ -371,7 +373,7 @@
 	var buf bytes.Buffer
 	buf.Grow(512 + len(r.Body))
 	fmt.Fprintf(&buf, "HTTP/1.1 %d %s\r\n", r.Status, statusText(r.Status))
-	_ = r.Header.Write(&buf) // a bytes.Buffer returns no error
+	writeHeader(&buf, r.Header)
 	bodiless := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
 	if !bodiless && (method != http.MethodHead || len(r.Body) > 0) {
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
@@ -386,6 +388,21 @@
 	return buf.Bytes()
 }
 
+// writeHeader writes header fields. It does not sort them, which http.Header.Write does.
+func writeHeader(buf *bytes.Buffer, header http.Header) {
+	for name, values := range header {
+		for _, value := range values {
+			if strings.ContainsAny(name, "\r\n: ") || strings.ContainsAny(value, "\r\n") {
+				continue // a peer that is not valid HTTP could inject fields
+			}
+			buf.WriteString(name)
+			buf.WriteString(": ")
+			buf.WriteString(value)
+			buf.WriteString("\r\n")
+		}
+	}
+}
+
 func statusText(status int) string {
 	if text := http.StatusText(status); text != "" {
 		return text
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -47,6 +47,7 @@
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
+	workers  super.Workers // serve requests
 	idle     idleConns
 	active   atomic.Int64 // requests in progress
 	open     atomic.Int64 // connections
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -29,6 +29,8 @@
 		Log          zerolog.Logger
 		// MaxBody bounds the body of a request in bytes.
 		MaxBody int64
+
+		workers super.Workers // serve requests
 	}
 
 	// peerStreamServer is the receiving end of one peer stream.
@@ -135,7 +137,9 @@
 	p.mu.Lock()
 	p.cancels[send.Number] = cancel
 	p.mu.Unlock()
-	p.requests.Go(func() {
+	p.requests.Add(1)
+	p.server.workers.Go(func() {
+		defer p.requests.Done()
 		defer cancel()
 		defer super.Recover(&p.server.Log, "peer-request", func() {
 			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -229,7 +229,7 @@
 	var buf bytes.Buffer
 	buf.Grow(512 + len(ex.request.Body))
 	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", ex.request.Method, ex.request.Target, ex.request.Host)
-	_ = header.Write(&buf) // a bytes.Buffer returns no error
+	writeHeader(&buf, header)
 	if len(ex.request.Body) > 0 || ex.request.Method == http.MethodPost || ex.request.Method == http.MethodPut || ex.request.Method == http.MethodPatch {
 		fmt.Fprintf(&buf, "Content-Length: %d\r\n", len(ex.request.Body))
 	}
