--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -185,7 +185,6 @@
 		old.close()
 	}
 	s.join = join
-	s.compress.Store(join.Decompresses)
 	ls.sessions[join.Daemon] = s
 	ls.registry.Join(now, join.Daemon, join.Zone, join.Boot)
 	machine := l.voter.machine
@@ -312,14 +311,15 @@
 
 // sendConfig sends a daemon the accepted revision if the last one sent to it differs. Daemons with the same
 // last revision share one frame: when an availability zone returns, 1,467 copies of the rules would otherwise
-// be queued at once.
+// be queued at once. Only these frames are compressed: views differ from daemon to daemon, and compressing them
+// took a new leader of 184 daemons so long that it lost its lease.
 func (ls *leaderState) sendConfig(l *Loop, s *session) {
 	machine := l.voter.machine
 	current := machine.CurrentRevision()
 	if current == nil || s.sentRevision == current.Number {
 		return
 	}
-	key := configFrameKey{base: s.sentRevision, compressed: s.compress.Load()}
+	key := configFrameKey{base: s.sentRevision, compressed: s.join.Decompresses}
 	frame, ok := ls.configFrames[key]
 	if !ok {
 		var err error
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -31,7 +30,6 @@
 	notEmpty  chan struct{} // has an element while frames are queued
 	closed    chan struct{}
 	closeOnce sync.Once
-	compress  atomic.Bool // the peer accepts compressed frames
 
 	mu    sync.Mutex
 	queue []wire.Frame
@@ -136,9 +134,6 @@
 
 func (s *session) writeAll(writer *bufio.Writer, frames []wire.Frame) error {
 	for _, frame := range frames {
-		if s.compress.Load() {
-			frame = wire.Compress(frame)
-		}
 		if len(frame.Body) > wire.MaxFrame {
 			return fmt.Errorf("%w: %d bytes, limit %d", wire.ErrFrameTooLarge, len(frame.Body), wire.MaxFrame)
 		}
