--- /dev/null
+++ b/internal/root/ctrl/controls.go
@@ -0,0 +1,54 @@
+package ctrl
+
+import "time"
+
+// avoidTime is how long a control instance that was silent or unreachable is not tried if there are others. A
+// connection to an instance that is paused opens, but its handshake lasts until the timeout.
+const avoidTime = 2 * time.Second
+
+// controlChoice chooses the control instance to which a daemon opens its control stream next.
+type controlChoice struct {
+	next  int // position of the next address to try
+	hint  string
+	avoid map[string]time.Time // by address: until when it is avoided
+}
+
+// choose returns the address of the leader if an instance has named it, or else the next one of addresses. It
+// passes over avoided addresses unless all are.
+func (c *controlChoice) choose(now time.Time, addresses []string) string {
+	hint := c.hint
+	c.hint = ""
+	if hint != "" && !now.Before(c.avoid[hint]) {
+		return hint
+	}
+	for range addresses {
+		address := addresses[c.next%len(addresses)]
+		c.next++
+		if !now.Before(c.avoid[address]) {
+			return address
+		}
+	}
+	address := addresses[c.next%len(addresses)]
+	c.next++
+	return address
+}
+
+// redirected records the leader that the instance at address has named. It reports whether the leader can be tried
+// at once.
+func (c *controlChoice) redirected(now time.Time, address, leader string) bool {
+	c.hint = leader
+	return leader != "" && leader != address && !now.Before(c.avoid[leader])
+}
+
+// failed records that the instance at address was silent or unreachable.
+func (c *controlChoice) failed(now time.Time, address string) {
+	if c.avoid == nil {
+		c.avoid = map[string]time.Time{}
+	}
+	for other, until := range c.avoid {
+		if !now.Before(until) {
+			delete(c.avoid, other)
+		}
+	}
+	c.avoid[address] = now.Add(avoidTime)
+}
--- /dev/null
+++ b/internal/root/ctrl/controls_test.go
@@ -0,0 +1,44 @@
+package ctrl
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against daemons that go back to a leader that has fallen silent: a third of them chose its address again, or
+// followed an outdated redirect to it, and waited two seconds for its handshake.
+func TestSilentControlInstanceIsAvoided(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	addresses := []string{"a", "b", "c"}
+	for start := range addresses {
+		c := controlChoice{next: start}
+		c.failed(now, "a")
+		for range 6 {
+			assert.Assert(t, c.choose(now, addresses) != "a")
+		}
+		assert.Assert(t, !c.redirected(now, "b", "a"), "an outdated redirect")
+		assert.Assert(t, c.choose(now, addresses) != "a")
+		assert.Assert(t, c.redirected(now, "b", "c"))
+		assert.Equal(t, c.choose(now, addresses), "c")
+
+		now = now.Add(avoidTime)
+		assert.Assert(t, c.redirected(now, "b", "a"))
+		assert.Equal(t, c.choose(now, addresses), "a")
+	}
+}
+
+// Guards against a daemon that tries nothing because all control instances have failed.
+func TestAvoidedInstancesAreTriedWithoutOthers(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	addresses := []string{"a", "b"}
+	c := controlChoice{}
+	c.failed(now, "a")
+	c.failed(now, "b")
+	seen := map[string]bool{}
+	for range 4 {
+		seen[c.choose(now, addresses)] = true
+	}
+	assert.Equal(t, len(seen), 2)
+}
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -342,6 +342,9 @@
 
 func (l *Loop) applyChange(change *member.Change) {
 	d := l.daemon
+	if err := change.DropInvalid(); err != nil {
+		l.log.Warn().Str("service", change.Service).Err(err).Msg("instance-ignored")
+	}
 	if !d.views.Apply(change) {
 		l.sendSubscriptions()
 		return
@@ -397,6 +400,7 @@
 	if now.Sub(oldest) >= heartbeatTimeout {
 		l.log.Warn().Str("address", d.session.remote).Msg("control-instance-silent")
 		s := d.session
+		s.silent.Store(true)
 		s.close()
 		l.closeUplink(s)
 		l.dialer.Reset(s.remote)
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/watch"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
@@ -438,3 +440,25 @@
 	passes := uint64(f.clock.Now().Sub(started)/viewInterval) + 2
 	assert.Assert(t, l.Snapshot().Endpoints["library"].Version-versions <= passes)
 }
+
+// Guards against a daemon that stops following the list of instances, or reconnects again and again, because of one
+// bad entry in it.
+func TestBadInstanceCostsOnlyItself(t *testing.T) {
+	f := newTestFleet(t, 1, 2)
+	l := f.loops["d2"]
+	f.announce("d1", "127.0.0.1:1", "1")
+	l.handle(f.clock.Now(), endpointsRequested{service: "library", reply: make(chan *snap.Endpoints, 1)})
+	f.waitUntil("one instance", func() bool { return instances(l) == 1 })
+	good := l.Snapshot().Endpoints["library"].Instances[0]
+	good.ID, good.Address = good.Daemon+"/127.0.0.1:2", "127.0.0.1:2"
+	bad := good
+	bad.ID, bad.Slots = strings.Repeat("x", 500), math.MaxUint32
+	frame, err := encodeLeaderMessage(changeMessage{&member.Change{Service: "library", Version: 99, Set: []snap.Endpoint{bad, good}}})
+	assert.NilError(t, err)
+	message, err := decodeLeaderMessage(frame)
+	assert.NilError(t, err)
+	l.handle(f.clock.Now(), leaderMessageReceived{session: l.daemon.session, message: message})
+	f.step(10 * time.Millisecond)
+	assert.Equal(t, instances(l), 1)
+	assert.Equal(t, l.Snapshot().Endpoints["library"].Instances[0].ID, good.ID)
+}
--- a/internal/root/ctrl/session.go
+++ b/internal/root/ctrl/session.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -30,6 +31,7 @@
 	notEmpty  chan struct{} // has an element while frames are queued
 	closed    chan struct{}
 	closeOnce sync.Once
+	silent    atomic.Bool // the peer has not replied to heartbeats
 
 	mu    sync.Mutex
 	queue []wire.Frame
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -18,22 +18,20 @@
 // pastDeadline is a deadline that unblocks pending reads at once.
 var pastDeadline = time.Unix(1, 0)
 
-var errRedirected = errors.New("redirected to another control instance")
+var (
+	errRedirected = errors.New("redirected to another control instance")
+	errSilent     = errors.New("control instance is silent")
+)
 
 // runUplink keeps one control stream to the leader: it tries the addresses of control instances in turn and
 // follows redirects.
 func (l *Loop) runUplink(ctx context.Context) error {
 	random := rand.New(rand.NewPCG(l.boot, l.boot))
-	next := random.IntN(len(*l.controlAddresses.Load()))
-	leaderHint, backoff := "", backoffMin
+	choice := controlChoice{next: random.IntN(len(*l.controlAddresses.Load()))}
+	backoff := backoffMin
 	for ctx.Err() == nil {
-		address := leaderHint
-		if address == "" {
-			controls := *l.controlAddresses.Load()
-			address = controls[next%len(controls)]
-			next++
-		}
-		leaderHint = ""
+		address := choice.choose(l.clock.Now(), *l.controlAddresses.Load())
+		leaderHint := ""
 		gotReply, err := l.serveUplink(ctx, address, &leaderHint)
 		if ctx.Err() != nil {
 			return nil
@@ -42,7 +40,10 @@
 		if gotReply {
 			backoff = backoffMin
 		}
-		if leaderHint != "" && leaderHint != address {
+		switch now := l.clock.Now(); {
+		case errors.Is(err, errSilent) || errors.Is(err, link.ErrUnreachable):
+			choice.failed(now, address)
+		case choice.redirected(now, address, leaderHint):
 			continue
 		}
 		pause := backoff/2 + time.Duration(random.Int64N(int64(backoff)))
@@ -82,6 +83,9 @@
 		return nil
 	})
 	l.notify(uplinkClosed{session: s})
+	if s.silent.Load() {
+		err = errSilent
+	}
 	return gotReply, err
 }
 
@@ -94,6 +98,11 @@
 	}
 	err := s.serve(ctx, func(frame wire.Frame) error {
 		message, err := decodeDaemonMessage(frame)
+		if err != nil && frame.Kind == kindAnnounce {
+			// The daemon would send the same announcement on its next stream.
+			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("announcement-unreadable")
+			return nil
+		}
 		if err != nil {
 			return err
 		}
