--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -16,15 +16,6 @@
 
 // forward sends the request until it is completed, or until no further send is allowed or useful.
 func (f *Forwarder) forward(ctx context.Context, state *forwardState) outcome {
-	result := f.sendUntilDone(ctx, state)
-	if state.nested && !errors.Is(ctx.Err(), context.Canceled) {
-		completed, ok := result.(completed)
-		f.LocalBackend.RecordCallResult(!ok || completed.response.failed())
-	}
-	return result
-}
-
-func (f *Forwarder) sendUntilDone(ctx context.Context, state *forwardState) outcome {
 	svc := f.service(state.service)
 	if !f.refreshEndpoints(ctx, state, svc) {
 		return notRun{failure: retry.NoBackend{}, retryAfter: noServerRetryAfter}
@@ -228,9 +219,6 @@
 			return false
 		}
 	case notRun:
-		if _, throttled := result.failure.(retry.Throttled); throttled {
-			return false // the cause lies in a service that other servers call as well
-		}
 		if !result.reached {
 			return len(state.tried) < svc.balancer.Servers() // needs no retry budget, because no server received the request
 		}
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -42,9 +42,6 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay that a refusal advises.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
-
-	// futileRetryAfter is the delay that a refusal advises while nested calls fail.
-	futileRetryAfter = time.Second
 )
 
 type (
@@ -76,15 +73,14 @@
 	// Refused is the decision not to serve the request; a retry may succeed after RetryAfter.
 	Refused struct {
 		RetryAfter time.Duration
-		Futile     bool          // runs of the route fail for want of a nested call, also on other servers
 		Wait       time.Duration // predicted
 	}
 
 	// Result is Completed, Shed or Aborted.
 	Result interface{ result() }
 
-	// Completed is a run that ended with the server's response. Failed is set if the response is a failure.
-	Completed struct{ Failed bool }
+	// Completed is a run that ended with the server's response.
+	Completed struct{}
 
 	// Shed is a request that the server refused after the controller had admitted it.
 	Shed struct{}
@@ -115,8 +111,7 @@
 		routes  map[string]*route
 		runTime time.Duration // average over all routes
 
-		calls        resultRate // of nested calls that this server made
-		downstream   float64    // average congestion that calls of this server reported
+		downstream   float64 // average congestion that calls of this server reported
 		downstreamAt time.Time
 	}
 
@@ -175,9 +170,6 @@
 	c := g.class(t)
 	c.arrivals.add(now)
 	r := g.route(t.Route)
-	if g.isFutile(now, t, r) {
-		return Refused{RetryAfter: futileRetryAfter, Futile: true}
-	}
 	ahead := g.queuedAhead(c)
 	if ahead == 0 && g.running < g.slots && r.hasCapacity(t) {
 		g.start(now, t, r)
@@ -275,11 +267,8 @@
 		g.running--
 		r.inFlight--
 	}
-	ended, completed := result.(Completed)
+	_, completed := result.(Completed)
 	r.remove(t, completed)
-	if completed {
-		r.results.record(now, ended.Failed)
-	}
 	elapsed := now.Sub(t.started)
 	switch result.(type) {
 	case Completed:
--- a/internal/root/relay/gate/route.go
+++ b/internal/root/relay/gate/route.go
@@ -41,8 +41,6 @@
 	inFlight     int
 	running      []*Ticket // in order of their starts, including those whose response counts as lost
 	limitChanged time.Time
-	results      resultRate // of its runs
-	futile       float64    // accumulated share of requests to refuse
 }
 
 func newRoute(name string, slots int) *route {
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -291,15 +291,6 @@
 	}
 }
 
-// RecordCallResult records whether a call of the local backend server has failed.
-func (b *LocalBackend) RecordCallResult(failed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.current != nil {
-		b.current.controller.RecordCall(b.Clock.Now(), failed)
-	}
-}
-
 // Status returns the latest notice of the server and the numbers of its running and waiting requests.
 func (b *LocalBackend) Status() (n Notice, running, waiting int) {
 	b.mu.Lock()
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -103,9 +103,6 @@
 			Dur("predicted-wait", decision.Wait).Dur("after", decision.RetryAfter).
 			Int("running", s.controller.Running()).Int("waiting", s.controller.Waiting()).
 			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
-		if decision.Futile {
-			return s, nil, nil, notRun{failure: retry.Throttled{}, retryAfter: decision.RetryAfter}
-		}
 		return s, nil, nil, notRun{failure: retry.QueueFull{}, retryAfter: decision.RetryAfter}
 	case gate.Queued:
 		decided = make(chan admission, 1)
@@ -139,7 +136,7 @@
 		if responseMeta.NotRun {
 			return gate.Shed{}, notRun{failure: retry.Overload{}, retryAfter: response.retryAfter(), reached: true}
 		}
-		return gate.Completed{Failed: response.failed()}, completed{response: response}
+		return gate.Completed{}, completed{response: response}
 	}
 	b.Requests.Info().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
 	switch {
