--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -332,6 +332,11 @@
 	}
 }
 
+// ExpectedRun returns the average run time of a route, zero before its first run.
+func (g *Controller) ExpectedRun(routeName string) time.Duration {
+	return g.route(routeName).meanRunTime
+}
+
 // Running returns the number of requests in the server, including those whose response counts as lost.
 func (g *Controller) Running() int { return g.running + g.lost }
 
--- a/internal/root/relay/lateresponse_test.go
+++ b/internal/root/relay/lateresponse_test.go
@@ -51,3 +51,36 @@
 	assert.Equal(t, <-status, 200)
 	assert.Equal(t, d.server.runs("held"), 1)
 }
+
+// Guards against a new connection to the server for each caller that leaves during a short run, and against a
+// server that goes on working for a caller that has gone: a short run ends by itself, a long one is ended.
+func TestShortRunEndsAfterItsCallerHasLeft(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	for i := range 5 {
+		assert.Equal(t, f.request(d, fmt.Sprint("w", i), "/open/slow?ms=100", "", "").StatusCode, 200)
+	}
+	b := d.relay.LocalBackend
+	idle := func() int {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.current.pool.mu.Lock()
+		defer b.current.pool.mu.Unlock()
+		return len(b.current.pool.idle)
+	}
+	assert.Equal(t, idle(), 1)
+	leave := func(id, path string) {
+		conn := f.dial(d)
+		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nId: %s\r\n\r\n", path, id)
+		assert.NilError(t, err)
+		f.waitUntil("the request runs", func() bool { return d.server.runs(id) == 1 })
+		assert.NilError(t, conn.Close())
+	}
+	leave("short", "/open/slow?ms=100")
+	f.waitUntil("the run has ended", func() bool { return b.Running() == 0 && idle() == 1 })
+
+	started := time.Now()
+	leave("long", "/open/hold")
+	assert.Equal(t, <-d.server.gone, "long")
+	assert.Assert(t, time.Since(started) < maxLinger+200*time.Millisecond, "the server worked on for %s", time.Since(started))
+}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -15,6 +15,10 @@
 	// unreachablePeriod is how long no request is sent to a server that has not accepted a connection.
 	unreachablePeriod = 150 * time.Millisecond
 
+	// maxLinger bounds how long the rest of a run is awaited after its caller has gone. Callers and servers expect
+	// work to stop within half a second.
+	maxLinger = 300 * time.Millisecond
+
 	// suspectTimeout is how long a request whose connection broke remains a crash suspect, so that the first
 	// notice of the restarted server can still report it.
 	suspectTimeout = 6 * time.Second
@@ -47,7 +51,7 @@
 		return refused, b.report(s, j)
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
-	ex := &exchange{request: j.request, deadline: j.deadline, requestMeta: RequestMetadata{
+	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), requestMeta: RequestMetadata{
 		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
 		Account: j.account, CallerService: j.caller,
 	}}
@@ -60,6 +64,16 @@
 	return result, b.report(s, j)
 }
 
+// linger returns how long the response of a run is awaited after its caller has gone: a long run is ended at once.
+func (b *LocalBackend) linger(s *serverProcess, j *job) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if run := s.controller.ExpectedRun(j.route); run == 0 || run > maxLinger {
+		return 0
+	}
+	return maxLinger
+}
+
 // admit offers the request to the admission controller and waits for its decision.
 func (b *LocalBackend) admit(ctx context.Context, j *job) (*serverProcess, *gate.Ticket, outcome) {
 	now := b.Clock.Now()
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -148,7 +148,9 @@
 		p.mu.Lock()
 		delete(p.cancels, send.Number)
 		p.mu.Unlock()
-		p.reply(send.Number, result, report)
+		if ctx.Err() == nil { // otherwise nobody waits for the reply
+			p.reply(send.Number, result, report)
+		}
 	})
 }
 
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -78,6 +78,9 @@
 		request     *Request
 		requestMeta RequestMetadata
 		deadline    time.Time
+		// linger is how long the response is still awaited once the caller has gone. Closing the connection would
+		// cost a new one, which is more than the rest of a short run.
+		linger time.Duration
 	}
 )
 
@@ -88,9 +91,20 @@
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		if ex.linger > 0 && errors.Is(ctx.Err(), context.Canceled) {
+			_ = conn.SetDeadline(time.Now().Add(ex.linger))
+			return
+		}
+		_ = conn.SetDeadline(time.Unix(1, 0))
+	})
 	response, responseMeta, reusable, err := p.roundTripRecovering(conn, ex)
-	if !stop() || !reusable || err != nil {
+	if !stop() {
+		<-ended // it must not change the deadline of the next request
+	}
+	if !reusable || err != nil {
 		_ = conn.Close()
 	} else {
 		p.put(conn)
