--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,8 +44,10 @@
 		Dialer *link.Dialer
 		Log    zerolog.Logger
 
-		mu      sync.Mutex
-		streams map[string]*peerStream
+		mu       sync.Mutex
+		streams  map[string]*peerStream
+		checking bool                 // the next check of the busy streams is scheduled
+		busy     map[*peerStream]bool // streams that may have requests in progress, also detached ones
 	}
 
 	// peerStream carries the requests to one daemon over one stream. Only its reader delivers replies. A silent
@@ -60,7 +64,6 @@
 		next         uint64
 		pending      map[uint64]*pendingReply
 		lastReceived time.Time
-		pinging      bool
 		closeSession func() // set when the stream is detached
 	}
 
@@ -110,7 +113,7 @@
 		p.remove(stream)
 		return nil, false, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
-	p.startPings(stream)
+	p.startChecks(stream)
 	for detached := stream.detached; ; detached = nil {
 		select {
 		case result := <-pending.done:
@@ -152,7 +155,7 @@
 		p.remove(stream)
 		return fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
-	p.startPings(stream)
+	p.startChecks(stream)
 	select {
 	case result := <-pending.done:
 		switch {
@@ -244,39 +247,80 @@
 	close(stream.detached)
 }
 
-// startPings starts the checks of the peer stream, which continue while requests are in progress.
-func (p *PeerStreams) startPings(stream *peerStream) {
-	stream.mu.Lock()
-	begin := !stream.pinging
-	stream.pinging = true
-	stream.mu.Unlock()
-	if begin {
-		time.AfterFunc(pingInterval, func() { p.ping(stream) })
+// startChecks starts the checks of a peer stream, which continue while requests are in progress. One timer serves
+// all streams, because each wake-up of a process costs more than the check itself.
+func (p *PeerStreams) startChecks(stream *peerStream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy == nil {
+		p.busy = map[*peerStream]bool{}
+	}
+	p.busy[stream] = true
+	p.scheduleCheck()
+}
+
+// scheduleCheck schedules the next check; p.mu is held.
+func (p *PeerStreams) scheduleCheck() {
+	if !p.checking {
+		p.checking = true
+		time.AfterFunc(pingInterval, p.checkAll)
 	}
 }
 
-func (p *PeerStreams) ping(stream *peerStream) {
+// checkAll checks all streams that have requests in progress.
+func (p *PeerStreams) checkAll() {
+	p.mu.Lock()
+	streams := slices.Collect(maps.Keys(p.busy))
+	p.mu.Unlock()
+	var idle []*peerStream
+	for _, stream := range streams {
+		if !p.check(stream) {
+			idle = append(idle, stream)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.checking = false
+	for _, stream := range idle {
+		if !stream.isWaiting() {
+			delete(p.busy, stream)
+		}
+	}
+	if len(p.busy) > 0 {
+		p.scheduleCheck()
+	}
+}
+
+// check pings a stream whose requests wait for a while and detaches it when it is silent. It reports whether the
+// stream has to be checked again.
+func (p *PeerStreams) check(stream *peerStream) bool {
 	now := p.Clock.Now()
 	stream.mu.Lock()
 	waiting, detached := len(stream.pending), stream.closeSession != nil
-	stream.pinging = waiting > 0
 	idle := now.Sub(stream.lastReceived)
 	stream.mu.Unlock()
 	switch {
 	case detached && waiting == 0:
 		p.remove(stream)
-		return
+		return false
 	case waiting == 0:
-		return
+		return false
 	case idle >= peerTimeout && !detached:
 		p.Log.Warn().Str("daemon", stream.address).Dur("silent", idle).Int("waiting", waiting).Msg("lane-silent")
 		p.detach(stream)
 	}
 	if frame, err := encodeFrame(kindPing, &Cancel{}); err != nil || idle >= pingInterval && !stream.writer.enqueue(frame) {
 		p.remove(stream)
-		return
+		return false
 	}
-	time.AfterFunc(pingInterval, func() { p.ping(stream) })
+	return true
+}
+
+// isWaiting reports whether requests on the stream are in progress.
+func (s *peerStream) isWaiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending) > 0
 }
 
 // read delivers replies until the stream ends.
