--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -14,6 +15,10 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
+// maxFullServersTried bounds the servers that a request is offered to while they refuse it for want of room. Each
+// offer costs processor time at two daemons, when there is least of it, and bytes between availability zones.
+const maxFullServersTried = 4
+
 // forward sends the request until it is completed, or until no further send is allowed or useful.
 func (f *Forwarder) forward(ctx context.Context, state *forwardState) outcome {
 	svc := f.service(state.service)
@@ -220,7 +225,8 @@
 		}
 	case notRun:
 		if !result.reached {
-			return len(state.tried) < svc.balancer.Servers() // needs no retry budget, because no server received the request
+			// This needs no retry budget, because no server received the request.
+			return len(state.tried) < min(svc.balancer.Servers(), maxServersTried(result.failure))
 		}
 		if state.sends > state.route.MaxSends {
 			return false
@@ -244,6 +250,16 @@
 		Dur("left", state.deadline.Sub(now)).Msg("sent-again")
 }
 
+// maxServersTried returns how many servers a request is offered to that none has received. Those with the shortest
+// predicted wait come first, so that after a few refusals for want of room the others are hardly better.
+func maxServersTried(failure retry.Failure) int {
+	switch failure.(type) {
+	case retry.QueueFull, retry.QueueTimeout:
+		return maxFullServersTried
+	}
+	return math.MaxInt
+}
+
 // mayRetryLost reports whether a request without a response may be sent again, after the given number of sends.
 func (s *forwardState) mayRetryLost(now time.Time, sends int) bool {
 	return s.idempotent() && sends < s.route.MaxSends && !s.tooLateToRetry(now)
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -14,7 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
@@ -483,3 +485,32 @@
 	defer b.mu.Unlock()
 	assert.Equal(t, b.current.unanswered, 0)
 }
+
+// Guards against a request that is offered to all servers of a large service while all of them are full, and against
+// one that is given up although servers are left that could not be reached.
+func TestFullServersAreTriedInPart(t *testing.T) {
+	const servers = 24
+	f := newTestFleet(t, 1)
+	forwarder := f.daemons[0].relay.Frontend.Forwarder
+	list := &snap.Endpoints{Version: 1}
+	for i := range servers {
+		list.Instances = append(list.Instances, snap.Endpoint{ID: fmt.Sprint("s", i), Service: "shop", Zone: "a", Slots: 2, Incarnation: 1})
+	}
+	svc := forwarder.service("shop")
+	svc.balancer.Update(time.Now(), list)
+	offers := func(failure retry.Failure) int {
+		state := &forwardState{
+			request: &Request{ID: "r"}, route: &rules.Route{MaxSends: 2}, service: "shop", deadline: time.Now().Add(time.Minute),
+		}
+		for n := 1; ; n++ {
+			endpoint, ok := forwarder.choose(state, svc)
+			assert.Assert(t, ok)
+			state.tried = append(state.tried, endpoint.ID)
+			if !forwarder.shouldRetry(state, svc, notRun{failure: failure}) {
+				return n
+			}
+		}
+	}
+	assert.Equal(t, offers(retry.QueueFull{}), maxFullServersTried)
+	assert.Equal(t, offers(retry.Unreached{}), servers)
+}
