--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -87,7 +87,7 @@
 		for j := range service.Servers {
 			zone := fmt.Sprintf("zone-%d", j%zoneCount)
 			sv := &server{service: service, alive: true, slowdown: 1, endpoint: snap.Endpoint{
-				ID: fmt.Sprintf("%s/%d", service.Name, j), Service: service.Name, Zone: zone, Slots: uint32(service.Slots),
+				ID: instanceID(service.Name, j), Service: service.Name, Zone: zone, Slots: uint32(service.Slots),
 				Connections: uint32(service.Connections), Incarnation: uint64(number + 1),
 			}}
 			d := &daemon{
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"os"
 	"path/filepath"
 	"testing"
 
@@ -44,3 +45,27 @@
 	assert.NilError(t, WriteTable(&table, all))
 	golden.Assert(t, table.String(), "table.golden")
 }
+
+// Guards against a fault on a target that does not exist: it ended the replay with a nil dereference, or changed
+// nothing without a word.
+func TestUnknownFaultTargets(t *testing.T) {
+	fleet := "length 1s\nlatency 1ms 1ms\nservice shop 2 4 8 6 x1\naccount mobile 50% 10 10\n" +
+		"route read normal many 1s 1 10 shop:10ms\n"
+	load := func(fault string) error {
+		path := filepath.Join(t.TempDir(), "test.trace")
+		assert.NilError(t, os.WriteFile(path, []byte(fleet+fault+"\n"), 0o600))
+		_, err := Load(path)
+		return err
+	}
+	for _, fault := range []string{
+		"at 1s lost shop/2 x1 2s", "at 1s drain shop x1 2s", "at 1s cut shop/01 x1 2s", "at 1s slow stop x2 2s", "at 1s demand red x2 2s",
+		"at 1s pin read x1 2s", "at 1s withdrawn shop x1 2s", "at 1s poison mobile/red x1 2s", "at 1s break shop/1 x1 2s",
+	} {
+		assert.ErrorIs(t, load(fault), ErrTrace, fault)
+	}
+	for _, fault := range []string{
+		"at 1s lost shop/1 x1 2s", "at 1s slow shop x2 2s", "at 1s demand read x2 2s", "at 1s poison mobile/read x1 2s",
+	} {
+		assert.NilError(t, load(fault), fault)
+	}
+}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -109,9 +110,50 @@
 			e.To = t.Length
 		}
 	}
+	for _, f := range t.Faults {
+		if err := t.checkTarget(f); err != nil {
+			return nil, fmt.Errorf("%w: %s: %w", ErrTrace, path, err)
+		}
+	}
 	return t, nil
 }
 
+// checkTarget returns an error if the target of the fault does not exist. A service may be added by an included
+// file after the line of the fault, so that targets are checked last.
+func (t *Trace) checkTarget(f Fault) error {
+	isInstance := slices.ContainsFunc(t.Services, func(s Service) bool {
+		number, err := strconv.Atoi(strings.TrimPrefix(f.Target, s.Name+"/"))
+		return err == nil && number >= 0 && number < s.Servers && instanceID(s.Name, number) == f.Target
+	})
+	isService := slices.ContainsFunc(t.Services, func(s Service) bool { return s.Name == f.Target })
+	isAccount := slices.ContainsFunc(t.Accounts, func(a Account) bool { return a.Name == f.Target })
+	isRoute := slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Name == f.Target })
+	account, route, _ := strings.Cut(f.Target, "/")
+	known := false
+	switch f.Kind {
+	case "lost", "drain", "cut":
+		known = isInstance
+	case "slow":
+		known = isInstance || isService
+	case "demand":
+		known = isAccount || isRoute
+	case "pin", "withdrawn":
+		known = isAccount
+	case "poison":
+		known = slices.ContainsFunc(t.Accounts, func(a Account) bool { return a.Name == account }) &&
+			slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Name == route })
+	default:
+		return fmt.Errorf("unknown fault %q", f.Kind)
+	}
+	if !known {
+		return fmt.Errorf("target %q of the fault %q does not exist", f.Target, f.Kind)
+	}
+	return nil
+}
+
+// instanceID returns the name of an instance of a service.
+func instanceID(service string, number int) string { return fmt.Sprintf("%s/%d", service, number) }
+
 // parseFile adds the lines of a file, and of the files that it includes, to the trace.
 func (t *Trace) parseFile(path string) error {
 	file, err := os.Open(path)
--- a/internal/root/link/dialer.go
+++ b/internal/root/link/dialer.go
@@ -34,12 +34,14 @@
 		sessions map[string]*session
 	}
 
-	// session is one connection to a peer. ready is closed when dialing has ended and yamux or err is set.
+	// session is one connection to a peer. ready is closed when dialing has ended and yamux or err is set; cancel
+	// ends the dial, or closes the connection that it made.
 	session struct {
-		ready chan struct{}
-		yamux *yamux.Session
-		peer  string
-		err   error
+		ready  chan struct{}
+		cancel context.CancelFunc
+		yamux  *yamux.Session
+		peer   string
+		err    error
 	}
 )
 
@@ -91,7 +93,7 @@
 	return sess.close
 }
 
-// close closes an established session; sess may be nil.
+// close closes the session and ends a dial in progress; s may be nil.
 func (s *session) close() {
 	if s == nil {
 		return
@@ -103,9 +105,10 @@
 		}
 	default:
 	}
+	s.cancel()
 }
 
-// Close closes all established sessions. It does not stop a dial in progress.
+// Close closes all sessions and ends the dials in progress.
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -127,10 +130,11 @@
 		if d.sessions == nil {
 			d.sessions = make(map[string]*session)
 		}
-		sess = &session{ready: make(chan struct{})}
-		d.sessions[address] = sess
 		// The dial does not use the context of the first caller, because other callers wait for it too.
-		go d.dial(address, sess)
+		dialCtx, cancel := context.WithCancel(context.Background())
+		sess = &session{ready: make(chan struct{}), cancel: cancel}
+		d.sessions[address] = sess
+		go d.dial(dialCtx, address, sess)
 	}
 	d.mu.Unlock()
 	select {
@@ -141,15 +145,17 @@
 	}
 }
 
-// dial connects to address, authenticates the peer and sets the result in sess.
-func (d *Dialer) dial(address string, sess *session) {
+// dial connects to address, authenticates the peer and sets the result in sess. The connection is closed when ctx
+// is done.
+func (d *Dialer) dial(ctx context.Context, address string, sess *session) {
 	defer close(sess.ready)
 	dialer := net.Dialer{Timeout: cmp.Or(d.Timeout, defaultDialTimeout)}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		d.failDial(address, sess, err)
 		return
 	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sess.peer, err = authenticate(conn, d.Secret, d.Name, true)
 	if err != nil {
 		_ = conn.Close()
--- a/internal/root/link/link_test.go
+++ b/internal/root/link/link_test.go
@@ -72,6 +72,41 @@
 	assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
 }
 
+// Guards against a dial that goes on after the dialer was closed, or the session reset, and leaves a connection open
+// that nothing closes.
+func TestCloseEndsDial(t *testing.T) {
+	for name, end := range map[string]func(d *Dialer, address string){
+		"close": func(d *Dialer, _ string) { d.Close() },
+		"reset": func(d *Dialer, address string) { d.Reset(address) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer func() { _ = listener.Close() }()
+			address := listener.Addr().String()
+			dialer := &Dialer{Name: "client", Secret: testSecret}
+			opened := make(chan error, 1)
+			go func() {
+				_, err := dialer.Open(context.Background(), address, StreamCall)
+				opened <- err
+			}()
+			conn, err := listener.Accept() // the handshake never ends
+			assert.NilError(t, err)
+			end(dialer, address)
+			select {
+			case err := <-opened:
+				assert.Assert(t, errors.Is(err, ErrUnreachable), "%v", err)
+			case <-time.After(handshakeTimeout / 2):
+				t.Fatal("the dial goes on")
+			}
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+			_, err = io.Copy(io.Discard, conn)
+			assert.NilError(t, err) // the connection is closed
+			assert.Equal(t, dialer.Sessions(), 0)
+		})
+	}
+}
+
 // Guards against more open connections than MaxConnections from peers that never authenticate.
 func TestConnectionLimit(t *testing.T) {
 	address, _ := startServer(t, 1)
