--- a/internal/root/ctrl/controls.go
+++ b/internal/root/ctrl/controls.go
@@ -1,9 +1,14 @@
 package ctrl
 
-import "time"
+import (
+	"errors"
+	"net"
+	"time"
+)
 
-// avoidTime is how long a control instance that was silent or unreachable is not tried if there are others. A
-// connection to an instance that is paused opens, but its handshake lasts until the timeout.
+// avoidTime is how long a control instance that was silent is not tried if there are others. A connection to an
+// instance that is paused opens, but its handshake lasts until the timeout. An instance that refuses connections costs
+// no time and may be starting, so that it is tried again at once.
 const avoidTime = 2 * time.Second
 
 // controlChoice chooses the control instance to which a daemon opens its control stream next.
@@ -40,7 +45,13 @@
 	return leader != "" && leader != address && !now.Before(c.avoid[leader])
 }
 
-// failed records that the instance at address was silent or unreachable.
+// wasSilent reports whether err of a control stream means that time was lost in waiting for the instance.
+func wasSilent(err error) bool {
+	var netError net.Error
+	return errors.Is(err, errSilent) || errors.As(err, &netError) && netError.Timeout()
+}
+
+// failed records that the instance at address was silent.
 func (c *controlChoice) failed(now time.Time, address string) {
 	if c.avoid == nil {
 		c.avoid = map[string]time.Time{}
--- a/internal/root/ctrl/controls_test.go
+++ b/internal/root/ctrl/controls_test.go
@@ -1,10 +1,15 @@
 package ctrl
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 )
 
 // Guards against daemons that go back to a leader that has fallen silent: a third of them chose its address again, or
@@ -42,3 +47,25 @@
 	}
 	assert.Equal(t, len(seen), 2)
 }
+
+// Guards against daemons that stay away for two seconds from an instance that refused a connection while it started,
+// and that has become the leader meanwhile, and against daemons that go back to one that accepts connections and then
+// says nothing.
+func TestOnlySilenceIsAvoided(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	open := func() error {
+		dialer := &link.Dialer{Name: "client", Secret: []byte("a secret of sixteen bytes")}
+		defer dialer.Close()
+		_, err := dialer.Open(context.Background(), address, link.StreamControl)
+		assert.ErrorIs(t, err, link.ErrUnreachable)
+		return err
+	}
+	assert.Assert(t, wasSilent(open()))
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, !wasSilent(open()))
+
+	assert.Assert(t, wasSilent(fmt.Errorf("control stream: %w", errSilent)))
+	assert.Assert(t, !wasSilent(errRedirected))
+}
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -41,7 +41,7 @@
 			backoff = backoffMin
 		}
 		switch now := l.clock.Now(); {
-		case errors.Is(err, errSilent) || errors.Is(err, link.ErrUnreachable):
+		case wasSilent(err):
 			choice.failed(now, address)
 		case choice.redirected(now, address, leaderHint):
 			continue
