--- a/internal/root/ctrl/controls.go
+++ b/internal/root/ctrl/controls.go
@@ -11,25 +11,29 @@
 // no time and may be starting, so that it is tried again at once.
 const avoidTime = 2 * time.Second
 
+// redirectTrustTime is how long a redirect to an instance that was silent is not followed. Other instances elect
+// another leader in this time, or the instance has started meanwhile and been elected itself.
+const redirectTrustTime = 500 * time.Millisecond
+
 // controlChoice chooses the control instance to which a daemon opens its control stream next.
 type controlChoice struct {
-	next  int // position of the next address to try
-	hint  string
-	avoid map[string]time.Time // by address: until when it is avoided
+	next     int // position of the next address to try
+	hint     string
+	silentAt map[string]time.Time // by address: when the instance was last found silent
 }
 
 // choose returns the address of the leader if an instance has named it, or else the next one of addresses. It
-// passes over avoided addresses unless all are.
+// passes over addresses that were silent unless all were.
 func (c *controlChoice) choose(now time.Time, addresses []string) string {
 	hint := c.hint
 	c.hint = ""
-	if hint != "" && !now.Before(c.avoid[hint]) {
+	if hint != "" && !c.silentWithin(redirectTrustTime, now, hint) {
 		return hint
 	}
 	for range addresses {
 		address := addresses[c.next%len(addresses)]
 		c.next++
-		if !now.Before(c.avoid[address]) {
+		if !c.silentWithin(avoidTime, now, address) {
 			return address
 		}
 	}
@@ -42,7 +46,12 @@
 // at once.
 func (c *controlChoice) redirected(now time.Time, address, leader string) bool {
 	c.hint = leader
-	return leader != "" && leader != address && !now.Before(c.avoid[leader])
+	return leader != "" && leader != address && !c.silentWithin(redirectTrustTime, now, leader)
+}
+
+func (c *controlChoice) silentWithin(d time.Duration, now time.Time, address string) bool {
+	silentAt, ok := c.silentAt[address]
+	return ok && now.Sub(silentAt) < d
 }
 
 // wasSilent reports whether err of a control stream means that time was lost in waiting for the instance.
@@ -53,13 +62,13 @@
 
 // failed records that the instance at address was silent.
 func (c *controlChoice) failed(now time.Time, address string) {
-	if c.avoid == nil {
-		c.avoid = map[string]time.Time{}
+	if c.silentAt == nil {
+		c.silentAt = map[string]time.Time{}
 	}
-	for other, until := range c.avoid {
-		if !now.Before(until) {
-			delete(c.avoid, other)
+	for other := range c.silentAt {
+		if !c.silentWithin(avoidTime, now, other) {
+			delete(c.silentAt, other)
 		}
 	}
-	c.avoid[address] = now.Add(avoidTime)
+	c.silentAt[address] = now
 }
--- a/internal/root/ctrl/controls_test.go
+++ b/internal/root/ctrl/controls_test.go
@@ -28,6 +28,11 @@
 		assert.Assert(t, c.redirected(now, "b", "c"))
 		assert.Equal(t, c.choose(now, addresses), "c")
 
+		now = now.Add(redirectTrustTime) // it has become the leader again, or for the first time after a start
+		assert.Assert(t, c.choose(now, addresses) != "a")
+		assert.Assert(t, c.redirected(now, "b", "a"))
+		assert.Equal(t, c.choose(now, addresses), "a")
+
 		now = now.Add(avoidTime)
 		assert.Assert(t, c.redirected(now, "b", "a"))
 		assert.Equal(t, c.choose(now, addresses), "a")
