--- a/internal/root/relay/share/demand.go
+++ b/internal/root/relay/share/demand.go
@@ -35,12 +35,10 @@
 }
 
 // RetryAfter returns the delay to advise to a refused caller: the time in which the rate makes up for the requests
-// of a second that got no token, but at least earliest, when the next token is due. It is earliest as long as half of
-// the requests get a token: the caller is then served rather than refused when it returns, and a longer delay would
-// only make it late.
+// of a second that got no token, but at least earliest, when the next token is due.
 func (d *Demand) RetryAfter(now time.Time, earliest time.Duration) time.Duration {
 	d.decay(now)
-	if d.requests < max(minDemand, 2*d.taken) {
+	if d.requests < minDemand {
 		return earliest
 	}
 	excess := d.requests/max(d.taken, 1) - 1
