--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -87,7 +87,6 @@
 		services         map[string]*serviceState
 		splits           map[string]*share.Split           // keyed by route
 		fallbackLimiters map[string]*share.FallbackLimiter // keyed by client account
-		demands          map[string]*share.Demand          // keyed by client account
 	}
 
 	// serviceState is the state that this daemon keeps for the requests to one service.
@@ -289,15 +288,13 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	fallback, demand := f.fallbackLimiter(account.Name), f.demand(account.Name)
-	_, tokenTaken = verdict.(call.TokenTaken)
-	demand.Record(now, tokenTaken)
+	fallback := f.fallbackLimiter(account.Name)
 	switch verdict := verdict.(type) {
 	case call.TokenTaken:
 		fallback.RecordGrant(now)
 		return true, nil
 	case call.TokenRefused:
-		return false, &notRun{failure: retry.Rate{}, retryAfter: demand.RetryAfter(now, cmp.Or(verdict.RetryAfter, rateRetryAfter))}
+		return false, &notRun{failure: retry.Rate{}, retryAfter: cmp.Or(verdict.RetryAfter, rateRetryAfter)}
 	}
 	if f.sinceLeaderContact() > localRateAfter && fallback.Allow(now, account.Rate.PerSecond()) {
 		return false, nil
@@ -324,19 +321,6 @@
 	return limiter
 }
 
-// demand returns the counts of a client account's requests; f.mu is held.
-func (f *Forwarder) demand(account string) *share.Demand {
-	if f.demands == nil {
-		f.demands = map[string]*share.Demand{}
-	}
-	demand := f.demands[account]
-	if demand == nil {
-		demand = &share.Demand{}
-		f.demands[account] = demand
-	}
-	return demand
-}
-
 // chooseService chooses the service of a route that is split.
 func (f *Forwarder) chooseService(route *rules.Route) string {
 	f.mu.Lock()
