--- /dev/null
+++ b/internal/accept/doc.go
@@ -0,0 +1,2 @@
+// Package accept closes listeners without cutting off callers that have just connected.
+package accept
--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
@@ -22,7 +23,7 @@
 }
 
 func newBoundedListener(listener net.Listener, limit int) *boundedListener {
-	return &boundedListener{Listener: listener, slots: make(chan struct{}, limit)}
+	return &boundedListener{Listener: accept.New(listener), slots: make(chan struct{}, limit)}
 }
 
 // openConns returns the number of open connections.
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -168,6 +168,8 @@
 		}
 		server.SetKeepAlivesEnabled(false)
 		t.Log.Info().Str("server", name).Msg("server-draining")
+		// Close accepts the callers that wait. Stop would call it with the lock that the server needs to accept.
+		_ = listener.Close()
 		if err := server.Stop(context.WithoutCancel(ctx)); err != nil {
 			t.Log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
 		}
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -154,7 +154,15 @@
 func (c *callerConn) awaitRequest() error {
 	for {
 		limit := c.frontend.limits().IdleTimeout
-		_ = c.conn.SetReadDeadline(time.Now().Add(limit))
+		c.mu.Lock()
+		broken := c.broken
+		if !broken {
+			_ = c.conn.SetReadDeadline(time.Now().Add(limit))
+		}
+		c.mu.Unlock()
+		if broken {
+			return &readStopped{"the last response is written"}
+		}
 		if _, err := c.reader.Peek(1); err == nil {
 			if !c.frontend.idle.remove(c) {
 				return net.ErrClosed
@@ -165,9 +173,8 @@
 		}
 		c.mu.Lock()
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
-		broken := c.broken
 		c.mu.Unlock()
-		if idle || broken {
+		if idle {
 			return &readStopped{"idle"}
 		}
 	}
@@ -316,6 +323,7 @@
 	}
 	if last {
 		c.broken = true
+		_ = c.conn.SetReadDeadline(time.Now()) // ends awaitRequest
 		if len(c.pipeline) > 0 {
 			c.cancel() // requests pipelined after the last response are treated as not read
 		}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -27,6 +27,12 @@
 	// minIdleTime is how long a connection has been idle before it is closed while there is still room.
 	minIdleTime = time.Second
 
+	// maxFinishTime bounds the wait for the connections that were accepted last, finishIdleTime is how long a
+	// request may take to arrive on them, and finishPollInterval is the interval at which they are checked.
+	maxFinishTime      = 400 * time.Millisecond
+	finishIdleTime     = 100 * time.Millisecond
+	finishPollInterval = 10 * time.Millisecond
+
 	// keepAlivePeriod is the TCP keep-alive interval. It detects callers that have disappeared without
 	// closing.
 	keepAlivePeriod = 15 * time.Second
@@ -55,16 +61,16 @@
 	refusing atomic.Bool // every further request is refused
 }
 
-// Run accepts connections until ctx ends.
+// Run accepts connections until ctx ends. Those that wait then are still accepted and served; Finish waits for them.
 func (f *Frontend) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = f.Listener.Close() })
 	defer stop()
 	for {
 		conn, err := f.Listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return fmt.Errorf("accept caller: %w", err)
 		}
 		if !f.makeRoom() {
@@ -81,6 +87,24 @@
 	}
 }
 
+// Finish waits for the connections that were accepted last, after Run has returned: their requests get a response
+// before the process ends. It closes connections without a request.
+func (f *Frontend) Finish() {
+	timer := time.NewTimer(maxFinishTime)
+	defer timer.Stop()
+	ticker := time.NewTicker(finishPollInterval)
+	defer ticker.Stop()
+	for f.open.Load() > 0 {
+		for f.idle.evict(time.Now(), finishIdleTime) {
+		}
+		select {
+		case <-ticker.C:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it closes
 // connections that have been idle for a while, and at the limit any idle one.
 func (f *Frontend) makeRoom() bool {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -14,6 +14,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -113,7 +114,7 @@
 		Options: o, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
-			Listener: o.Ingress, Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
+			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
 			Bodies: bodies, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
 		},
 	}
@@ -192,7 +193,9 @@
 	}
 	r.drain()
 	stop()
-	return <-done
+	err := <-done
+	r.Frontend.Finish()
+	return err
 }
 
 // drain stops new work and waits for the requests in progress. Callers see that the daemon is not ready, and
@@ -229,6 +232,7 @@
 
 // HTTPServerRunner returns the run function of a small HTTP server.
 func HTTPServerRunner(name string, listener net.Listener, handler http.Handler, log zerolog.Logger) func(context.Context) error {
+	listener = accept.New(listener)
 	return func(ctx context.Context) error {
 		server := khttp.NewServer(
 			khttp.Listener(listener),
@@ -247,6 +251,7 @@
 			return fmt.Errorf("%s server: %w", name, err)
 		case <-ctx.Done():
 		}
+		_ = listener.Close() // Stop would close it with the lock that the server needs to accept
 		stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpStopTimeout)
 		defer cancel()
 		if server.Stop(stopping) != nil { // callers retry calls in progress
--- a/internal/root/relay/relay_test.go
+++ b/internal/root/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
@@ -397,6 +398,45 @@
 	assert.Assert(t, took < 2900*time.Millisecond)
 }
 
+// Guards against requests that were sent just before a daemon stops accepting: they are reset in the listener's queue, or
+// cut off when the process ends before they have a response.
+func TestRequestsQueuedAtAStopAreAnswered(t *testing.T) {
+	const callers = 40
+	f := newTestFleet(t, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	original := f.daemons[0].relay.Frontend
+	frontend := &Frontend{
+		Listener: accept.New(listener), Forwarder: original.Forwarder, Dialect: original.Dialect, Log: original.Log, Limits: original.Limits,
+		BodyStall: original.BodyStall, Bodies: original.Bodies, MaxConnections: callers + 1,
+	}
+	frontend.StartDraining()
+	frontend.RefuseRequests()
+	var conns []net.Conn
+	for i := range callers + 1 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+		if i < callers { // the last one sends nothing and does not hold up the stop
+			_, err = fmt.Fprintf(conn, "GET /open/fast HTTP/1.1\r\nHost: shop.example\r\nId: q%d\r\n\r\n", i)
+			assert.NilError(t, err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NilError(t, frontend.Run(ctx))
+	frontend.Finish()
+	assert.Equal(t, frontend.Connections(), 0)
+	for i, conn := range conns[:callers] {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err, "caller %d", i)
+		assert.Equal(t, response.StatusCode, 503)
+		assert.Assert(t, response.Close)
+	}
+}
+
 // Guards against a request that crashes every server it is sent to. It must be reported when the server no
 // longer accepts connections, and refused once it is quarantined.
 func TestCrashingRequest(t *testing.T) {
