--- a/internal/root/ctrl/limit/owner.go
+++ b/internal/root/ctrl/limit/owner.go
@@ -432,8 +432,9 @@
 	}}}
 }
 
-// setLimits replaces the limits. A limit without a rate or burst counts as withdrawn. A new account starts with an empty bucket, because its limit may have been
-// withdrawn a moment ago under this owner or its predecessor, whose grants may still be spent.
+// setLimits replaces the limits. A limit without a rate or burst counts as withdrawn. A new account starts with an
+// empty bucket, because its limit may have been withdrawn a moment ago under this owner or its predecessor, whose
+// grants may still be spent.
 func (o *Owner) setLimits(at int64, limits []Limit) []OwnerAction {
 	var out []OwnerAction
 	kept := make(map[string]bool, len(limits))
--- a/internal/root/relay/idleconns_test.go
+++ b/internal/root/relay/idleconns_test.go
@@ -43,7 +43,7 @@
 }
 
 // Guards against callers that are refused because others have left idle connections behind: in the load of
-// Chłodny Szlak's scale-1, 1,490 of 1,500 connections of each daemon were idle from second 13 on, and 61,619 new
+// a fleet whose callers retry at once, 1,490 of 1,500 connections of each daemon were idle from second 13 on, and 61,619 new
 // ones were refused.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	const limit = 10
