--- a/internal/root/relay/idleconns_test.go
+++ b/internal/root/relay/idleconns_test.go
@@ -42,9 +42,8 @@
 	return response.StatusCode
 }
 
-// Guards against callers that are refused because others have left idle connections behind: in the load of
-// a fleet whose callers retry at once, 1,490 of 1,500 connections of each daemon were idle from second 13 on, and 61,619 new
-// ones were refused.
+// Guards against callers that are refused because others have left idle connections behind: where callers retry at
+// once, 1,490 of 1,500 connections of a daemon were idle after 13 s, and 61,619 new ones were refused.
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	const limit = 10
 	f := newTestFleet(t, 1, limitConnections(limit))
