--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -126,8 +126,12 @@
 		return err == nil && number >= 0 && number < s.Servers && instanceID(s.Name, number) == f.Target
 	})
 	isService := slices.ContainsFunc(t.Services, func(s Service) bool { return s.Name == f.Target })
-	isAccount := slices.ContainsFunc(t.Accounts, func(a Account) bool { return a.Name == f.Target })
-	isRoute := slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Name == f.Target })
+	isAccount := func(name string) bool {
+		return slices.ContainsFunc(t.Accounts, func(a Account) bool { return a.Name == name })
+	}
+	isRoute := func(name string) bool {
+		return slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Name == name })
+	}
 	account, route, _ := strings.Cut(f.Target, "/")
 	known := false
 	switch f.Kind {
@@ -136,12 +140,11 @@
 	case "slow":
 		known = isInstance || isService
 	case "demand":
-		known = isAccount || isRoute
+		known = isAccount(f.Target) || isRoute(f.Target)
 	case "pin", "withdrawn":
-		known = isAccount
+		known = isAccount(f.Target)
 	case "poison":
-		known = slices.ContainsFunc(t.Accounts, func(a Account) bool { return a.Name == account }) &&
-			slices.ContainsFunc(t.Routes, func(r Route) bool { return r.Name == route })
+		known = isAccount(account) && isRoute(route)
 	default:
 		return fmt.Errorf("unknown fault %q", f.Kind)
 	}
--- a/internal/root/ctrl/controls.go
+++ b/internal/root/ctrl/controls.go
@@ -6,14 +6,16 @@
 	"time"
 )
 
-// avoidTime is how long a control instance that was silent is not tried if there are others. A connection to an
-// instance that is paused opens, but its handshake lasts until the timeout. An instance that refuses connections costs
-// no time and may be starting, so that it is tried again at once.
-const avoidTime = 2 * time.Second
+const (
+	// avoidTime is how long a control instance that was silent is not tried if there are others. A connection to an
+	// instance that is paused opens, but its handshake lasts until the timeout. An instance that refuses connections
+	// costs no time and may be starting, so that it is tried again at once.
+	avoidTime = 2 * time.Second
 
-// redirectTrustTime is how long a redirect to an instance that was silent is not followed. Other instances elect
-// another leader in this time, or the instance has started meanwhile and been elected itself.
-const redirectTrustTime = 500 * time.Millisecond
+	// redirectTrustTime is how long a redirect to an instance that was silent is not followed. Other instances elect
+	// another leader in this time, or the instance has started meanwhile and been elected itself.
+	redirectTrustTime = 500 * time.Millisecond
+)
 
 // controlChoice chooses the control instance to which a daemon opens its control stream next.
 type controlChoice struct {
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -77,7 +76,7 @@
 	return &daemonState{
 		unansweredHeartbeats: map[uint64]time.Time{},
 		nextHeartbeat:        now,
-		tokenHolder:          limit.NewHolder(now, cfg.Boot, cmp.Or(cfg.TokenWait, limit.MaxWait)),
+		tokenHolder:          limit.NewHolder(now, cfg.Boot, cfg.TokenWait),
 		tokenWaiters:         map[uint64]chan<- call.TokenVerdict{},
 		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Boot),
 		views:                member.NewViews(),
--- a/internal/root/ctrl/limit/holder.go
+++ b/internal/root/ctrl/limit/holder.go
@@ -42,7 +42,7 @@
 
 		base, lastTime time.Time
 		boot           uint64
-		tokenWait      time.Duration // for which a request waits for a token
+		tokenWait      time.Duration // for which a request waits for a token, zero for MaxWait
 		// seq is that of the last request; epoch is the highest of all received grants.
 		seq, epoch uint64
 		accounts   map[string]*poolState
@@ -101,7 +101,8 @@
 )
 
 // NewHolder returns a holder without accounts; boot differs for each start of the daemon. tokenWait, at most
-// MaxWait, is how long requests usually wait for a token; the owner refuses those that would get none in it.
+// MaxWait, is how long requests usually wait for a token, zero for MaxWait; the owner refuses those that would get none
+// in it.
 func NewHolder(now time.Time, boot uint64, tokenWait time.Duration) *Holder {
 	return &Holder{base: now, lastTime: now, boot: boot, tokenWait: min(tokenWait, MaxWait), accounts: make(map[string]*poolState)}
 }
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -140,14 +140,16 @@
 	p.requests.Add(1)
 	p.server.workers.Go(func() {
 		defer p.requests.Done()
-		defer cancel()
+		defer func() {
+			p.mu.Lock()
+			delete(p.cancels, send.Number)
+			p.mu.Unlock()
+			cancel()
+		}()
 		defer super.Recover(&p.server.Log, "peer-request", func() {
 			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
 		})
 		result, report := p.server.LocalBackend.serve(ctx, decodeJob(p.server.Clock.Now(), send))
-		p.mu.Lock()
-		delete(p.cancels, send.Number)
-		p.mu.Unlock()
 		if ctx.Err() == nil { // otherwise nobody waits for the reply
 			p.reply(send.Number, result, report)
 		}
