--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -18,9 +18,9 @@
 // cases holds the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"replaced-wiped": replacedThenWiped,
-	"paused-voter":   pausedVoter,
 	"many-changes":   manyChanges,
 	"odd-heartbeat":  oddHeartbeat,
+	"late-heartbeat": lateHeartbeat,
 	"slow-reader":    slowReader,
 }
 
