--- a/review/_kit/many.go
+++ b/review/_kit/many.go
@@ -50,11 +50,12 @@
 func manyChanges(rec *record, trouble bool) (bool, error) {
 	const (
 		limit      = 280 << 20 // of a core machine
-		changes    = 800
-		manyRoutes = 1400
+		changes    = 230
+		period     = 330 * time.Millisecond // of the changes
+		manyRoutes = 3 * 1400
 		fewRoutes  = 40
-		changeTime = 75 * time.Second
-		settleTime = 20 * time.Second
+		changeTime = 76 * time.Second
+		settleTime = 12 * time.Second
 	)
 	routes := fewRoutes
 	if trouble {
@@ -104,12 +105,15 @@
 		})
 	}
 	acknowledged := 0
-	for end := time.Now().Add(changeTime); acknowledged < changes && time.Now().Before(end); {
+	next := time.Now()
+	for end := next.Add(changeTime); acknowledged < changes && time.Now().Before(end); {
+		time.Sleep(time.Until(next))
+		next = next.Add(period)
 		if err := f.putConfig(routesConfiguration(acknowledged+1, routes)); err != nil {
 			rec.logf("operator: version %d: %v", acknowledged+1, err)
 			break
 		}
-		if acknowledged++; acknowledged%50 == 0 {
+		if acknowledged++; acknowledged%20 == 0 {
 			for _, m := range f.controls {
 				rec.logf("after %d changes: %s uses %d MB", acknowledged, m.name, residentMemory(m.pid())>>20)
 			}
@@ -122,8 +126,8 @@
 		rec.logf("operator reads at %s: status %d, version %d: %t", c.name, status, acknowledged, strings.Contains(text, fmt.Sprintf(`"version":%d,`, acknowledged)))
 	}
 	served := 0
-	for n := range 20 {
-		q := request{id: fmt.Sprintf("after-%d", n), method: "POST", host: "shop.example", path: "/work/x", deadline: 2 * time.Second}
+	for n := range 10 {
+		q := request{id: fmt.Sprintf("after-%d", n), method: "POST", host: "shop.example", path: "/work/x", deadline: time.Second}
 		a := send(f.address(f.daemons[0], f.ports.outbound), q)
 		rec.logf("client: %s: status %d %v", q.id, a.status, a.err)
 		if a.status == http.StatusOK {
@@ -139,6 +143,6 @@
 			machines++
 		}
 	}
-	rec.logf("changes acknowledged: %d; requests served at the end: %d of 20", acknowledged, served)
+	rec.logf("changes acknowledged: %d; requests served at the end: %d of 10", acknowledged, served)
 	return 2*machines >= len(f.controls), nil
 }
