--- a/review/_kit/client.go
+++ b/review/_kit/client.go
@@ -88,7 +88,7 @@
 		if i > 0 {
 			hosts, clusters = hosts+",", clusters+","
 		}
-		hosts += fmt.Sprintf(`{"host":"%s.example","route_rules":[{"name":"r-%s","route_type":%q,"target_latency_s":1.5,"priority":0,"public":false,"match":{"path_prefix":"/work/"},"action":{"service":%q,"timeout_s":%g,"max_attempts":2}}]}`,
+		hosts += fmt.Sprintf(`{"host":"%s.example","route_rules":[{"name":"r-%s","route_type":%q,"target_latency_s":1.5,"priority":0,"public":false,"match":{"path_prefix":"/shelf/"},"action":{"service":%q,"timeout_s":%g,"max_attempts":2}}]}`,
 			service, service, kind, service, timeout)
 		clusters += fmt.Sprintf(`{"name":%q,"health_path":"/health","max_connections":748,"protocol":"h1","tls":false}`, service)
 	}
--- a/review/_kit/late.go
+++ b/review/_kit/late.go
@@ -60,7 +60,7 @@
 			case <-time.After(pause):
 			}
 			clients.Go(func() {
-				q := request{id: fmt.Sprintf("q-%d", n), method: "POST", host: "shop.example", path: "/work/x", deadline: 2 * time.Second}
+				q := request{id: fmt.Sprintf("q-%d", n), method: "POST", host: "shop.example", path: "/shelf/x", deadline: 2 * time.Second}
 				a := send(f.address(origin, f.ports.outbound), q)
 				rec.logf("client at %s: %s: status %d %v", origin.name, q.id, a.status, a.err)
 				mu.Lock()
--- a/review/_kit/many.go
+++ b/review/_kit/many.go
@@ -30,7 +30,7 @@
 // version moves the time-outs of a seventh of the further routes.
 func routesConfiguration(version, routes int) string {
 	var rules strings.Builder
-	rules.WriteString(`{"name":"r-work","route_type":"unsafe","target_latency_s":1.5,"priority":0,"public":false,"match":{"path_prefix":"/work/"},"action":{"service":"shop","timeout_s":2,"max_attempts":2}}`)
+	rules.WriteString(`{"name":"r-work","route_type":"unsafe","target_latency_s":1.5,"priority":0,"public":false,"match":{"path_prefix":"/shelf/"},"action":{"service":"shop","timeout_s":2,"max_attempts":2}}`)
 	for i := range routes {
 		timeout := 2.0
 		if i%7 == version%7 {
@@ -127,7 +127,7 @@
 	}
 	served := 0
 	for n := range 10 {
-		q := request{id: fmt.Sprintf("after-%d", n), method: "POST", host: "shop.example", path: "/work/x", deadline: time.Second}
+		q := request{id: fmt.Sprintf("after-%d", n), method: "POST", host: "shop.example", path: "/shelf/x", deadline: time.Second}
 		a := send(f.address(f.daemons[0], f.ports.outbound), q)
 		rec.logf("client: %s: status %d %v", q.id, a.status, a.err)
 		if a.status == http.StatusOK {
--- a/review/_kit/odd.go
+++ b/review/_kit/odd.go
@@ -42,7 +42,7 @@
 	sendFor := func(phase string, length time.Duration) {
 		for n, end := 0, time.Now().Add(length); time.Now().Before(end); n++ {
 			for _, service := range []string{"alpha", "beta"} {
-				q := request{id: fmt.Sprintf("%s-%s-%d", phase, service, n), method: "POST", host: service + ".example", path: "/work/x", deadline: 2 * time.Second}
+				q := request{id: fmt.Sprintf("%s-%s-%d", phase, service, n), method: "POST", host: service + ".example", path: "/shelf/x", deadline: 2 * time.Second}
 				a := send(f.address(origin, f.ports.outbound), q)
 				statuses[phase][a.status]++
 				rec.logf("client at %s (%s): %s to %s: status %d %v", origin.name, origin.service, q.id, service, a.status, a.err)
--- a/review/_kit/replaced.go
+++ b/review/_kit/replaced.go
@@ -47,7 +47,7 @@
 	time.Sleep(2 * heartbeatInterval)
 	served := func(phase string) (ok, all int) {
 		for n := range 50 {
-			q := request{id: fmt.Sprintf("%s-%d", phase, n), method: "POST", host: "shop.example", path: "/work/x", deadline: 2 * time.Second}
+			q := request{id: fmt.Sprintf("%s-%d", phase, n), method: "POST", host: "shop.example", path: "/shelf/x", deadline: 2 * time.Second}
 			a := send(f.address(f.daemons[0], f.ports.outbound), q)
 			rec.logf("client: %s: status %d %v", q.id, a.status, a.err)
 			if all++; a.status == http.StatusOK {
--- a/review/_kit/slow.go
+++ b/review/_kit/slow.go
@@ -99,9 +99,9 @@
 			defer func() { _ = conn.Close() }()
 			var sent []request
 			for n := range 1 + behind {
-				q := request{id: fmt.Sprintf("c%d-%d", c, n), method: "GET", host: "shop.example", path: "/work/short", deadline: deadline}
+				q := request{id: fmt.Sprintf("c%d-%d", c, n), method: "GET", host: "shop.example", path: "/shelf/short", deadline: deadline}
 				if n == 0 {
-					q.path = "/work/long"
+					q.path = "/shelf/long"
 				}
 				if _, err := io.WriteString(conn, q.text()); err != nil {
 					rec.logf("client %d: send %s: %v", c, q.id, err)
