--- a/internal/root/ctrl/fleet_test.go
+++ b/internal/root/ctrl/fleet_test.go
@@ -33,6 +33,8 @@
 		isolated map[string]bool
 		// dropLeaderMessages contains the daemons that receive no messages of the leader.
 		dropLeaderMessages map[string]bool
+		// log is the log of the control instances that addDynamicControl starts.
+		log zerolog.Logger
 	}
 
 	// streamPair is the two ends of a control stream.
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -32,6 +32,8 @@
 
 		encodeJobs chan encodeJob // queue of the goroutine that encodes snapshots
 
+		membershipIndex uint64 // of the latest membership that was logged
+
 		leader *leaderState // nil while this member does not lead
 	}
 
@@ -186,6 +188,22 @@
 		}
 	}
 	v.stepping = false
+	l.logMembership()
+}
+
+// logMembership logs the voters after each change.
+func (l *Loop) logMembership() {
+	v := l.voter
+	if v.node.MembershipIndex() == v.membershipIndex {
+		return
+	}
+	status := v.node.Status()
+	v.membershipIndex = v.node.MembershipIndex()
+	names := make([]string, 0, len(status.Voters))
+	for _, voter := range status.Voters {
+		names = append(names, voter.Name)
+	}
+	l.log.Info().Uint64("index", v.membershipIndex).Strs("voters", names).Uint64("term", status.Term).Str("leader", status.Leader).Msg("voters-changed")
 }
 
 // execute performs one action of the consensus member.
