--- a/internal/root/ctrl/disk/cluster_test.go
+++ b/internal/root/ctrl/disk/cluster_test.go
@@ -37,6 +37,7 @@
 		duplication     int                // percent of the messages
 		delay           int                // largest delay of a message in milliseconds
 		snapshotPadding int                // bytes added to each snapshot
+		open            bool               // members may join under any name
 
 		states        map[uint64]machineState // state after each applied index, equal on all members
 		leaders       map[uint64]string       // member names by term
@@ -67,6 +68,7 @@
 		writeDelay  int           // largest delay of a write in milliseconds
 		fenceReason string
 		stopErr     error
+		first       bool // the next start is the first one of the whole group
 	}
 
 	// pendingWrite is a write action of the node that the disk executes at the given time.
@@ -110,6 +112,10 @@
 // snapshots and compaction.
 func (c *cluster) config(m *member) raft.Config {
 	cfg := raft.Config{Name: m.name, SnapshotEvery: 100, KeepEntries: 50, Seed: c.random.Uint64()}
+	if c.open {
+		c.configureOpen(m, &cfg)
+		return cfg
+	}
 	for _, peer := range c.members {
 		cfg.Peers = append(cfg.Peers, peer.name)
 	}
@@ -139,6 +145,7 @@
 		return
 	}
 	m.disk, m.node = disk, raft.New(c.config(m), restored, c.clock(m))
+	m.first = false
 	c.handle(m, raft.Tick{})
 }
 
@@ -248,6 +255,7 @@
 		for _, p := range packets {
 			m := c.member(p.to)
 			switch {
+			case m == nil: // gone for good
 			case p.at > c.now || m.pausedUntil > c.now:
 				c.packets = append(c.packets, p)
 			case m.node != nil:
--- a/internal/root/ctrl/event.go
+++ b/internal/root/ctrl/event.go
@@ -119,6 +119,10 @@
 	// configReadRequested requests the accepted revision.
 	configReadRequested struct{ reply chan<- ReadResult }
 
+	// stopRequested asks the consensus group to remove this member if it can be spared; reply receives a value once
+	// that is done or not needed.
+	stopRequested struct{ reply chan<- struct{} }
+
 	// storageReopened restarts the consensus member with the state read from the reopened storage.
 	storageReopened struct{ restored raft.RecoveredState }
 
@@ -155,6 +159,7 @@
 func (raftEvent) event()             {}
 func (reportRequested) event()       {}
 func (controlAddressesAdded) event() {}
+func (stopRequested) event()         {}
 func (storageReopened) event()       {}
 func (draftSubmitted) event()        {}
 func (configReadRequested) event()   {}
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -190,7 +190,7 @@
 		l.report(now, event)
 	case controlAddressesAdded:
 		l.addControlAddresses(now, event.addresses)
-	case daemonConnected, daemonDisconnected, daemonMessageReceived, raftEvent, draftSubmitted, configReadRequested, storageReopened:
+	case daemonConnected, daemonDisconnected, daemonMessageReceived, raftEvent, draftSubmitted, configReadRequested, stopRequested, storageReopened:
 		if l.voter != nil {
 			l.handleVoterEvent(now, event)
 		}
--- a/internal/root/ctrl/membership.go
+++ b/internal/root/ctrl/membership.go
@@ -10,6 +10,9 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
 
+// leaveTimeout bounds how long a stop waits for the consensus group to remove this member. It covers an election.
+const leaveTimeout = 1500 * time.Millisecond
+
 // dynamicRaftConfig returns the consensus settings of a member under dynamic membership: the control instances
 // in ControlAddresses bootstrap the group, and all others join it.
 func dynamicRaftConfig(cfg Options) raft.Config {
@@ -96,6 +99,20 @@
 	l.controlAddresses.Store(&unique)
 }
 
+// RunLeave waits until ctx ends, which is when the daemon stops, and then lets the consensus group remove this
+// member if the group has a spare voter. Otherwise a stopped member would count as a lost voter until the leader
+// notices, although another one has already taken its place.
+func (l *Loop) RunLeave(ctx context.Context) error {
+	<-ctx.Done()
+	waiting, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	reply := make(chan struct{}, 1)
+	if _, err := await(waiting, l, stopRequested{reply: reply}, reply); err != nil {
+		l.log.Warn().Err(err).Msg("consensus-group-not-left")
+	}
+	return nil
+}
+
 // memberAddresses returns the peer addresses of the voters, starting with this leader.
 func (l *Loop) memberAddresses() []string {
 	addresses := []string{l.cfg.PeerAddress}
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -4,29 +4,34 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
+	"time"
 )
 
-// maxNonVoterBoots is the number of disks per name, apart from voters, whose starts are stored: a disk that is
-// catching up, and the one that replaced it in the meantime.
-const maxNonVoterBoots = 2
+const (
+	// maxNonVoterBoots is the number of disks per name, apart from voters, whose starts are stored: a disk that is
+	// catching up, and the one that replaced it in the meantime.
+	maxNonVoterBoots = 2
+
+	// lostContactAfter is the time without a leader after which a member announces itself again. A silent member may
+	// have been removed, and the leader may not know it.
+	lostContactAfter = 2 * time.Second
+
+	// lostHelloInterval is the interval at which such a member announces itself to each peer.
+	lostHelloInterval = time.Second
+)
 
 // acceptsHeader reports whether a message is for this disk and group, and its sender's start is accepted.
 func (n *Node) acceptsHeader(h *Header) bool {
 	if h.To != n.self.Disk || (n.group() != "" && h.Group != "" && h.Group != n.group()) {
 		return false
 	}
-	if n.wasRemoved(h.From.Disk) {
+	if m := n.committedMembership(); m != nil && m.excludes(h.From) {
 		return false
 	}
 	b := n.bootOf(h.From.Disk)
 	return b != nil && b.Number == h.Boot && b.Start == h.Start
 }
 
-func (n *Node) wasRemoved(disk string) bool {
-	m := n.committedMembership()
-	return m != nil && slices.Contains(m.Removed, disk)
-}
-
 func (n *Node) bootOf(disk string) *Boot {
 	for i := range n.hardState.Boots {
 		if n.hardState.Boots[i].Disk == disk {
@@ -43,19 +48,23 @@
 		m.majority(func(v Voter) bool { return v == n.self || n.acceptedBy[v.Name] == v.Disk })
 }
 
-// needsHello reports whether a peer has not accepted this start yet, or this member belongs to no group yet.
-func (n *Node) needsHello() bool {
-	for _, name := range n.peers {
-		if name != n.self.Name && (n.acceptedBy[name] == "" || n.log.lastIndex() == 0) {
-			return true
-		}
+// needsHello reports whether a peer has not accepted this start yet, or this member belongs to no group yet or has
+// lost contact with it.
+func (n *Node) needsHello() bool { return slices.ContainsFunc(n.peers, n.needsHelloTo) }
+
+func (n *Node) needsHelloTo(peer string) bool {
+	switch {
+	case peer == n.self.Name:
+		return false
+	case n.acceptedBy[peer] == "" || n.log.lastIndex() == 0:
+		return true
 	}
-	return false
+	return n.role != Leader && n.sinceLeaderContact >= lostContactAfter && n.now.Sub(n.helloSentAt[peer]) >= lostHelloInterval
 }
 
 func (n *Node) sendHellos() {
 	for _, name := range n.peers {
-		if name != n.self.Name && (n.acceptedBy[name] == "" || n.log.lastIndex() == 0) {
+		if n.needsHelloTo(name) {
 			n.sendHello(name)
 		}
 	}
@@ -91,7 +100,7 @@
 // restored to an older state sends a boot number that was used before, or, after more starts, a lineage
 // without the start that this member has stored.
 func (n *Node) refusalReason(m *Hello) string {
-	if n.wasRemoved(m.Header.From.Disk) {
+	if current := n.committedMembership(); current != nil && current.excludes(m.Header.From) {
 		return "the disk was removed from the group"
 	}
 	stored := n.bootOf(m.Header.From.Disk)
--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -56,6 +56,10 @@
 	// PeerFound reports the name of another member to a member of an open group.
 	PeerFound struct{ Name string }
 
+	// StopRequested reports that this member is about to stop. An open group with more voters than its target size
+	// removes it.
+	StopRequested struct{}
+
 	// Action is an output of Step; the control loop executes actions in order.
 	Action interface{ action() }
 
@@ -116,6 +120,7 @@
 func (SnapshotPersisted) event() {}
 func (ReplaceVoter) event()      {}
 func (PeerFound) event()         {}
+func (StopRequested) event()     {}
 
 func (Persist) action()         {}
 func (PersistSnapshot) action() {}
--- a/internal/root/ctrl/raft/follow.go
+++ b/internal/root/ctrl/raft/follow.go
@@ -65,7 +65,8 @@
 // for entries, so that a slow disk does not delay the replies that extend the leader's lease.
 func (n *Node) sendAppendReply(snapshot, offset uint64) {
 	m := &AppendReply{
-		Header: n.newHeader(n.leader), SentAt: n.leaderSentAt, Match: min(n.verified, n.writes.durableIndex), Snapshot: snapshot, Offset: offset,
+		Header: n.newHeader(n.leader), SentAt: n.leaderSentAt, Match: min(n.verified, n.writes.durableIndex),
+		Snapshot: snapshot, Offset: offset, Stopping: n.stopping,
 	}
 	n.sendAfterHardState(n.leader, m)
 }
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -40,6 +40,7 @@
 		inflight             []uint64
 		hasReplied           bool
 		ackedSentAt          time.Duration // latest SentAt in the peer's replies
+		stopping             bool          // the peer is about to stop
 		snapshot             *Snapshot     // the snapshot being sent, or nil
 		snapshotOffset       uint64
 	}
@@ -71,13 +72,13 @@
 }
 
 // updateProgressList makes the progress list contain the voters and the learners. Learners are accepted disks
-// that are neither voters nor removed.
+// that are neither voters nor excluded.
 func (n *Node) updateProgressList() {
 	m := n.membership()
 	peers := slices.Clone(m.Voters)
 	for _, b := range n.hardState.Boots {
-		if !m.HasDisk(b.Disk) && !slices.Contains(m.Removed, b.Disk) {
-			peers = append(peers, Voter{Name: b.Name, Disk: b.Disk})
+		if v := (Voter{Name: b.Name, Disk: b.Disk}); !m.HasDisk(b.Disk) && !m.excludes(v) {
+			peers = append(peers, v)
 		}
 	}
 	list := make([]*progress, 0, len(peers))
@@ -267,6 +268,7 @@
 		p.ackedSentAt, p.hasReplied = max(p.ackedSentAt, time.Duration(m.SentAt)), true
 		n.updateLease()
 	}
+	p.stopping = p.stopping || m.Stopping
 	if m.Match > p.match {
 		p.match = m.Match
 		p.next = max(p.next, p.match+1)
--- a/internal/root/ctrl/raft/member.go
+++ b/internal/root/ctrl/raft/member.go
@@ -10,8 +10,9 @@
 const maxLearnerLag = 64
 
 // unreachableAfter is the time since the last reply after which another member may replace a voter of an open
-// group. A paused or restarted instance usually replies sooner.
-const unreachableAfter = 5 * time.Second
+// group. It leaves a new member enough of its catch-up time to take the place of a lost one after an election. A
+// voter that was only silent is added again when it replies.
+const unreachableAfter = time.Second
 
 // changeMembership appends the next step of a replacement. Voters are added and removed one at a time, each
 // step after the previous one is committed, so that any two majorities overlap. A responsive voter is
@@ -19,23 +20,27 @@
 // would not contribute to a majority, and losing the new disk as well would then stop the group.
 func (n *Node) changeMembership() {
 	current := n.membership()
-	if !n.leaderState.ready || current.Index > n.commit {
-		return
-	}
-	if current.Leaving != "" {
+	switch {
+	case !n.leaderState.ready || current.Index > n.commit:
+	case current.Leaving != "":
 		n.appendMembership(func(m *Membership) { removeVoter(m, current.Leaving) })
-		return
+	case current.TargetSize > 0:
+		n.changeOpenGroup(current)
+	default:
+		n.changeFixedGroup(current)
 	}
+}
+
+// changeFixedGroup replaces a voter of a group with fixed names. Between the steps, Joining keeps the place of the
+// new member.
+func (n *Node) changeFixedGroup(current *Membership) {
 	for _, p := range n.leaderState.progress {
 		if current.HasDisk(p.peer.Disk) || !n.caughtUp(p) {
 			continue
 		}
 		if current.Joining != "" {
 			if p.peer.Name == current.Joining {
-				n.appendMembership(func(m *Membership) {
-					m.Voters = append(m.Voters, p.peer)
-					m.Joining = ""
-				})
+				n.appendMembership(func(m *Membership) { addVoter(m, p.peer) })
 				return
 			}
 			continue
@@ -44,9 +49,9 @@
 		if replaced == nil {
 			continue
 		}
-		if *replaced == n.self || n.isResponsive(n.leaderState.progressOf(replaced.Disk)) {
+		if n.isResponsiveVoter(*replaced) {
 			n.appendMembership(func(m *Membership) {
-				m.Voters = append(m.Voters, p.peer)
+				addVoter(m, p.peer)
 				m.Leaving = replaced.Disk
 			})
 		} else {
@@ -58,46 +63,89 @@
 		n.leaderState.requestedReplacement = ReplaceVoter{}
 		return
 	}
-	if current.TargetSize > 0 && current.Joining == "" {
-		n.adjustOpenGroup(current)
-	}
 }
 
-// adjustOpenGroup maintains the target size of an open group. A new member with Extends set increases the
-// target size. Any other new member replaces an unreachable voter, or is added as a spare: once another voter
-// becomes unreachable, that voter is removed.
-func (n *Node) adjustOpenGroup(current *Membership) {
+// changeOpenGroup maintains the target size of an open group. Any member that has caught up may take a free place,
+// so that none is kept for a member that is lost in the meantime.
+func (n *Node) changeOpenGroup(current *Membership) {
+	isOverTarget := uint64(len(current.Voters)) > current.TargetSize
+	if stopping := n.stoppingVoter(current); isOverTarget && stopping != nil {
+		n.appendMembership(func(m *Membership) { removeVoter(m, stopping.Disk) })
+		return
+	}
 	for _, p := range n.leaderState.progress {
-		if current.hasName(p.peer.Name) || !n.caughtUp(p) {
-			continue
-		}
-		boot := n.bootOf(p.peer.Disk)
-		extends := boot != nil && boot.Extends
-		switch unreachable := n.unreachableVoter(current); {
-		case extends && len(current.Voters) < MaxVoters:
-			n.appendMembership(func(m *Membership) {
-				m.Voters = append(m.Voters, p.peer)
-				m.TargetSize++
-			})
-		case extends:
-			continue
-		case unreachable != nil:
-			n.appendMembership(func(m *Membership) {
-				removeVoter(m, unreachable.Disk)
-				m.Joining = p.peer.Name
-			})
-		case uint64(len(current.Voters)) <= current.TargetSize:
-			n.appendMembership(func(m *Membership) { m.Voters = append(m.Voters, p.peer) })
-		default:
-			continue
+		if !current.HasDisk(p.peer.Disk) && !p.stopping && n.caughtUp(p) && n.admit(current, p.peer) {
+			return
 		}
+	}
+	if !isOverTarget {
 		return
 	}
-	if uint64(len(current.Voters)) > current.TargetSize {
-		if unreachable := n.unreachableVoter(current); unreachable != nil {
-			n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
+	if unreachable := n.unreachableVoter(current); unreachable != nil {
+		n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
+	}
+}
+
+// admit appends the next step towards making a learner of an open group a voter, and reports false if there is no
+// place for it. A member replaces the voter of the same name, takes a free place, or replaces an unreachable voter. A
+// new member with Extends set increases the target size up to MaxVoters. Any other member is added as a spare: once
+// another voter stops or becomes unreachable, that voter is removed.
+func (n *Node) admit(current *Membership, learner Voter) bool {
+	size := uint64(len(current.Voters))
+	replaced, unreachable := n.voterReplacedBy(learner.Name), n.unreachableVoter(current)
+	extends := n.extends(current, learner)
+	switch {
+	case replaced != nil && n.isResponsiveVoter(*replaced):
+		n.appendMembership(func(m *Membership) {
+			addVoter(m, learner)
+			m.Leaving = replaced.Disk
+		})
+	case replaced != nil:
+		n.appendMembership(func(m *Membership) { removeVoter(m, replaced.Disk) })
+	case extends && size < MaxVoters:
+		n.appendMembership(func(m *Membership) {
+			addVoter(m, learner)
+			m.TargetSize++
+		})
+	case size >= current.TargetSize && unreachable != nil:
+		n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
+	case size < current.TargetSize || size == current.TargetSize && !extends:
+		n.appendMembership(func(m *Membership) { addVoter(m, learner) })
+	default:
+		return false
+	}
+	return true
+}
+
+// extends reports whether a learner increases the target size of the group. It does so once: a former voter has
+// already increased it.
+func (n *Node) extends(m *Membership, learner Voter) bool {
+	boot := n.bootOf(learner.Disk)
+	return boot != nil && boot.Extends && !slices.Contains(m.Removed, learner.Disk)
+}
+
+// stoppingVoter returns a voter that is about to stop, or nil.
+func (n *Node) stoppingVoter(m *Membership) *Voter {
+	for i, v := range m.Voters {
+		p := n.leaderState.progressOf(v.Disk)
+		if v == n.self && n.stopping || p != nil && p.stopping {
+			return &m.Voters[i]
 		}
 	}
+	return nil
+}
+
+// AwaitsRemoval reports whether this member is about to stop and an open group is about to remove it, because the
+// group has more voters than its target size.
+func (n *Node) AwaitsRemoval() bool {
+	m := n.membership()
+	switch {
+	case !n.stopping || n.failure != "" || n.hardState.Fenced || m == nil || m.TargetSize == 0:
+		return false
+	case m.HasDisk(n.self.Disk):
+		return uint64(len(m.Voters)) > m.TargetSize
+	}
+	return m.Index > n.commit
 }
 
 // unreachableVoter returns a voter that has not replied to this leader for unreachableAfter, or nil.
@@ -126,6 +174,11 @@
 	return nil
 }
 
+// isResponsiveVoter reports whether a voter is this leader or has replied to it recently.
+func (n *Node) isResponsiveVoter(v Voter) bool {
+	return v == n.self || n.isResponsive(n.leaderState.progressOf(v.Disk))
+}
+
 func (n *Node) isResponsive(p *progress) bool {
 	return p != nil && p.hasReplied && n.now.Sub(n.leaderState.electedAt)-p.ackedSentAt < n.cfg.ElectionMin
 }
@@ -142,6 +195,12 @@
 	n.appendEntries(Entry{Index: m.Index, Term: n.hardState.Term, Kind: EntryMembership, Membership: &m})
 }
 
+func addVoter(m *Membership, v Voter) {
+	m.Voters = append(m.Voters, v)
+	m.Joining = ""
+	m.Removed = slices.DeleteFunc(m.Removed, func(disk string) bool { return disk == v.Disk })
+}
+
 func removeVoter(m *Membership, disk string) {
 	m.Voters = slices.DeleteFunc(m.Voters, func(v Voter) bool { return v.Disk == disk })
 	m.Leaving = ""
--- a/internal/root/ctrl/raft/message.go
+++ b/internal/root/ctrl/raft/message.go
@@ -90,6 +90,8 @@
 		// Snapshot is the index of the snapshot being received, Offset the number of its bytes received.
 		Snapshot uint64 `protobuf:"varint,7,opt,name=snapshot"`
 		Offset   uint64 `protobuf:"varint,8,opt,name=offset"`
+		// Stopping is true if the sender is about to stop.
+		Stopping bool `protobuf:"varint,9,opt,name=stopping"`
 	}
 
 	// InstallSnapshot contains one chunk of a snapshot for a follower that needs compacted entries.
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -62,8 +62,9 @@
 		acceptedBy        map[string]string // by name: the disk of each peer that accepted this start
 		peersWithoutGroup map[string]Voter  // by name: peers whose latest Hello or reply named no group
 
-		actions []Action
-		failure string
+		stopping bool // this member is about to stop
+		actions  []Action
+		failure  string
 	}
 
 	heldSend struct {
@@ -175,6 +176,8 @@
 		}
 	case PeerFound:
 		n.addPeer(ev.Name)
+	case StopRequested:
+		n.stopping = true
 	}
 }
 
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -121,9 +121,10 @@
 		Voters []Voter `protobuf:"bytes,3,rep,name=voters"`
 		// Leaving is the disk of the voter that is removed next, empty outside a replacement.
 		Leaving string `protobuf:"bytes,4,opt,name=leaving"`
-		// Joining is the name of the member that is added next, empty outside a replacement.
+		// Joining is the name of the member that is added next to a group of fixed names, empty outside a
+		// replacement.
 		Joining string `protobuf:"bytes,6,opt,name=joining"`
-		// Removed lists disks that may not join again, the latest last.
+		// Removed lists the disks of former voters, the latest last.
 		Removed []string `protobuf:"bytes,5,rep,name=removed"`
 		// TargetSize is the number of voters that an open group maintains; zero in groups of fixed names.
 		TargetSize uint64 `protobuf:"varint,7,opt,name=size"`
@@ -282,6 +283,16 @@
 	return slices.ContainsFunc(m.Voters, func(v Voter) bool { return v.Name == name })
 }
 
+// excludes reports whether a disk must not take part any more. In a group of fixed names a removed voter has been
+// replaced for good. An open group also removes voters that stop or are silent, which may return; it excludes a
+// disk only while its member votes with another one.
+func (m *Membership) excludes(v Voter) bool {
+	if !slices.Contains(m.Removed, v.Disk) {
+		return false
+	}
+	return m.TargetSize == 0 || m.hasName(v.Name)
+}
+
 // Check returns an error that names the first invalid field.
 func (v *Voter) Check() error {
 	if v.Name == "" || len(v.Name) > MaxName {
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -34,6 +34,8 @@
 
 		membershipIndex uint64 // of the latest membership that was logged
 
+		stopReply chan<- struct{} // receives a value once this member may stop, nil before a stop and after it
+
 		leader *leaderState // nil while this member does not lead
 	}
 
@@ -146,6 +148,9 @@
 		l.handleDaemonMessage(now, event.session, event.message)
 	case storageReopened:
 		l.restartMember(now, event.restored)
+	case stopRequested:
+		v.stopReply = event.reply
+		l.stepRaft(now, raft.StopRequested{})
 	case draftSubmitted:
 		l.submitDraft(now, event)
 	case configReadRequested:
@@ -168,6 +173,9 @@
 			l.stepRaft(now, raft.PeerFound{Name: address})
 		}
 	}
+	if v.stopReply != nil {
+		l.stepRaft(now, raft.StopRequested{})
+	}
 	l.log.Info().Uint64("boot", restored.Boot).Msg("storage-reopened")
 }
 
@@ -385,6 +393,10 @@
 	if !v.node.Deadline().After(now) {
 		l.stepRaft(now, raft.Tick{})
 	}
+	if v.stopReply != nil && !v.node.AwaitsRemoval() {
+		v.stopReply <- struct{}{}
+		v.stopReply = nil
+	}
 	next := v.node.Deadline()
 	if v.leader != nil {
 		next = earliest(next, v.leader.runDue(now, l))
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -103,6 +103,10 @@
 		}
 		children = append(children, platformCalls.AsChild())
 	}
+	if settings.DataFolder != "" { // before the links and the control loop stop
+		leaveGroup := &super.Group{Name: "leave", Log: log, Children: []super.Child{{Name: "leave-voters", Run: builder.loop.RunLeave}}}
+		children = append(children, leaveGroup.AsChild())
+	}
 	adminServer, err := builder.adminServer(traffic)
 	if err != nil {
 		return nil, err
