--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -12,6 +12,10 @@
 	// catching up, and the one that replaced it in the meantime.
 	maxNonVoterBoots = 2
 
+	// maxNonVoters bounds the disks of all names, apart from voters, whose starts are stored. Together with those of
+	// the voters they stay below MaxBoots.
+	maxNonVoters = MaxBoots / 2
+
 	// lostContactAfter is the time without a leader after which a member announces itself again. A silent member may
 	// have been removed, and the leader may not know it.
 	lostContactAfter = 2 * time.Second
@@ -149,9 +153,10 @@
 	}
 }
 
-// pruneBoots removes all boots except those of voters and the latest maxNonVoterBoots others of each name.
+// pruneBoots removes all boots except those of voters, the latest maxNonVoterBoots others of each name and the latest
+// maxNonVoters others of all names.
 func (n *Node) pruneBoots() {
-	nonVoterBoots := map[string]int{}
+	nonVoterBoots, nonVoters := map[string]int{}, 0
 	committed := n.committedMembership()
 	kept := make([]Boot, 0, len(n.hardState.Boots))
 	for _, b := range slices.Backward(n.hardState.Boots) {
@@ -160,10 +165,12 @@
 		})
 		if !isVoter {
 			nonVoterBoots[b.Name]++
+			if nonVoterBoots[b.Name] > maxNonVoterBoots || nonVoters >= maxNonVoters {
+				continue
+			}
+			nonVoters++
 		}
-		if isVoter || nonVoterBoots[b.Name] <= maxNonVoterBoots {
-			kept = append(kept, b)
-		}
+		kept = append(kept, b)
 	}
 	slices.Reverse(kept)
 	n.hardState.Boots = kept
--- a/internal/root/ctrl/raft/member_test.go
+++ b/internal/root/ctrl/raft/member_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -116,6 +117,21 @@
 	}
 }
 
+// Guards against a member that cannot start any more after many others have been replaced, because the number of
+// starts that it stores exceeds their limit.
+func TestStartsOfManyMembersAreBounded(t *testing.T) {
+	h := newOpenHarness(t, func(*Membership) {})
+	for i := range 3 * MaxBoots {
+		hello := &Hello{Header: h.headerFrom(fmt.Sprintf("n%d", i), 0)}
+		h.receive(hello)
+	}
+	assert.NilError(t, h.node.hardState.Check())
+	for _, v := range voters[1:] {
+		assert.Assert(t, h.node.bootOf(v.Disk) != nil, "the start of voter %s is forgotten", v.Name)
+	}
+	assert.Assert(t, h.node.bootOf(fmt.Sprintf("dn%d", 3*MaxBoots-1)) != nil, "the latest start is forgotten")
+}
+
 // Guards against a member that was removed while it was silent and never finds the group again, because the leader
 // does not know it.
 func TestMemberWithoutContactAnnouncesItself(t *testing.T) {
