--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -31,7 +32,10 @@
 	maxStaleLeases = 3
 )
 
-var errDraining = errors.New("this daemon is draining")
+var (
+	errDraining       = errors.New("this daemon is draining")
+	errUnknownService = errors.New("the rules have no such service")
+)
 
 // daemonState is the control state that every daemon has; the loop owns it.
 type daemonState struct {
@@ -292,6 +296,12 @@
 		event.reply <- announceResult{err: errDraining}
 		return
 	}
+	if set := d.rules.set; set != nil && set.Services[event.announcement.Service] == nil {
+		// Another writer's announcement must not take the place of the server at its address. A server whose service
+		// is added to the rules later announces itself again.
+		event.reply <- announceResult{err: fmt.Errorf("%w: %q, revision %d", errUnknownService, event.announcement.Service, set.Revision)}
+		return
+	}
 	message, err := d.localInstances.Announce(now, &event.announcement)
 	if err != nil {
 		event.reply <- announceResult{err: err}
--- a/internal/root/ctrl/loop_test.go
+++ b/internal/root/ctrl/loop_test.go
@@ -462,3 +462,17 @@
 	assert.Equal(t, instances(l), 1)
 	assert.Equal(t, l.Snapshot().Endpoints["library"].Instances[0].ID, good.ID)
 }
+
+// Guards against an announcement of a service that the rules do not have, which takes the place of the backend server
+// at its address.
+func TestAnnouncementOfAnUnknownService(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	f.announce("d1", "127.0.0.1:1", "1")
+	registered := f.loops["d1"].daemon.localInstances.Instances["127.0.0.1:1"]
+	reply := make(chan announceResult, 1)
+	odd := member.Announcement{Service: "gamma", Address: "127.0.0.1:1", Slots: 32, Connections: 64, Start: "2"}
+	f.loops["d1"].handle(f.clock.Now(), backendAnnounced{announcement: odd, reply: reply})
+	assert.ErrorIs(t, received(t, reply).err, errUnknownService)
+	assert.Equal(t, f.loops["d1"].daemon.localInstances.Instances["127.0.0.1:1"], registered)
+	f.announce("d1", "127.0.0.1:1", "1")
+}
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -64,6 +64,7 @@
 	clock         clock.Clock
 	log           zerolog.Logger
 	loop          *ctrl.Loop
+	relay         *relay.Relay // nil on a daemon that serves no traffic
 	trafficDialer *link.Dialer // for peer streams that carry requests
 	controlDialer *link.Dialer // for control and consensus streams
 	peerServer    *link.Server
@@ -94,7 +95,7 @@
 		if err != nil {
 			return nil, err
 		}
-		traffic = trafficRelay
+		traffic, builder.relay = trafficRelay, trafficRelay
 		children = append(children, trafficRelay.Group().AsChild())
 	} else {
 		platformCalls, err := builder.platformCalls()
@@ -224,8 +225,8 @@
 	}, nil
 }
 
-// watchSettings reloads the settings file after each change. Changed seeds take effect at once, all other
-// settings at the next start of the daemon.
+// watchSettings reloads the settings file after each change. Changed seeds and another backend server take effect at
+// once, all other settings at the next start of the daemon.
 func (b *fleetBuilder) watchSettings(ctx context.Context) error {
 	version := fileVersion(b.settingsFile)
 	seeds := b.settings.Fleet.Seeds.String()
@@ -250,6 +251,9 @@
 		seedsChanged := settings.Fleet.Seeds.String() != seeds
 		seeds = settings.Fleet.Seeds.String()
 		b.log.Info().Str("file", b.settingsFile).Bool("seeds-changed", seedsChanged).Str("seeds", seeds).Msg("settings-reloaded")
+		if b.relay != nil {
+			b.relay.LocalBackend.SetExpected(relay.Expected{Service: settings.Fleet.Service, Address: addressText(settings.Fleet.Backend)})
+		}
 		if seedsChanged {
 			b.loop.AddControlAddresses(ctx, seedPeerAddresses(settings))
 		}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -86,7 +86,7 @@
 		return notRun{failure: retry.DeadlineBefore{}}, nil
 	}
 	send := &SendRequest{
-		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.callerService(),
+		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
 		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: left,
 		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
@@ -123,14 +123,6 @@
 	return state.retryAllowed
 }
 
-// callerService returns the service in whose name this daemon sends requests.
-func (f *Forwarder) callerService() string {
-	if n, _, _ := f.LocalBackend.Status(); n.Service != "" {
-		return n.Service
-	}
-	return f.Service
-}
-
 // reportResult reports the result of a send to the balancer.
 func (f *Forwarder) reportResult(svc *serviceState, state *forwardState, id string, result outcome, report *Report) {
 	var balancerResult place.Result = place.Failed{}
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -76,7 +76,6 @@
 		Log          zerolog.Logger
 		PeerAddress  string // peer address of this daemon
 		Zone         string
-		Service      string // of the local backend server
 		Seed         uint64
 		Started      time.Time // start of this daemon
 
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -52,11 +52,18 @@
 		Bodies   *bodyBudget
 
 		mu       sync.Mutex
+		expected Expected
 		current  *serverProcess // nil before the first notice
 		draining bool           // the daemon is draining
 		wake     *time.Timer
 	}
 
+	// Expected is what the settings say about the local backend server. An empty field accepts any value.
+	Expected struct {
+		Service string
+		Address string
+	}
+
 	// serverProcess is one process of the server, from its start to its end.
 	serverProcess struct {
 		notice           Notice
@@ -80,12 +87,16 @@
 		return err
 	}
 	b.mu.Lock()
-	if old := b.current; old != nil && isOutdated(n, old.notice) {
-		b.mu.Unlock()
+	err := b.checkSender(n)
+	outdated := err == nil && b.current != nil && isOutdated(n, b.current.notice)
+	b.mu.Unlock()
+	switch {
+	case err != nil:
+		return err
+	case outdated:
 		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-outdated")
 		return nil
 	}
-	b.mu.Unlock()
 	if n.State != StateReady {
 		return b.handleLeaving(ctx, n)
 	}
@@ -123,6 +134,40 @@
 	return nil
 }
 
+// checkSender returns an error for a notice of another server than the one beside this daemon; b.mu is held. Anyone
+// can send a notice to a control instance, and one that is taken for the server's own would take its place. A server
+// that is gone names nothing but its instance.
+func (b *LocalBackend) checkSender(n Notice) error {
+	switch {
+	case n.State == StateGone:
+		return nil
+	case b.expected.Service != "" && n.Service != b.expected.Service:
+		return fmt.Errorf("%w: instance %q of service %q, the server here is of %q", errNotice, n.Instance, n.Service, b.expected.Service)
+	case b.expected.Address != "" && n.Address != b.expected.Address:
+		return fmt.Errorf("%w: instance %q at %q, the server here is at %q", errNotice, n.Instance, n.Address, b.expected.Address)
+	case b.current != nil && b.current.notice.StartUnixMilli != 0 && n.StartUnixMilli == 0:
+		return fmt.Errorf("%w: instance %q does not say when it started, the server here does", errNotice, n.Instance)
+	}
+	return nil
+}
+
+// SetExpected sets what the settings say about the server from now on.
+func (b *LocalBackend) SetExpected(expected Expected) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expected = expected
+}
+
+// Service returns the service of the server, empty if it is not known.
+func (b *LocalBackend) Service() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.expected.Service == "" && b.current != nil {
+		return b.current.notice.Service
+	}
+	return b.expected.Service
+}
+
 // CheckHealth sends a health check to the server at n.Address and registers the server if it accepts requests,
 // unless the server has sent a notice meanwhile. A daemon that starts next to a running server thus need not
 // wait for the server's next notice.
--- a/internal/root/relay/notice_test.go
+++ b/internal/root/relay/notice_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -135,3 +137,49 @@
 		})
 	}
 }
+
+// Guards against a notice of another writer that takes the place of the server beside the daemon, or withdraws it:
+// requests that began there then named the odd service as their caller, and the server got none any more.
+func TestNoticeThatNamesAnotherServer(t *testing.T) {
+	for name, change := range map[string]func(*Notice){
+		"service":          func(n *Notice) { n.Service = "gamma" },
+		"host":             func(n *Notice) { n.Address = "127.0.0.9:" + strings.Split(n.Address, ":")[1] },
+		"port":             func(n *Notice) { n.Address = "127.0.0.1:9" },
+		"no start":         func(n *Notice) { n.StartUnixMilli = 0 },
+		"leaving, service": func(n *Notice) { n.Service, n.State = "gamma", StateLeaving },
+		"leaving, address": func(n *Notice) { n.Address, n.State = "127.0.0.1:9", StateLeaving },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			d := f.daemons[0]
+			odd := d.notice(StateReady)
+			odd.StartUnixMilli, odd.Sequence = time.Now().UnixMilli(), 2
+			change(&odd)
+			if odd.State == StateReady {
+				odd.Instance = "i-other"
+			}
+			assert.ErrorIs(t, d.relay.LocalBackend.Notice(context.Background(), odd), errNotice)
+			assert.Equal(t, f.request(d, "after", "/once/echo", "", "").StatusCode, http.StatusOK)
+			d.server.mu.Lock()
+			assert.Equal(t, d.server.received[0].Header.Get("Caller"), "shop")
+			d.server.mu.Unlock()
+			next := d.notice(StateReady)
+			next.Sequence = 3
+			assert.NilError(t, d.relay.LocalBackend.Notice(context.Background(), next))
+			current, _, _ := d.relay.LocalBackend.Status()
+			assert.Equal(t, current.Sequence, next.Sequence, "the notices of the server are ignored")
+		})
+	}
+}
+
+// Guards against a daemon that refuses its server after the settings have named another one without a restart.
+func TestSettingsNameAnotherServer(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	next := d.notice(StateReady)
+	next.Service, next.Instance, next.StartUnixMilli = "other", "i-next", time.Now().UnixMilli()
+	assert.ErrorIs(t, d.relay.LocalBackend.Notice(context.Background(), next), errNotice)
+	d.relay.LocalBackend.SetExpected(Expected{Service: "other", Address: next.Address})
+	assert.NilError(t, d.relay.LocalBackend.Notice(context.Background(), next))
+	assert.ErrorIs(t, d.relay.LocalBackend.Notice(context.Background(), d.notice(StateReady)), errNotice)
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -100,12 +100,12 @@
 	bodies := newBodyBudget(o.MemoryLimit)
 	backend := &LocalBackend{
 		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
-		MaxBody: maxBody, Bodies: bodies,
+		MaxBody: maxBody, Bodies: bodies, expected: Expected{Service: o.Service, Address: o.BackendAddress},
 	}
 	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
 	forwarder := &Forwarder{
 		Clock: clk, Control: control, Dialect: dialect, PeerStreams: streams, LocalBackend: backend, Meter: m,
-		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Service: o.Service, Seed: o.Seed, Started: clk.Now(),
+		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Seed: o.Seed, Started: clk.Now(),
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
 	limits := o.Limits
