--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,13 @@
 // other response starts like this, because in them Date precedes Content-Type.
 const serverRefusal = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
 
+// maxReadAhead bounds the bytes that are read from a caller while its request is handled, and readAheadChunk those of
+// one read.
+const (
+	maxReadAhead   = 16 << 10
+	readAheadChunk = 4 << 10
+)
+
 // boundedListener limits the number of open connections. It closes new ones above the limit at once; otherwise an
 // unbounded number of them would queue.
 type boundedListener struct {
@@ -50,6 +58,44 @@
 	net.Conn
 	once    sync.Once
 	release func()
+	ahead   []byte // bytes that watch has read; the HTTP server calls Read from one goroutine at a time
+}
+
+// Read reads what watch has read ahead, and then from the connection. The HTTP server reads a single byte only in the
+// background, while it handles a request.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		return c.watch(p)
+	}
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	return c.Conn.Read(p)
+}
+
+// watch waits for the caller to disconnect. The HTTP server does so by reading the next byte, and notices nothing any
+// more once the caller has sent another request. Therefore watch reads ahead until the connection ends, until the
+// server ends the read by a deadline, or until maxReadAhead.
+func (c *boundedConn) watch(p []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		p[0], c.ahead = c.ahead[0], c.ahead[1:]
+	} else if n, err := c.Conn.Read(p); n == 0 || err != nil {
+		return n, err
+	}
+	for len(c.ahead) < maxReadAhead {
+		chunk := make([]byte, readAheadChunk)
+		n, err := c.Conn.Read(chunk)
+		c.ahead = append(c.ahead, chunk[:n]...)
+		if netErr := net.Error(nil); errors.As(err, &netErr) && netErr.Timeout() {
+			break
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+	return 1, nil
 }
 
 // Write adds the header fields of all refusals to a refusal that the HTTP server makes itself, before any
