--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -139,11 +139,13 @@
 			return response, responseMeta, false, errInvalidResponse // the response to an earlier request ended the connection
 		}
 	}
-	if responseMeta.ID != ex.requestMeta.ID && !responseMeta.NotRun {
+	if responseMeta.ID != ex.requestMeta.ID && (responseMeta.ID != "" || !responseMeta.NotRun) {
 		return response, responseMeta, false, errInvalidResponse
 	}
-	if conn.reader.Buffered() > 0 || !written() {
-		reusable = false // unexpected bytes, or a request body that the server has not read in full
+	if conn.reader.Buffered() > 0 || !written() || responseMeta.ID == "" {
+		// There are unexpected bytes, the server has not read the whole body of the request, or the refusal names no
+		// request: a second copy of it could not be told from the refusal of the next request.
+		reusable = false
 	}
 	return response, responseMeta, reusable, nil
 }
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -322,11 +322,14 @@
 func (s *testServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
+	again := "" // written once more before the next response
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		_, _ = io.WriteString(conn, again)
+		again = ""
 		body, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
 		id := r.Header.Get("Id")
@@ -380,6 +383,15 @@
 			return
 		case "shed":
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		case "shed-again":
+			again = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, again)
+		case "shed-again-with-id", "shed-often-with-id":
+			again = "HTTP/1.1 503 Full\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			_, _ = io.WriteString(conn, again)
+			if kind == "shed-often-with-id" {
+				again = strings.Repeat(again, maxSkippedResponses)
+			}
 		case "extra":
 			_, _ = io.WriteString(conn, formatResponse(id, "mine")+formatResponse("other", "not yours"))
 		case "late":
