--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -17,17 +17,19 @@
 		cancel        context.CancelFunc
 	}
 
-	// countedConn counts the bytes written to a backend server.
+	// countedConn counts the bytes written to a backend server, including those of a write that has not returned yet.
 	countedConn struct {
 		net.Conn
 		written atomic.Int64
 	}
 )
 
-// Write writes p and counts the bytes written, also those of a failed write.
+// Write writes p and counts the bytes written, also those of a failed write. It counts them first, because the server
+// may respond before the write returns.
 func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(p)))
 	return n, err
 }
 
