--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -73,6 +73,17 @@
 	}
 )
 
+// cutHeads are heads of responses that a server sends in part; Id stands for the id of the request.
+var cutHeads = map[string]string{
+	"length":   "HTTP/1.1 200 OK\r\nSeal: s\r\nId: Id\r\nContent-Length: 4\r\n\r\n",
+	"chunks":   "HTTP/1.1 200 OK\r\nId: Id\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"unframed": "HTTP/1.1 200 OK\r\nId: Id\r\nConnection: close\r\nSeal: s\r\n\r\n",
+	"empty":    "HTTP/1.1 204 No Content\r\nId: Id\r\nSeal: s\r\n\r\n",
+	"interim":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: Id\r\nSeal: s\r\n\r\n",
+	"folded":   "HTTP/1.1 200 OK\r\nId: Id\r\nSeal: s\r\nOther: a\r\n b\r\n\r\n",
+	"newlines": "HTTP/1.1 200 OK\nId: Id\nSeal: s\n\n",
+}
+
 var testSecret = []byte("a secret of the test daemons")
 
 func (testDialect) DecodeRequest(r *http.Request) (Request, error) {
@@ -392,6 +403,13 @@
 			if kind == "shed-often-with-id" {
 				again = strings.Repeat(again, maxSkippedResponses)
 			}
+		case "cut":
+			for name, whole := range cutHeads {
+				if cut, err := strconv.Atoi(r.URL.Query().Get(name)); err == nil {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(whole[:cut], "Id: Id", "Id: "+id))
+				}
+			}
+			return
 		case "extra":
 			_, _ = io.WriteString(conn, formatResponse(id, "mine")+formatResponse("other", "not yours"))
 		case "late":
