--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -82,6 +83,8 @@
 		RetryRatio  float64       // retries per request that the fleet allows
 		RetryWindow time.Duration // in which retries are counted
 
+		stop atomic.Pointer[time.Time] // when a draining daemon stops, nil before
+
 		mu               sync.Mutex
 		services         map[string]*serviceState
 		splits           map[string]*share.Split           // keyed by route
@@ -171,10 +174,13 @@
 	if snapshot.Quarantined(state.fingerprint, now) {
 		return state, &notRun{failure: retry.Quarantined{}, retryAfter: rateRetryAfter}
 	}
+	state.deadline = now.Add(min(r.timeout(), route.Deadline))
+	if f.endsTooLate(state) {
+		return state, &notRun{failure: retry.Draining{}, retryAfter: noServerRetryAfter}
+	}
 	if refused := f.checkRate(ctx, state, fresh); refused != nil {
 		return state, refused
 	}
-	state.deadline = now.Add(min(r.timeout(), route.Deadline))
 	state.service = route.Service
 	if len(route.WeightedServices) > 0 {
 		state.service = f.chooseService(route)
@@ -182,6 +188,15 @@
 	return state, nil
 }
 
+// StartDraining makes the forwarder refuse requests that must not be repeated and may take longer than until the daemon
+// stops: they would be cut off with an unknown outcome.
+func (f *Forwarder) StartDraining(stop time.Time) { f.stop.Store(&stop) }
+
+func (f *Forwarder) endsTooLate(state *forwardState) bool {
+	stop := f.stop.Load()
+	return stop != nil && !state.idempotent() && state.deadline.Add(responseMargin).After(*stop)
+}
+
 // checkRate counts a request against the rate of its client account. A configuration that is not known to be
 // in effect admits no account, because a newer one may have withdrawn the key.
 func (f *Forwarder) checkRate(ctx context.Context, state *forwardState, fresh bool) *notRun {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -26,14 +26,17 @@
 
 const (
 	// drainAcceptPeriod is how long a draining daemon still accepts requests, because callers need that time
-	// to notice that it is no longer ready.
+	// to notice that it is no longer ready. It is at most drainAcceptShare of the stop timeout.
 	drainAcceptPeriod = 2300 * time.Millisecond
+	drainAcceptShare  = 0.4
 
 	// drainQuietPeriod is how long a draining daemon must have had no request in progress before it stops.
 	drainQuietPeriod = 300 * time.Millisecond
 
-	// stopMargin is the part of the stop timeout that is reserved for the process to exit by itself.
-	stopMargin = 900 * time.Millisecond
+	// stopMargin is the part of the stop timeout that is reserved for the process to exit by itself. It is at most
+	// stopMarginShare of the stop timeout.
+	stopMargin      = 900 * time.Millisecond
+	stopMarginShare = 0.15
 
 	// drainPollInterval is how often a draining daemon checks for requests in progress, and how often a
 	// starting daemon checks for a configuration.
@@ -202,6 +205,9 @@
 // other daemons stop sending requests to its server.
 func (r *Relay) drain() {
 	started := r.Clock.Now()
+	accept := min(drainAcceptPeriod, time.Duration(drainAcceptShare*float64(r.StopWithin)))
+	stop := r.StopWithin - min(stopMargin, time.Duration(stopMarginShare*float64(r.StopWithin)))
+	r.Frontend.Forwarder.StartDraining(started.Add(stop))
 	r.Frontend.StartDraining()
 	r.LocalBackend.StartDraining()
 	r.Control.StartDrain()
@@ -210,14 +216,14 @@
 	for {
 		r.pause(drainPollInterval)
 		now := r.Clock.Now()
-		if now.Sub(started) >= drainAcceptPeriod {
+		if now.Sub(started) >= accept {
 			r.Frontend.RefuseRequests() // requests accepted later could not finish in time
 		}
 		if r.Frontend.Active() > 0 || r.LocalBackend.Running() > 0 {
 			quiet = now
 		}
-		done := now.Sub(started) >= drainAcceptPeriod && now.Sub(quiet) >= drainQuietPeriod
-		if done || now.Sub(started) >= r.StopWithin-stopMargin {
+		done := now.Sub(started) >= accept && now.Sub(quiet) >= drainQuietPeriod
+		if done || now.Sub(started) >= stop {
 			r.Log.Info().Dur("took", now.Sub(started)).Int("active", r.Frontend.Active()).Int("running", r.LocalBackend.Running()).Msg("drained")
 			return
 		}
