rules: regions that the data of a route or client account must not leave

Customers have data that must not leave some regions, and rules could not say so. Names are not checked: a name that no daemon has allows no server, whereas a rejected configuration would leave the earlier, wider list in force. No decision uses the lists yet.

Tested: go test -race ./pkg/rules ./platform; the round trip draws lists, the fault files have their errors.

--- a/pkg/rules/format.go
+++ b/pkg/rules/format.go
@@ -19,6 +19,7 @@
 		fmt.Fprintf(&text, "service %s slots=%d connections=%d retry-share=%s", r.Name, r.Slots, r.Connections, formatPercent(r.RetryShare))
 	case *Account:
 		fmt.Fprintf(&text, "account %s rate=%s burst=%d", r.Name, r.Rate, r.Burst)
+		formatRegions(&text, r.Regions)
 	case *Key:
 		fmt.Fprintf(&text, "key %s %s", r.Account, r.Hash)
 		if r.State == KeyWithdrawn {
@@ -84,6 +85,13 @@
 	if r.Nested {
 		text.WriteString(" nested=only")
 	}
+	formatRegions(text, r.Regions)
+}
+
+func formatRegions(text *strings.Builder, regions []string) {
+	if len(regions) > 0 {
+		text.WriteString(" regions=" + strings.Join(regions, ","))
+	}
 }
 
 // formatDuration formats a duration in its largest whole unit: 10m, where time.Duration prints 10m0s.
--- a/pkg/rules/host.go
+++ b/pkg/rules/host.go
@@ -40,6 +40,11 @@
 	if err := set.assembleKeys(); err != nil {
 		return err
 	}
+	for _, account := range set.Accounts {
+		if len(account.Regions) > MaxRegions {
+			return fmt.Errorf("%w: client account %q has %d regions, limit %d", ErrSet, account.Name, len(account.Regions), MaxRegions)
+		}
+	}
 	set.hosts = make(map[string][]*Route)
 	for _, route := range set.Routes {
 		if err := set.checkHostRoute(route); err != nil {
@@ -91,6 +96,8 @@
 		return invalid("the deadline %s is not between 0 and %s", route.Deadline, maxHostDeadline)
 	case route.Objective < 0 || route.MaxSends < 1 || route.MaxSends > maxServersPerAttempt:
 		return invalid("objective %s and %d sends are out of bounds", route.Objective, route.MaxSends)
+	case len(route.Regions) > MaxRegions:
+		return invalid("%d regions, limit %d", len(route.Regions), MaxRegions)
 	case (route.Service == "") == (len(route.WeightedServices) == 0):
 		return invalid("want either a service or weighted services")
 	case route.Service != "" && s.Services[route.Service] == nil:
--- a/pkg/rules/property_test.go
+++ b/pkg/rules/property_test.go
@@ -19,6 +19,7 @@
 	anyName    = rapid.StringMatching(`[a-z][a-z0-9-]{0,8}`)
 	anyPerson  = rapid.StringMatching(`[A-Z][a-zéø#]{1,8}( [A-Z][a-z]{1,8})?`)
 	anyReason  = rapid.StringMatching(`([a-z#][a-z:# ]{0,20}[a-z])?`)
+	anyRegions = rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"eu", "us", "Ap_1", ""}), 2, 3, rapid.ID[string])
 	anySegment = rapid.SampledFrom([]string{"a", "b", "c", "{x}", "{x}"})
 )
 
@@ -62,6 +63,9 @@
 	}
 	route.Rule = drawRule(t, KindRoute, route.Method+route.Path)
 	route.Offline = route.Access == AccessOpen && route.Run == RunIdempotent && rapid.Bool().Draw(t, "offline")
+	if rapid.Bool().Draw(t, "in regions") {
+		route.Regions = anyRegions.Draw(t, "regions")
+	}
 	if route.Access == AccessKeyed && rapid.Bool().Draw(t, "restricted") {
 		route.Accounts = []string{account}
 	}
@@ -80,6 +84,9 @@
 		Rate:  Rate{Count: rapid.IntRange(1, maxBurst).Draw(t, "rate"), Per: rapid.SampledFrom(rateUnits).Draw(t, "unit").per},
 		Burst: rapid.IntRange(1, maxBurst).Draw(t, "burst"),
 	}
+	if rapid.Bool().Draw(t, "account in regions") {
+		account.Regions = anyRegions.Draw(t, "account regions")
+	}
 	key := &Key{Account: account.Name, Hash: HashKey(anyName.Draw(t, "key")), State: State(rapid.IntRange(1, 2).Draw(t, "state"))}
 	key.Rule = drawRule(t, KindKey, KeyName(account.Name, key.Hash))
 	all := []Statement{&Revision{Rule: drawRule(t, KindRevision, fmt.Sprint(revision)), Number: revision}, service, account, key}
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -33,6 +33,7 @@
 	accountWords = []attribute[Account]{
 		{"rate", "rate=200/s", true, func(p *parser, t *Account, v word) { t.Rate = p.rate(v) }},
 		{"burst", "burst=400", true, func(p *parser, t *Account, v word) { t.Burst = p.integer(v, 1, maxBurst) }},
+		{"regions", "regions=eu,us", false, func(p *parser, t *Account, v word) { t.Regions = p.regions(v) }},
 	}
 	keyWords = []attribute[Key]{
 		{"state", "state=withdrawn", false, func(p *parser, t *Key, v word) { t.State = enumWord[State](p, stateNames, v) }},
@@ -40,7 +41,7 @@
 	routeWords = []attribute[Route]{
 		{"service", "service=reader", true, func(p *parser, t *Route, v word) { t.Service = p.name(v, "service") }},
 		{"access", "access=keyed", true, func(p *parser, t *Route, v word) { t.Access = enumWord[Access](p, accessNames, v) }},
-		{"accounts", "accounts=first,second", false, func(p *parser, t *Route, v word) { t.Accounts = p.list(v) }},
+		{"accounts", "accounts=first,second", false, func(p *parser, t *Route, v word) { t.Accounts = p.accounts(v) }},
 		{"run", "run=idempotent", true, func(p *parser, t *Route, v word) { t.Run = enumWord[Run](p, runNames, v) }},
 		{"importance", "importance=normal", false, func(p *parser, t *Route, v word) {
 			t.Importance = enumWord[Importance](p, importanceNames, v)
@@ -49,6 +50,7 @@
 		{"retries", "retries=2", false, func(p *parser, t *Route, v word) { t.Retries = p.integer(v, 0, maxRetries) }},
 		{"offline", "offline=serve", false, func(p *parser, t *Route, v word) { t.Offline = p.fixedValue(v, "serve") }},
 		{"nested", "nested=only", false, func(p *parser, t *Route, v word) { t.Nested = p.fixedValue(v, "only") }},
+		{"regions", "regions=eu,us", false, func(p *parser, t *Route, v word) { t.Regions = p.regions(v) }},
 	}
 	kinds = []string{string(KindRevision), string(KindService), string(KindAccount), string(KindKey), string(KindRoute)}
 )
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -21,6 +21,9 @@
 	DefaultRetryShare = 0.10
 	// DefaultRetries is the retry budget of a route whose rule names none.
 	DefaultRetries = 2
+
+	// MaxRegions bounds the allowed regions of one rule, which are compared with each server of a request.
+	MaxRegions = 64
 )
 
 type (
@@ -91,6 +94,8 @@
 		Burst int  `json:"burst"` // requests
 		// Rank, when set, overrides the rank of a route.
 		Rank *int `json:"rank,omitempty"`
+		// Regions lists the regions in which requests of the account may be handled; empty allows all.
+		Regions []string `json:"regions,omitempty"`
 	}
 
 	// Rate is a number of requests per period.
@@ -132,6 +137,8 @@
 		Retries    int           `json:"retries"`  // over the whole call graph
 		Offline    bool          `json:"offline"`  // served while the daemon is not fresh
 		Nested     bool          `json:"nested"`   // only for nested calls, hidden from callers
+		// Regions lists the regions in which requests of the route may be handled; empty allows all.
+		Regions []string `json:"regions,omitempty"`
 
 		// The fields below belong to routes by host and prefix.
 		Host             string            `json:"host,omitempty"`
--- a/pkg/rules/value.go
+++ b/pkg/rules/value.go
@@ -81,16 +81,35 @@
 	return v.text == value
 }
 
-// list returns the names of a comma-separated list without duplicates.
-func (p *parser) list(v word) []string {
+// accounts returns the client accounts of a comma-separated list without duplicates.
+func (p *parser) accounts(v word) []string {
+	return p.list(v, "account", func(w word) (string, bool) {
+		name := p.name(w, "account")
+		return name, name != ""
+	})
+}
+
+// regions returns the regions of a comma-separated list without duplicates. Their names are not checked: one that no
+// region has allows no server, which is safe, whereas a rejected file would leave the earlier, wider list in force.
+func (p *parser) regions(v word) []string {
+	names := p.list(v, "region", func(w word) (string, bool) { return w.text, true })
+	if len(names) > MaxRegions {
+		p.report(v.offset, fmt.Sprintf("the list has more than %d regions", MaxRegions), "remove regions or the word")
+		return nil
+	}
+	return names
+}
+
+// list returns the names of a comma-separated list for which parse returns true, without duplicates.
+func (p *parser) list(v word, kind string, parse func(word) (string, bool)) []string {
 	var names []string
 	offset := v.offset
 	for _, text := range strings.Split(v.text, ",") {
-		name := p.name(word{text: text, offset: offset}, "account")
+		name, valid := parse(word{text: text, offset: offset})
 		switch {
-		case name == "":
+		case !valid:
 		case slices.Contains(names, name):
-			p.report(offset, fmt.Sprintf("account %q is listed twice", name), "remove one of the two names")
+			p.report(offset, fmt.Sprintf("%s %q is listed twice", kind, shorten(name)), "remove one of the two names")
 		default:
 			names = append(names, name)
 		}
