rules: cold rate and cold period of a service

A server that has just started tolerates only a certain rate of requests. Nothing reads them yet.

Tested: go test -race ./pkg/rules ./platform.

--- a/pkg/rules/format.go
+++ b/pkg/rules/format.go
@@ -17,6 +17,7 @@
 		fmt.Fprintf(&text, "revision %d", r.Number)
 	case *Service:
 		fmt.Fprintf(&text, "service %s slots=%d connections=%d retry-share=%s", r.Name, r.Slots, r.Connections, formatPercent(r.RetryShare))
+		formatCold(&text, r)
 	case *Account:
 		fmt.Fprintf(&text, "account %s rate=%s burst=%d", r.Name, r.Rate, r.Burst)
 	case *Key:
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -82,6 +82,10 @@
 		Connections int     `json:"connections"` // connections per instance
 		RetryShare  float64 `json:"retry-share"` // ratio of retries to recent successes, 0.1 is 10%
 		HealthPath  string  `json:"health-path,omitempty"`
+		// ColdRate is the number of requests per second that a cold instance tolerates; zero sets no limit.
+		ColdRate float64 `json:"cold-rate,omitempty"`
+		// ColdPeriod is how long an instance stays cold after its start.
+		ColdPeriod time.Duration `json:"cold-period,omitempty"`
 	}
 
 	// Account describes a client account and its request rate limit.
