--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -61,7 +61,7 @@
 
 	// Limits holds the bounds on connections, sizes and times of one daemon's callers and backend server.
 	Limits struct {
-		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body."`
+		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body. With [fleet], bodies above 1/32 of memory are not held but pass through in parts."`
 		HeaderSize     Size          `toml:"header-size" default:"64KiB" min:"4KiB" max:"1MiB" doc:"Largest request header."`
 		Connections    int           `toml:"connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at one time."`
 		HeaderTimeout  time.Duration `toml:"header-timeout" default:"10s" min:"100ms" max:"5m" doc:"Time in which a caller has to send the request header."`
