accept: a deadline that passed too early leaves no connection behind

Cause: a listener that is being closed gives each Accept 5 ms to find a connection that waits. A goroutine without processor time could reach Accept after the deadline; the queue then counted as empty and closing the listener reset the connections in it, with their requests.

Change: after the deadline Accept takes what waits without a deadline. The time is a field of the listener, so that a test can let it pass.

--- a/internal/accept/listener.go
+++ b/internal/accept/listener.go
@@ -1,8 +1,11 @@
 package accept
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +21,7 @@
 // already. Closing a listener at once resets them, with the requests that their callers may have sent.
 type Listener struct {
 	*net.TCPListener
+	emptyTime time.Duration // of Accept while the listener is being closed
 
 	mu      sync.Mutex
 	closing bool
@@ -31,7 +35,7 @@
 	if !ok {
 		return listener
 	}
-	return &Listener{TCPListener: tcp, empty: make(chan struct{})}
+	return &Listener{TCPListener: tcp, emptyTime: emptyTime, empty: make(chan struct{})}
 }
 
 // Accept returns the next connection. While the listener is being closed it returns those that wait, and then an
@@ -44,6 +48,10 @@
 			return conn, err
 		}
 		if closing {
+			// The deadline may have passed before the call looked for connections.
+			if conn := l.acceptWaiting(); conn != nil {
+				return conn, nil
+			}
 			l.once.Do(func() { close(l.empty) })
 			return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: net.ErrClosed}
 		}
@@ -51,13 +59,40 @@
 	}
 }
 
-// extendDeadline gives Accept emptyTime to find a connection if the listener is being closed, and reports whether it
+// acceptWaiting returns a connection that the operating system has accepted already, nil if there is none.
+func (l *Listener) acceptWaiting() net.Conn {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	accepted, acceptErr := -1, error(nil)
+	err = raw.Control(func(fd uintptr) {
+		for {
+			accepted, _, acceptErr = syscall.Accept(int(fd))
+			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
+				return
+			}
+		}
+	})
+	if err != nil || acceptErr != nil {
+		return nil
+	}
+	file := os.NewFile(uintptr(accepted), "")
+	defer func() { _ = file.Close() }() // FileConn has a copy
+	conn, err := net.FileConn(file)
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+// extendDeadline gives Accept l.emptyTime to find a connection if the listener is being closed, and reports whether it
 // is.
 func (l *Listener) extendDeadline() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closing {
-		_ = l.SetDeadline(time.Now().Add(emptyTime))
+		_ = l.SetDeadline(time.Now().Add(l.emptyTime))
 	}
 	return l.closing
 }
--- a/internal/accept/listener_test.go
+++ b/internal/accept/listener_test.go
@@ -82,3 +82,31 @@
 	assert.NilError(t, listener.Close())
 	assert.Assert(t, time.Since(started) < maxCloseTime+time.Second)
 }
+
+// Guards against connections that are reset because the deadline of a listener that is being closed has passed before
+// Accept has looked for them: the goroutine had no processor time meanwhile.
+func TestCloseAcceptsAfterAPassedDeadline(t *testing.T) {
+	const callers = 50
+	listener := listen(t).(*Listener)
+	listener.emptyTime = 0 // each deadline has passed when Accept looks
+	for range callers {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	accepted := make(chan int)
+	go func() {
+		n := 0
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				break
+			}
+			n++
+			_ = conn.Close()
+		}
+		accepted <- n
+	}()
+	assert.NilError(t, listener.Close())
+	assert.Equal(t, <-accepted, callers)
+}
