--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -47,7 +47,7 @@
 		StopWithin   time.Duration  `toml:"stop-within" default:"6s" min:"500ms" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 		RetryRatio   Ratio          `toml:"retry-ratio" default:"0.2" doc:"Requests that the fleet sends again to one service, as a part of those sent to it."`
 		RetryWindow  time.Duration  `toml:"retry-window" default:"10s" min:"1s" max:"10m" doc:"Time over which repeated requests are counted."`
-		Memory       Size           `toml:"memory" default:"256MiB" min:"32MiB" max:"64GiB" doc:"Memory that the process may use. Bodies and requests in progress, unread responses and configurations that are being received have a part of it each."`
+		Memory       Size           `toml:"memory" default:"256MiB" min:"32MiB" max:"64GiB" doc:"Memory that the process may use. All that is held for callers on the platform has a quarter of it; configurations that are being received have an eighth."`
 	}
 
 	// AddressList is a list of addresses, separated by commas in the file.
