--- a/internal/replay/fleet.go
+++ b/internal/replay/fleet.go
@@ -143,7 +143,7 @@
 // the round-robin baseline.
 func (s *sim) pickDaemon(d *daemon, service string, triedIDs []string) (*daemon, bool) {
 	if !s.mechanism.RoundRobin {
-		endpoint, ok := d.pickers[service].Pick(s.now, triedIDs)
+		endpoint, ok := d.pickers[service].Pick(s.now, picker.Request{Tried: triedIDs})
 		return s.findDaemon(endpoint.ID), ok
 	}
 	var candidates []*daemon
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -15,6 +15,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
@@ -104,7 +105,7 @@
 		if !now.Before(r.Deadline) {
 			return failed{Failure: retry.Merge(previous, retry.DeadlineBefore{}), Final: true}
 		}
-		endpoint, ok := instances.Pick(now, tried)
+		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: f.reach(r)})
 		if !ok && previous != nil {
 			return failed{Failure: previous, Final: true} // more specific than NoBackend
 		}
@@ -156,6 +157,12 @@
 	return entry.picker
 }
 
+// reach returns where the request may be sent. It is computed for each attempt, because an evacuation may begin
+// meanwhile.
+func (f *Forwarder) reach(*Request) reach.Policy {
+	return reach.For(f.Control.Snapshot().Evacuated)
+}
+
 // update applies the published instances and retry share to entry. Lists with the same version have the
 // same instances.
 func (f *Forwarder) update(entry *servicePicker, list *snap.Endpoints, r *Request) {
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -31,6 +32,13 @@
 		eligible  []*instance // scratch space of Pick
 	}
 
+	// Request describes the call to send to one of the instances.
+	Request struct {
+		// Tried lists the ids of instances that were already tried; they are chosen only if no other is available.
+		Tried []string
+		Reach reach.Policy
+	}
+
 	// Result is Responded, Refused, Failed or Canceled.
 	Result interface{ result() }
 
@@ -86,24 +94,23 @@
 	p.eligible = make([]*instance, 0, len(endpoints))
 }
 
-// Pick chooses an instance and counts the call as in flight there until Done. Instances in exclude were already
-// tried; they are chosen only if no other is available.
-func (p *Picker) Pick(now time.Time, exclude []string) (snap.Endpoint, bool) {
+// Pick chooses an instance and counts the call as in flight there until Done.
+func (p *Picker) Pick(now time.Time, request Request) (snap.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Each pass drops one condition: a call to an instance that is likely to fail is better than none, but an
 	// instance that is leaving is never chosen.
 	passes := [...]func(*instance) bool{
-		func(in *instance) bool { return in.available(now) && !slices.Contains(exclude, in.endpoint.ID) },
+		func(in *instance) bool { return in.available(now) && !slices.Contains(request.Tried, in.endpoint.ID) },
 		func(in *instance) bool { return in.available(now) },
-		func(in *instance) bool { return !slices.Contains(exclude, in.endpoint.ID) },
+		func(in *instance) bool { return !slices.Contains(request.Tried, in.endpoint.ID) },
 		func(*instance) bool { return true },
 	}
 	for _, pass := range passes {
 		p.eligible = p.eligible[:0]
 		localCount := 0 // the instances of the local availability zone come first
 		for _, in := range p.instances {
-			if in.leaving(now) || !pass(in) {
+			if in.leaving(now) || request.Reach.Exclude(&in.endpoint) != nil || !pass(in) {
 				continue
 			}
 			p.eligible = append(p.eligible, in)
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -51,7 +51,7 @@
 			return broken{}
 		}
 		now := f.Clock.Now()
-		endpoint, ok := instances.Pick(now, tried)
+		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: f.reach(r)})
 		if !ok {
 			return broken{}
 		}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/share"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
@@ -75,9 +76,16 @@
 	defer svc.mu.Unlock()
 	return svc.balancer.Choose(now, place.Request{
 		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
+		Reach: f.reach(state),
 	})
 }
 
+// reach returns where the request may be sent. It is computed for each send, because an evacuation may begin
+// meanwhile.
+func (f *Forwarder) reach(*forwardState) reach.Policy {
+	return reach.For(f.Control.Snapshot().Evacuated)
+}
+
 // send sends the request once to the daemon of the endpoint.
 func (f *Forwarder) send(ctx context.Context, state *forwardState, svc *serviceState, endpoint *snap.Endpoint) (outcome, *Report) {
 	now := f.Clock.Now()
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -77,6 +78,7 @@
 		Remaining time.Duration // until the deadline, zero for none
 		Zone      string        // availability zone of this daemon
 		Tried     []string      // ids of endpoints that must not be chosen
+		Reach     reach.Policy
 		// Urgent requests are not used to explore servers.
 		Urgent bool
 	}
@@ -181,7 +183,7 @@
 	var best *server
 	var lowest time.Duration
 	for _, s := range b.servers {
-		if slices.Contains(request.Tried, s.endpoint.ID) {
+		if !request.allows(s) {
 			continue
 		}
 		cost := s.cost(now, request, summary)
@@ -204,6 +206,11 @@
 	return best.endpoint, true
 }
 
+// allows reports whether the request may be sent to the server.
+func (r *Request) allows(s *server) bool {
+	return !slices.Contains(r.Tried, s.endpoint.ID) && r.Reach.Exclude(&s.endpoint) == nil
+}
+
 // explore returns, for some of the requests, a server that this daemon has not used for a while, and otherwise
 // nil.
 func (b *Balancer) explore(now time.Time, request Request, best *server) *server {
@@ -219,7 +226,7 @@
 		if age >= newServerAge && s.endpoint.Zone != request.Zone {
 			continue
 		}
-		if s != best && unused && !s.leaving && now.After(s.backoffUntil) && s.failureRate(now) < maxExploredFailureRate && b.random.IntN(4) == 0 {
+		if s != best && unused && request.allows(s) && !s.leaving && now.After(s.backoffUntil) && s.failureRate(now) < maxExploredFailureRate && b.random.IntN(4) == 0 {
 			return s
 		}
 	}
--- a/internal/snap/endpoint.go
+++ b/internal/snap/endpoint.go
@@ -34,6 +34,8 @@
 	Leaving bool `protobuf:"varint,9,opt,name=leaving"`
 	// Started is the time of the first announcement of this incarnation, by the clock of its daemon.
 	Started wire.Stamp `protobuf:"varint,10,opt,name=started"`
+	// Region is the region of the daemon, empty if that daemon does not report it.
+	Region string `protobuf:"bytes,11,opt,name=region"`
 }
 
 // Check returns an error that names the first invalid field.
@@ -49,6 +51,8 @@
 		return fmt.Errorf("%w: address has %d bytes", ErrEndpoint, len(e.Address))
 	case len(e.Zone) > maxNameBytes:
 		return fmt.Errorf("%w: zone has %d bytes", ErrEndpoint, len(e.Zone))
+	case len(e.Region) > maxNameBytes:
+		return fmt.Errorf("%w: region has %d bytes", ErrEndpoint, len(e.Region))
 	case e.Slots == 0 || e.Slots > maxCapacity:
 		return fmt.Errorf("%w: %d slots, want 1 to %d", ErrEndpoint, e.Slots, maxCapacity)
 	case e.Connections > maxCapacity:
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -15,6 +15,7 @@
 	LastContact time.Time             // send time of the latest lease renewal that the leader confirmed
 	Endpoints   map[string]*Endpoints // by service; only the services that this daemon calls
 	Quarantine  map[string]wire.Stamp // end of the quarantine by request fingerprint
+	Evacuated   map[string]Evacuation // by availability zone
 }
 
 // Endpoints is the list of instances of one service at one version.
