--- /dev/null
+++ b/internal/head/cases/doc.go
@@ -0,0 +1,2 @@
+// Package cases lists malformed heads of HTTP responses for the tests of everything that reads responses.
+package cases
--- a/internal/root/call/fuzz_test.go
+++ b/internal/root/call/fuzz_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -38,6 +39,17 @@
 
 // Guards against a panic on a malformed response head.
 func FuzzResponseHead(f *testing.F) {
+	for _, malformed := range []ResponseHead{
+		{Status: 700},
+		{Status: 200, Header: []field.Field{{Name: "Odd name", Value: "x"}}},
+		{Status: 200, Header: []field.Field{{Name: "Odd", Value: "a\x01b"}}},
+	} {
+		body, err := wire.Encode(&malformed)
+		assert.NilError(f, err)
+		_, err = wire.Decode[ResponseHead](body)
+		assert.ErrorIs(f, err, head.ErrMalformed)
+		f.Add(body)
+	}
 	fuzzMessage(f, &ResponseHead{Status: 200, Header: []field.Field{{Name: "A"}}, ContentLength: -1, Report: Report{Unspent: 2, Load: 0.5}})
 }
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -19,6 +19,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -267,7 +268,13 @@
 		return admit.Canceled{}
 	}
 	defer c.conns.cancel()
-	response, err := c.backend.transport.RoundTrip(request)
+	response, err := head.Transport{Base: c.backend.transport}.RoundTrip(request)
+	if errors.Is(err, head.ErrMalformed) {
+		c.endSuspect(false)
+		c.conns.discard()
+		c.refuseResponse(err)
+		return admit.Lost{}
+	}
 	if err != nil {
 		return c.roundTripFailed(ctx, started, err)
 	}
@@ -357,14 +364,14 @@
 		return fmt.Errorf("%w: %w", errNoBody, err)
 	}
 	failed := response.StatusCode >= http.StatusInternalServerError
-	head := &ResponseHead{
+	first := &ResponseHead{
 		Status:        int32(response.StatusCode),
 		Header:        field.FromHeader(responseHeader(response.Header)),
 		ContentLength: response.ContentLength,
 		Report:        c.report(failed),
 	}
-	head.Report.BackendLatency = backendLatency
-	if err := wire.WriteMessage(c.writer, kindResponseHead, head); err != nil {
+	first.Report.BackendLatency = backendLatency
+	if err := wire.WriteMessage(c.writer, kindResponseHead, first); err != nil {
 		return fmt.Errorf("send response head: %w", err)
 	}
 	for ; ; n, err = response.Body.Read(buf[wire.HeaderSize:]) {
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -146,6 +147,9 @@
 			return c.handleParseError(err)
 		}
 		c.limit.remaining = unlimited
+		if err := head.CheckRequest(parsed); err != nil {
+			return c.handleParseError(err)
+		}
 		if size := headerSize(parsed); size > limits.HeaderSize {
 			return c.refuse(parsed, retry.HeaderTooLarge{})
 		}
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
@@ -184,7 +185,7 @@
 	if err != nil {
 		return fmt.Errorf("check health of backend server: %w", err)
 	}
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeader}
+	transport := head.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeader}}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return fmt.Errorf("check health of backend server: %w", err)
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
@@ -176,7 +177,7 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{errInvalidResponse, errUploadBroken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -222,7 +223,7 @@
 // decodeOutcome decodes the outcome of a complete reply.
 func (r *Reply) decodeOutcome() outcome {
 	if r.Kind == outcomeCompleted {
-		return completed{response: Response{Status: int(r.Status), Header: decodeHeader(r.Header), Body: r.Body}}
+		return r.decodeResponse()
 	}
 	failure, err := retry.Parse(r.Reason, r.Outcome)
 	if err != nil { // Check has accepted these values
@@ -234,6 +235,16 @@
 	return unknown{failure: failure}
 }
 
+// decodeResponse decodes the response of a server. The daemon next to it may be of a version that passes on malformed
+// heads.
+func (r *Reply) decodeResponse() outcome {
+	header := decodeHeader(r.Header)
+	if head.CheckFinal(int(r.Status)) != nil || head.CheckHeader(header) != nil {
+		return unknown{failure: retry.BackendLost{}}
+	}
+	return completed{response: Response{Status: int(r.Status), Header: header, Body: r.Body}}
+}
+
 // balancerReport converts the report for the load balancer.
 func (r *Report) balancerReport() *place.Report {
 	return &place.Report{Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run}
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/head/cases"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
@@ -68,8 +69,9 @@
 		mu       sync.Mutex
 		received []*http.Request
 		ran      map[string]int
-		gone     chan string   // IDs of requests whose connection ended while they ran
-		hold     chan struct{} // closed to complete the requests under /hold/
+		gone     chan string                   // IDs of requests whose connection ended while they ran
+		hold     chan struct{}                 // closed to complete the requests under /hold/
+		early    func(net.Conn, *http.Request) // if set, answers each request before its body is read
 	}
 )
 
@@ -339,6 +341,13 @@
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		early := s.early
+		s.mu.Unlock()
+		if early != nil {
+			early(conn, r)
+			return
+		}
 		_, _ = io.WriteString(conn, again)
 		again = ""
 		body, _ := io.ReadAll(r.Body)
@@ -389,6 +398,9 @@
 		case "endless":
 			writeEndless(conn, strings.Split(r.URL.Path, "/")[3])
 			return
+		case "odd":
+			number, _ := strconv.Atoi(strings.Split(r.URL.Path, "/")[3])
+			_, _ = io.WriteString(conn, cases.Responses[number].Text("Id: "+id+"\r\nSeal: s\r\n"))
 		case "garbage":
 			_, _ = io.WriteString(conn, "what is this\r\n\r\n")
 			return
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 )
 
 const (
@@ -51,7 +53,7 @@
 
 // directClient ignores the proxy settings of the environment, because the endpoint has a numeric IP address.
 var directClient = &http.Client{
-	Transport:     &http.Transport{},
+	Transport:     head.Transport{Base: &http.Transport{}},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
@@ -156,5 +158,8 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("%w: %s: %w", ErrTimeout, address, err)
 	}
+	if errors.Is(err, head.ErrMalformed) {
+		return fmt.Errorf("%w: %s: %w", ErrInvalidResponse, address, err)
+	}
 	return fmt.Errorf("%w: %s: %w", ErrUnreachable, address, err)
 }
--- a/pkg/admin/client_test.go
+++ b/pkg/admin/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/head"
 )
 
 // Guards against a client that reads responses of unlimited size, accepts invalid reports, or returns the same
@@ -53,3 +56,25 @@
 	_, err = client.Status(ctx)
 	assert.ErrorIs(t, err, ErrUnreachable)
 }
+
+// Guards against a client that takes a malformed response of another program for an answer of a daemon.
+func TestClientRefusesMalformedResponses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4<<10))
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nOdd name: x\r\nContent-Length: 2\r\n\r\n{}"))
+			_ = conn.Close()
+		}
+	}()
+	client := &Client{Address: listener.Addr().String()}
+	_, err = client.Status(t.Context())
+	assert.ErrorIs(t, err, ErrInvalidResponse)
+	assert.ErrorIs(t, err, head.ErrMalformed)
+}
