--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,8 @@
 	truncatedResponses     prometheus.Counter
 	refusalsWithinRate     *prometheus.CounterVec
 	addedLatency           *prometheus.HistogramVec
+	randomChoices          *prometheus.CounterVec
+	unevenRefusals         *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -60,9 +62,14 @@
 			Namespace: namespace, Name: "added_latency_seconds", Buckets: latencyBuckets,
 			Help: "Time to the head of a call's answer that was not spent in the backend server.",
 		}, []string{"service"}),
+		randomChoices: newCounterVec("random_choices_total",
+			"Calls sent to another server than the one with the lowest predicted cost, to even out the load.", "service"),
+		unevenRefusals: newCounterVec("uneven_refusals_total",
+			"Calls refused by a full server that another server of the service then answered.", "service"),
 	}
 	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
+		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -116,3 +123,9 @@
 func (m *Meter) AddedLatency(service string, latency time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(max(latency, 0).Seconds())
 }
+
+// RandomChoice counts a call that was sent to another server than the one with the lowest predicted cost.
+func (m *Meter) RandomChoice(service string) { m.randomChoices.WithLabelValues(service).Inc() }
+
+// UnevenRefusal counts a call that a full server refused and another one answered.
+func (m *Meter) UnevenRefusal(service string) { m.unevenRefusals.WithLabelValues(service).Inc() }
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -38,6 +38,7 @@
 		state.tried = append(state.tried, endpoint.ID)
 		f.reportResult(svc, state, endpoint.ID, result, report)
 		state.recordOutcome(result)
+		f.countUneven(state, result)
 		if ctx.Err() != nil {
 			return state.expiredOutcome()
 		}
@@ -74,10 +75,31 @@
 	now := f.Clock.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	return svc.balancer.Choose(now, place.Request{
+	randomChoices := svc.balancer.RandomChoices
+	endpoint, ok := svc.balancer.Choose(now, place.Request{
 		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
 		Reach: f.reach(state),
 	})
+	if svc.balancer.RandomChoices > randomChoices {
+		f.Meter.RandomChoice(state.service)
+	}
+	return endpoint, ok
+}
+
+// countUneven counts a request that a full server refused and another server then served.
+func (f *Forwarder) countUneven(state *forwardState, result outcome) {
+	switch result := result.(type) {
+	case notRun:
+		switch result.failure.(type) {
+		case retry.QueueFull, retry.QueueTimeout:
+			state.refusedFull = true
+		}
+	case completed:
+		if state.refusedFull {
+			f.Meter.UnevenRefusal(state.service)
+		}
+	case unknown:
+	}
 }
 
 // reach returns where the request may be sent. It is computed for each send, because an evacuation may begin
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -115,6 +115,7 @@
 		tried         []string
 		sends         int  // number of sends that reached a server
 		retryAllowed  bool // the retry budget has allowed the next send
+		refusedFull   bool // a full server has refused the request
 		callerOutcome outcome
 	}
 )
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -98,18 +98,21 @@
 		// Congestion is the predicted wait of a nested call divided by the run time, or the congestion of the
 		// services that this server calls if it is greater. At 1 a call takes twice as long as without load.
 		Congestion float64
+		// Arrivals is the rate per second of requests that were started or queued.
+		Arrivals float64
 	}
 
 	// Controller admits the requests of one incarnation of a backend server. It is not safe for concurrent
 	// use.
 	Controller struct {
-		slots   int // usable, without the reserve
-		running int
-		lost    int // runs in the server that no longer count in running
-		waiting int
-		classes []*class // the most urgent first
-		routes  map[string]*route
-		runTime time.Duration // average over all routes
+		slots    int // usable, without the reserve
+		running  int
+		lost     int // runs in the server that no longer count in running
+		waiting  int
+		classes  []*class // the most urgent first
+		routes   map[string]*route
+		runTime  time.Duration // average over all routes
+		accepted rate
 
 		downstream   float64 // average congestion that calls of this server reported
 		downstreamAt time.Time
@@ -172,6 +175,7 @@
 	r := g.route(t.Route)
 	ahead := g.queuedAhead(c)
 	if ahead == 0 && g.running < g.slots && r.hasCapacity(t) {
+		g.accepted.add(now)
 		g.start(now, t, r)
 		return Admitted{}
 	}
@@ -181,6 +185,7 @@
 	if late > 0 || g.waiting >= maxQueued {
 		return Refused{RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait}
 	}
+	g.accepted.add(now)
 	t.state = queued
 	c.queue = append(c.queue, t)
 	g.waiting++
@@ -329,6 +334,7 @@
 	return Load{
 		Wait: g.predictWait(now, c, r, g.queuedAhead(c)), Run: r.meanRunTime,
 		Running: g.running, Waiting: g.waiting, Slots: g.slots, Congestion: g.congestion(now),
+		Arrivals: g.accepted.current(now),
 	}
 }
 
--- a/internal/root/relay/gate/gate_test.go
+++ b/internal/root/relay/gate/gate_test.go
@@ -168,3 +168,17 @@
 	assert.Assert(t, g.Load(now, ticket("any", 2, 0)).Congestion > 2)
 	assert.Assert(t, g.Load(now.Add(5*time.Second), ticket("any", 2, 0)).Congestion < 0.1)
 }
+
+// Guards against reported arrivals that include refused requests, which take no slot.
+func TestArrivalsCountAcceptedRequests(t *testing.T) {
+	g := New(2)
+	for range 2 {
+		g.Offer(t0, ticket("warm", 2, 0))
+	}
+	late := ticket("late", 2, 0)
+	late.Deadline = t0.Add(-time.Second)
+	_, refused := g.Offer(t0, late).(Refused)
+	assert.Assert(t, refused)
+	assert.Equal(t, g.Load(t0, late).Arrivals, 2.0)
+	assert.Assert(t, g.Load(t0.Add(5*time.Second), late).Arrivals < 0.1)
+}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"time"
 
@@ -278,7 +279,7 @@
 	load := s.controller.Load(b.Clock.Now(), j.ticket())
 	return Report{
 		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: load.Run,
-		Leaving: s.leaving || b.draining, Congestion: load.Congestion,
+		Leaving: s.leaving || b.draining, Congestion: load.Congestion, Arrivals: uint32(math.Ceil(load.Arrivals)),
 	}
 }
 
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -86,7 +86,8 @@
 		Slots      uint32        `protobuf:"varint,3,opt,name=slots,proto3"`
 		Run        time.Duration `protobuf:"varint,4,opt,name=run,proto3"` // run time of the request's route
 		Leaving    bool          `protobuf:"varint,5,opt,name=leaving,proto3"`
-		Congestion float64       `protobuf:"fixed64,6,opt,name=strain,proto3"` // congestion that nested calls meet
+		Congestion float64       `protobuf:"fixed64,6,opt,name=strain,proto3"`  // congestion that nested calls meet
+		Arrivals   uint32        `protobuf:"varint,9,opt,name=arrivals,proto3"` // requests per second that the server accepts from all daemons
 	}
 
 	// Reply is the reply to a SendRequest and carries the outcome of the request.
@@ -236,5 +237,5 @@
 
 // balancerReport converts the report for the load balancer.
 func (r *Report) balancerReport() *place.Report {
-	return &place.Report{Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run}
+	return &place.Report{Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run, Arrivals: float64(r.Arrivals)}
 }
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -42,8 +43,8 @@
 	// maxExploredFailureRate is the failure rate up to which a server is explored.
 	maxExploredFailureRate = 0.7
 
-	// maxReportAge is the age at which a report of a server's load is ignored.
-	maxReportAge = 700 * time.Millisecond
+	// minRunTime is assumed for a server whose run time is not known.
+	minRunTime = time.Millisecond
 
 	// minBackoff is how long a server is avoided after it could not be reached; it doubles with each consecutive
 	// failure to reach it, up to maxBackoff.
@@ -89,6 +90,8 @@
 		Running int
 		Slots   int
 		Run     time.Duration // average run time of the request's route, zero if unknown
+		// Arrivals is the rate per second of requests that the server accepts from all daemons, zero if unknown.
+		Arrivals float64
 	}
 
 	// Result is Served, Refused, Failed or Unreached.
@@ -110,9 +113,16 @@
 	// Balancer balances the requests of one daemon among the servers of one service. It is not safe for
 	// concurrent use.
 	Balancer struct {
-		random  *rand.Rand
-		version uint64
-		servers []*server
+		// RandomChoices counts the requests that were sent to another server than the one with the lowest
+		// predicted cost, to even out the load.
+		RandomChoices uint64
+
+		random     *rand.Rand
+		version    uint64
+		servers    []*server
+		eligible   []*server          // scratch space of Choose
+		candidates []spread.Candidate // of the eligible servers
+		means      []time.Duration    // scratch space of summarizeRunTimes
 	}
 
 	server struct {
@@ -176,24 +186,19 @@
 	b.servers = updated
 }
 
-// Choose returns the server with the lowest cost, which is the predicted time to a response plus penalties for
-// other availability zones and for recent failures. It counts the request as in flight until Done.
+// Choose returns a server of those with the lowest costs, as spread.Choose decides. The cost is the predicted time to
+// a response plus penalties for other availability zones and for recent failures. It counts the request as in flight
+// until Done.
 func (b *Balancer) Choose(now time.Time, request Request) (snap.Endpoint, bool) {
-	summary := b.summarizeRunTimes(request.Route)
-	var best *server
-	var lowest time.Duration
-	for _, s := range b.servers {
-		if !request.allows(s) {
-			continue
-		}
-		cost := s.cost(now, request, summary)
-		if best == nil || cost < lowest {
-			best, lowest = s, cost
-		}
-	}
-	if best == nil {
+	b.collect(now, request)
+	choice, ok := spread.Choose(b.random, b.candidates)
+	if !ok {
 		return snap.Endpoint{}, false
 	}
+	if !choice.Cheapest {
+		b.RandomChoices++
+	}
+	best := b.eligible[choice.Index]
 	if other := b.explore(now, request, best); other != nil {
 		best = other
 	}
@@ -206,6 +211,18 @@
 	return best.endpoint, true
 }
 
+// collect sets the eligible servers and their costs.
+func (b *Balancer) collect(now time.Time, request Request) {
+	summary := b.summarizeRunTimes(request.Route)
+	b.eligible, b.candidates = b.eligible[:0], b.candidates[:0]
+	for _, s := range b.servers {
+		if request.allows(s) {
+			b.eligible = append(b.eligible, s)
+			b.candidates = append(b.candidates, s.candidate(now, &request, summary))
+		}
+	}
+}
+
 // allows reports whether the request may be sent to the server.
 func (r *Request) allows(s *server) bool {
 	return !slices.Contains(r.Tried, s.endpoint.ID) && r.Reach.Exclude(&s.endpoint) == nil
@@ -284,12 +301,13 @@
 
 // summarizeRunTimes returns the shortest and the median of the servers' average run times of a route.
 func (b *Balancer) summarizeRunTimes(route string) runTimeSummary {
-	var means []time.Duration
+	means := b.means[:0]
 	for _, s := range b.servers {
 		if mean := s.runTimes[route].mean; mean > 0 {
 			means = append(means, mean)
 		}
 	}
+	b.means = means
 	if len(means) == 0 {
 		return runTimeSummary{}
 	}
@@ -329,9 +347,57 @@
 	return longest
 }
 
-func (s *server) cost(now time.Time, request Request, summary runTimeSummary) time.Duration {
-	run := s.expectedRunTime(now, request.Route, summary)
-	wait := s.expectedWait(now, run)
+// candidate returns the cost of the server with and without the requests that others have sent since its report.
+func (s *server) candidate(now time.Time, request *Request, summary runTimeSummary) spread.Candidate {
+	run := max(s.expectedRunTime(now, request.Route, summary), minRunTime)
+	slots := s.slots()
+	estimate := s.estimate(now, run)
+	perRequest := estimate.RequestCost(slots, run)
+	c := spread.Candidate{
+		Near: s.endpoint.Zone == request.Zone, Others: estimate.Others, Slope: perRequest,
+		Cost: s.cost(now, request, run, waitFor(estimate.Known+estimate.Others, slots, run)),
+	}
+	c.Base = c.Cost
+	if estimate.Known+estimate.Others > float64(slots) && estimate.Others > 0 {
+		c.Base = s.cost(now, request, run, waitFor(estimate.Known, slots, run))
+	}
+	c.Base += time.Duration(estimate.Known * float64(perRequest))
+	if estimate.Known >= float64(slots) {
+		c.Slope += waitFactor * run / time.Duration(slots)
+	}
+	return c
+}
+
+// slots returns the usable slots as reported, or those of the registration before the first report.
+func (s *server) slots() int {
+	if s.report.Slots > 0 {
+		return s.report.Slots
+	}
+	return int(max(s.endpoint.Slots, 1))
+}
+
+// estimate extrapolates the last report to the present. A reported wait counts as that many requests ahead.
+func (s *server) estimate(now time.Time, run time.Duration) spread.Estimate {
+	load := spread.Load{
+		Occupancy: float64(s.report.Running), Arrivals: s.report.Arrivals, Stay: run + s.report.Wait,
+		Age: max(now.Sub(s.reportedAt), 0), Sent: s.sentSinceReport, InFlight: s.inFlight,
+	}
+	if slots := float64(s.slots()); s.report.Wait > 0 {
+		load.Occupancy = max(load.Occupancy, slots) + float64(s.report.Wait)/float64(run)*slots
+	}
+	if s.reportedAt.IsZero() {
+		load.Age = 0 // nothing to extrapolate
+	}
+	return load.Expect()
+}
+
+// waitFor returns the predicted wait for one of the slots that the given number of requests use or wait for.
+func waitFor(requests float64, slots int, run time.Duration) time.Duration {
+	return time.Duration(max(requests-float64(slots), 0) / float64(slots) * float64(run))
+}
+
+// cost returns the cost of a server at which a request waits and runs for the given times.
+func (s *server) cost(now time.Time, request *Request, run, wait time.Duration) time.Duration {
 	cost := run + wait
 	if safe := time.Duration(safeTimeShare * float64(request.Remaining)); request.Remaining > 0 && cost > safe {
 		cost += lateFactor * (cost - safe)
@@ -354,28 +420,6 @@
 	return cost
 }
 
-// expectedWait returns the reported wait while the report is recent, plus the wait that requests sent since then
-// add.
-func (s *server) expectedWait(now time.Time, run time.Duration) time.Duration {
-	age := now.Sub(s.reportedAt)
-	slots := s.report.Slots
-	if slots == 0 {
-		slots = int(max(s.endpoint.Slots, 1))
-	}
-	wait, running := time.Duration(0), s.inFlight
-	if !s.reportedAt.IsZero() && age < maxReportAge {
-		wait = s.report.Wait
-		running = max(s.report.Running+s.sentSinceReport, s.inFlight)
-	}
-	if excess := running - slots; excess > 0 && wait == 0 {
-		wait = time.Duration(float64(excess) / float64(slots) * float64(run))
-	}
-	if wait > 0 {
-		wait += time.Duration(float64(s.sentSinceReport) / float64(slots) * float64(run))
-	}
-	return wait
-}
-
 // recordResult counts one result; failure is 1 for a failure and 0 for a success.
 func (s *server) recordResult(now time.Time, failure float64) {
 	decay := s.decay(now)
--- a/internal/root/relay/place/balancer_test.go
+++ b/internal/root/relay/place/balancer_test.go
@@ -252,3 +252,77 @@
 	}
 	assert.Assert(t, first > 500*time.Millisecond && first < 5*time.Second, "used again after %s", first)
 }
+
+// newZone returns a balancer of servers with 10 slots in the zone of the requests, whose reports have the given age.
+func newZone(seed uint64, age time.Duration, reports ...Report) *Balancer {
+	b := New(seed)
+	list := &snap.Endpoints{Version: 1}
+	for i := range reports {
+		list.Instances = append(list.Instances, snap.Endpoint{ID: fmt.Sprint("s", i), Zone: "a", Slots: 10, Incarnation: uint64(i + 1)})
+	}
+	b.Update(t0, list)
+	for i := range reports {
+		b.Done(t0.Add(-age), fmt.Sprint("s", i), "r", &reports[i], Served{})
+	}
+	return b
+}
+
+// Guards against many daemons that all send to the server that looked best in reports of some age, while another
+// one is nearly as good.
+func TestDaemonsWithTheSameReportsChooseDifferently(t *testing.T) {
+	chosen := map[string]int{}
+	for seed := range uint64(100) {
+		b := newZone(seed, 200*time.Millisecond,
+			Report{Slots: 10, Running: 4, Run: 95 * time.Millisecond, Arrivals: 60},
+			Report{Slots: 10, Running: 6, Run: 105 * time.Millisecond, Arrivals: 60})
+		chosen[choose(t, b, t0)]++
+	}
+	assert.Assert(t, chosen["s0"] >= 35 && chosen["s1"] >= 35, "%v", chosen)
+}
+
+// Guards against requests of all daemons to a server that was full in its last report, as soon as the report is
+// old, and against a server that counts as full for good.
+func TestServerWithOldReportIsNotIdle(t *testing.T) {
+	reports := []Report{
+		{Slots: 10, Running: 10, Wait: 100 * time.Millisecond, Run: 100 * time.Millisecond, Arrivals: 120},
+		{Slots: 10, Running: 5, Run: 110 * time.Millisecond, Arrivals: 50},
+	}
+	used := func(age time.Duration) int {
+		n := 0
+		for seed := range uint64(100) {
+			if choose(t, newZone(seed, age, reports...), t0) == "s0" {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, used(0) == 0)
+	for _, age := range []time.Duration{750 * time.Millisecond, 10 * time.Second} {
+		n := used(age) // by capacity, which is nearly equal
+		assert.Assert(t, n >= 35 && n <= 65, "%d of 100 after %s", n, age)
+	}
+}
+
+// Guards against allocations in each choice.
+func TestChooseDoesNotAllocate(t *testing.T) {
+	b := newBalancer()
+	allocations := testing.AllocsPerRun(100, func() {
+		endpoint, _ := b.Choose(t0, Request{Route: "r", Zone: "a", Urgent: true})
+		b.Done(t0, endpoint.ID, "r", nil, Served{})
+	})
+	assert.Equal(t, allocations, 0.0)
+}
+
+func BenchmarkChooseDone(b *testing.B) {
+	for _, n := range []int{4, 30} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			balancer := newZone(1, 100*time.Millisecond, make([]Report, n)...)
+			report := &Report{Slots: 10, Running: 5, Run: 100 * time.Millisecond, Arrivals: 50}
+			b.ReportAllocs()
+			for b.Loop() {
+				endpoint, _ := balancer.Choose(t0, Request{Route: "r", Zone: "a", Urgent: true})
+				balancer.Done(t0, endpoint.ID, "r", report, Served{})
+			}
+		})
+	}
+}
