--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -17,8 +18,8 @@
 	slowStart          = 10 * time.Second
 	minSlowStartWeight = 0.1 // weight at the start of an incarnation
 	explorationPeriod  = 128 // one call in this many goes to another zone to sample its latency; fewer than 1 in 100 leave the 99th percentile unchanged
-	equalCostRatio     = 0.9 // costs within this ratio count as equal; otherwise a slightly worse instance gets no calls at low load
 	drainingPause      = 10 * time.Second
+	maxOthers          = 3 // calls of other daemons expected at an instance whose limit is fully used
 )
 
 type (
@@ -30,6 +31,8 @@
 		random    *rand.Rand
 		instances []*instance
 		eligible  []*instance // scratch space of Pick
+
+		candidates []spread.Candidate // scratch space of choose
 	}
 
 	// Request describes the call to send to one of the instances.
@@ -148,16 +151,16 @@
 func (p *Picker) choose(now time.Time, localCount int) *instance {
 	local, remote := p.eligible[:localCount], p.eligible[localCount:]
 	if localCount == 0 || len(remote) == 0 {
-		return p.betterOfTwo(now, p.eligible)
+		return p.evenly(now, p.eligible)
 	}
 	load := 0.0
 	for _, in := range local {
 		load += in.currentLoad(now)
 	}
 	if load/float64(localCount) >= maxLocalLoad {
-		return p.betterOfTwo(now, p.eligible)
+		return p.evenly(now, p.eligible)
 	}
-	localPick := p.betterOfTwo(now, local)
+	localPick := p.evenly(now, local)
 	remotePick := remote[p.random.IntN(len(remote))]
 	latency := p.defaultLatency()
 	if p.random.IntN(explorationPeriod) == 0 {
@@ -169,21 +172,20 @@
 	return localPick
 }
 
-// betterOfTwo returns the instance with the lower cost of two random ones.
-func (p *Picker) betterOfTwo(now time.Time, candidates []*instance) *instance {
-	if len(candidates) == 1 {
-		return candidates[0]
-	}
-	i := p.random.IntN(len(candidates))
-	j := p.random.IntN(len(candidates) - 1)
-	if j >= i {
-		j++
-	}
+// evenly chooses among candidates that are equally near. The load that an instance reports stands for the calls of
+// other daemons, which it does not report.
+func (p *Picker) evenly(now time.Time, candidates []*instance) *instance {
 	latency := p.defaultLatency()
-	if candidates[j].cost(now, latency) < equalCostRatio*candidates[i].cost(now, latency) {
-		return candidates[j]
-	}
-	return candidates[i]
+	p.candidates = p.candidates[:0]
+	for _, in := range candidates {
+		base := in.baseCost(now, latency)
+		cost := time.Duration(float64(in.inFlight+1) * base)
+		p.candidates = append(p.candidates, spread.Candidate{
+			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(base, 1)), Others: maxOthers * in.currentLoad(now),
+		})
+	}
+	choice, _ := spread.Choose(p.random, p.candidates)
+	return candidates[choice.Index]
 }
 
 // defaultLatency is the latency assumed for an instance without any response: the mean of the others.
