--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -82,7 +82,7 @@
 		nextHeartbeat:        now,
 		tokenHolder:          limit.NewHolder(now, cfg.Boot, cfg.TokenWait),
 		tokenWaiters:         map[uint64]chan<- call.TokenVerdict{},
-		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Boot),
+		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Region, cfg.Boot),
 		views:                member.NewViews(),
 		endpointVersions:     map[string]uint64{},
 		endpointWaiters:      map[string][]chan<- *snap.Endpoints{},
@@ -145,7 +145,7 @@
 	d.session, d.staleLeases = s, 0
 	clear(d.unansweredHeartbeats)
 	l.sendToLeader(&Join{
-		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
+		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Region: l.cfg.Region, Boot: l.boot,
 		Revision: d.rules.revision(), Hash: d.rules.hash, Views: len(d.views.Services) > 0, Decompresses: true,
 	})
 	for _, announce := range d.localInstances.AnnounceAll() {
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -62,6 +62,7 @@
 	lastHeartbeat struct {
 		name     string
 		zone     string
+		region   string
 		revision uint64
 		at       time.Time
 	}
@@ -209,7 +210,7 @@
 		s.close()
 		return
 	}
-	ls.heartbeats[s.join.Daemon] = lastHeartbeat{name: s.peer, zone: s.join.Zone, revision: heartbeat.Revision, at: now}
+	ls.heartbeats[s.join.Daemon] = lastHeartbeat{name: s.peer, zone: s.join.Zone, region: s.join.Region, revision: heartbeat.Revision, at: now}
 	lease.Revision = l.voter.revision()
 	l.sendToDaemon(s, leaseMessage{&lease})
 	if l.cfg.DynamicMembership && s.sentMembership != l.voter.node.MembershipIndex() {
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -29,6 +29,7 @@
 	Options struct {
 		Name             string
 		Zone             string
+		Region           string
 		PeerAddress      string            // at which other daemons reach this one
 		ControlAddresses []string          // peer addresses of the control instances
 		Voters           map[string]string // peer addresses of the control instances by name
--- a/internal/root/ctrl/member/local.go
+++ b/internal/root/ctrl/member/local.go
@@ -27,8 +27,8 @@
 		// be published to traffic goroutines.
 		Instances map[string]snap.Endpoint
 
-		daemon, zone string
-		boot         uint64
+		daemon, zone, region string
+		boot                 uint64
 		// seq is that of the last message to the leader; started is the number of incarnations so far.
 		seq, started uint64
 		leases       map[string]*lease
@@ -43,8 +43,8 @@
 )
 
 // NewLocalInstances returns an empty set of local instances for the daemon with this peer address.
-func NewLocalInstances(daemon, zone string, boot uint64) *LocalInstances {
-	return &LocalInstances{daemon: daemon, zone: zone, boot: boot, leases: make(map[string]*lease)}
+func NewLocalInstances(daemon, zone, region string, boot uint64) *LocalInstances {
+	return &LocalInstances{daemon: daemon, zone: zone, region: region, boot: boot, leases: make(map[string]*lease)}
 }
 
 // Announce leases an instance and returns the message for the leader, nil if nothing changed. Errors wrap
@@ -59,7 +59,7 @@
 	}
 	e := snap.Endpoint{
 		ID: l.daemon + "/" + a.Address, Service: a.Service, Daemon: l.daemon, Address: a.Address,
-		Zone: l.zone, Slots: a.Slots, Connections: a.Connections,
+		Zone: l.zone, Region: l.region, Slots: a.Slots, Connections: a.Connections,
 	}
 	if current != nil && current.start == a.Start && !current.refused {
 		old := l.Instances[a.Address]
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -65,6 +65,8 @@
 		Views bool `protobuf:"varint,6,opt,name=views"`
 		// Decompresses is set if the daemon accepts compressed frames.
 		Decompresses bool `protobuf:"varint,7,opt,name=decompresses"`
+		// Region is empty if the daemon is of a version that does not report it.
+		Region string `protobuf:"bytes,8,opt,name=region"`
 	}
 
 	// OnceCall carries one idempotency command; the reply has the same ID.
@@ -196,6 +198,8 @@
 // Check returns an error for the first invalid field.
 func (j *Join) Check() error {
 	switch {
+	case len(j.Region) > maxName:
+		return fmt.Errorf("region of %d bytes, want at most %d", len(j.Region), maxName)
 	case j.Daemon == "" || len(j.Daemon) > maxName || len(j.Zone) > maxName:
 		return fmt.Errorf("daemon address of %[1]d bytes, want 1 to %[3]d, or zone of %[2]d bytes, want at most %[3]d", len(j.Daemon), len(j.Zone), maxName)
 	case j.Boot == 0:
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -239,7 +239,7 @@
 	})
 	for _, address := range addresses[:min(len(addresses), admin.MaxDaemons)] {
 		heartbeat := ls.heartbeats[address]
-		report.List = append(report.List, admin.DaemonRevision{Name: heartbeat.name, Zone: heartbeat.zone, Revision: heartbeat.revision, LastHeartbeat: heartbeat.at})
+		report.List = append(report.List, admin.DaemonRevision{Name: heartbeat.name, Zone: heartbeat.zone, Region: heartbeat.region, Revision: heartbeat.revision, LastHeartbeat: heartbeat.at})
 	}
 	for _, refusal := range ls.refusals {
 		if refusal.number == revision {
@@ -298,10 +298,10 @@
 			{"draining", strconv.FormatBool(d.draining)},
 		}},
 	}
-	views := admin.Section{Name: "views", Columns: []string{"service", "instance", "zone", "incarnation", "leaving"}}
+	views := admin.Section{Name: "views", Columns: []string{"service", "instance", "zone", "incarnation", "leaving", "region"}}
 	for _, service := range slices.Sorted(maps.Keys(d.views.Services)) {
 		for _, e := range d.views.Services[service] {
-			views.Rows = append(views.Rows, []string{service, e.ID, e.Zone, strconv.FormatUint(e.Incarnation, 10), strconv.FormatBool(e.Leaving)})
+			views.Rows = append(views.Rows, []string{service, e.ID, e.Zone, strconv.FormatUint(e.Incarnation, 10), strconv.FormatBool(e.Leaving), e.Region})
 		}
 	}
 	quarantine := admin.Section{Name: "quarantine", Columns: []string{"fingerprint", "until"}}
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -136,7 +136,7 @@
 	b.trafficDialer = &link.Dialer{Name: settings.Name, Secret: secret, Timeout: timeout, KeepAlive: peerKeepAlive}
 	b.controlDialer = &link.Dialer{Name: settings.Name, Secret: secret, Timeout: timeout, KeepAlive: controlKeepAlive}
 	b.loop, err = ctrl.New(ctrl.Options{
-		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
+		Name: settings.Name, Zone: settings.AvailabilityZone, Region: settings.Region, PeerAddress: settings.PeerAdvertise.String(),
 		ControlAddresses: seedPeerAddresses(settings), Boot: b.boot, DynamicMembership: true, Bootstrap: bool(settings.Fleet.Bootstrap),
 		ServesTraffic: settings.IngressAddress.IsValid(), Lease: leaseDuration(settings.Fleet.RevokeWithin), TokenWait: relay.TokenWait,
 		Parse: platform.Parse, Reopen: func() (disk.Storage, error) { return disk.Open(settings.DataFolder, disk.Options{}) },
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -161,7 +161,7 @@
 // controlOptions returns the options of a control loop whose voters are the control instances of the settings.
 func controlOptions(settings *config.Settings, boot uint64) ctrl.Options {
 	options := ctrl.Options{
-		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
+		Name: settings.Name, Zone: settings.AvailabilityZone, Region: settings.Region, PeerAddress: settings.PeerAdvertise.String(),
 		Voters: map[string]string{}, RulesFile: settings.RulesFile, Boot: boot,
 	}
 	for _, instance := range settings.ControlAddresses {
--- a/pkg/admin/types.go
+++ b/pkg/admin/types.go
@@ -127,6 +127,7 @@
 	DaemonRevision struct {
 		Name          string    `json:"name"`
 		Zone          string    `json:"availability-zone"`
+		Region        string    `json:"region,omitempty"` // empty if the daemon does not report it
 		Revision      uint64    `json:"revision"`
 		LastHeartbeat time.Time `json:"beat"` // arrival of the last heartbeat at the leader
 	}
