--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,16 +106,18 @@
 		if !now.Before(r.Deadline) {
 			return failed{Failure: retry.Merge(previous, retry.DeadlineBefore{}), Final: true}
 		}
-		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: f.reach(r)})
+		policy := f.reach(r)
+		r.restricted = r.restricted || policy.Restricted
+		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy})
 		if !ok && previous != nil {
 			return failed{Failure: previous, Final: true} // more specific than NoBackend
 		}
 		if !ok {
-			return failed{Failure: retry.NoBackend{}, Final: true}
+			return failed{Failure: f.refusal(r, &policy), Final: true}
 		}
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
-		attempt := f.send(ctx, r, &endpoint, loan.Retries)
+		attempt := f.send(ctx, r, &endpoint, policy.Regions, loan.Retries)
 		r.Budget.ReturnLoan(loan, attempt.report.Unspent)
 		if attempt.failure == nil && !f.retryableStatus(r, attempt) {
 			return f.deliver(ctx, r, out, attempt, &endpoint, instances)
@@ -157,10 +160,28 @@
 	return entry.picker
 }
 
-// reach returns where the request may be sent. It is computed for each attempt, because an evacuation may begin
-// meanwhile.
-func (f *Forwarder) reach(*Request) reach.Policy {
-	return reach.For(f.Control.Snapshot().Evacuated)
+// reach returns where the request may be sent. It is computed for each attempt, because an evacuation may begin or the
+// rules may change meanwhile: both the rules by which the request was admitted and those in force apply.
+func (f *Forwarder) reach(r *Request) reach.Policy {
+	snapshot := f.Control.Snapshot()
+	policy := reach.For(snapshot.Evacuated, r.Route.Regions, r.Rules.AccountRegions(r.Account), r.ParentRegions)
+	if latest := snapshot.Rules; latest != nil && latest != r.Rules {
+		path, _, _ := strings.Cut(r.Target, "?")
+		if match, ok := latest.Match(r.Method, path); ok {
+			policy = policy.Narrow(match.Route.Regions)
+		}
+		policy = policy.Narrow(latest.AccountRegions(r.Account))
+	}
+	return policy
+}
+
+// refusal returns the failure of a request that no instance was picked for.
+func (f *Forwarder) refusal(r *Request, policy *reach.Policy) retry.Failure {
+	list := f.Control.Snapshot().Endpoints[r.Route.Service]
+	if list == nil {
+		return retry.NoBackend{}
+	}
+	return policy.Refusal(list.Instances)
 }
 
 // update applies the published instances and retry share to entry. Lists with the same version have the
@@ -197,11 +218,13 @@
 	return entry
 }
 
-// send makes one attempt and returns when the head of the response or a failure has been received.
-func (f *Forwarder) send(ctx context.Context, r *Request, endpoint *snap.Endpoint, retries uint32) attemptResult {
+// send makes one attempt and returns when the head of the response or a failure has been received. Nested calls of the
+// attempt may be handled in the given regions, in all if the list is empty.
+func (f *Forwarder) send(ctx context.Context, r *Request, endpoint *snap.Endpoint, regions []string, retries uint32) attemptResult {
 	started := f.Clock.Now()
 	sendCtx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(started)+f.DeadlineGrace)
 	head := f.head(r, endpoint, retries, started)
+	head.Regions = regions
 	call, err := f.Sender.open(sendCtx, endpoint, head, r.Prefix)
 	if err != nil {
 		cancel()
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -210,7 +210,11 @@
 		if request.Account != "" && withinRate(outcome.Failure) {
 			h.Meter.RefusedWithinRate(string(retry.Describe(outcome.Failure).Reason), request.Account)
 		}
-		h.refuse(w, request.ID, request.Account, outcome.Failure, &request.Route.Rule)
+		rule := &request.Route.Rule
+		if _, outside := outcome.Failure.(retry.RegionNotAllowed); outside {
+			rule = rules.RegionRule(request.Route, request.Rules.Accounts[request.Account])
+		}
+		h.refuse(w, request.ID, request.Account, outcome.Failure, rule)
 	case broken:
 		h.Meter.TruncatedResponse()
 		// The panic closes the connection, so that the caller gets an error and not a shorter response.
@@ -224,7 +228,7 @@
 func withinRate(failure retry.Failure) bool {
 	switch failure.(type) {
 	case retry.Throttled, retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.NoBackend, retry.Unreached,
-		retry.RecordUnavailable, retry.DeadlineBefore, retry.Draining:
+		retry.RecordUnavailable, retry.DeadlineBefore, retry.Draining, retry.RegionNotAllowed:
 		return true
 	}
 	return false
--- a/internal/root/call/message.go
+++ b/internal/root/call/message.go
@@ -8,6 +8,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -52,6 +53,7 @@
 		Chain         []string      `protobuf:"bytes,16,rep,name=chain,proto3"`    // services that the request runs in, outermost first
 		Fingerprint   string        `protobuf:"bytes,17,opt,name=fingerprint,proto3"`
 		WaitAdmitted  bool          `protobuf:"varint,18,opt,name=wait_admitted,proto3"` // the body is sent only after admission
+		Regions       []string      `protobuf:"bytes,19,rep,name=regions,proto3"`        // in which nested calls may be handled, empty for all
 	}
 
 	// Report is the state of the call and its instance. It is sent with a Refusal, ResponseHead or ResponseEnd.
@@ -102,6 +104,8 @@
 		return fmt.Errorf("importance %d is unknown", h.Importance)
 	case h.ContentLength < -1:
 		return fmt.Errorf("content length %d is not valid", h.ContentLength)
+	case len(h.Regions) > rules.MaxRegions:
+		return fmt.Errorf("%d allowed regions, limit %d", len(h.Regions), rules.MaxRegions)
 	case len(h.Chain) > maxCallDepth:
 		return fmt.Errorf("call chain has %d services, limit %d", len(h.Chain), maxCallDepth)
 	}
--- a/internal/root/call/once.go
+++ b/internal/root/call/once.go
@@ -40,6 +40,9 @@
 	// The outcome is stored even when the caller has gone, because a retry by the caller reads it.
 	storeCtx := context.WithoutCancel(ctx)
 	out := &bufferingSink{next: newStreamingSink(w, h.WriteTimeout), store: func(response *state.Answer) {
+		if policy := h.Forwarder.reach(request); policy.Restricted || request.restricted {
+			response = answerNotKept() // records are replicated to control instances, whose regions may not be allowed
+		}
 		finish.Outcome, finish.Answer = state.Answered, response
 		h.storeOutcome(storeCtx, request, finish)
 	}}
@@ -86,6 +89,11 @@
 	if complete && stored.Check() == nil {
 		return stored
 	}
+	return answerNotKept()
+}
+
+// answerNotKept returns the response to a resend of a request that has run and whose response is not stored.
+func answerNotKept() *state.Answer {
 	return &state.Answer{
 		Status: http.StatusConflict,
 		Headers: []state.Header{
--- a/internal/root/call/parent.go
+++ b/internal/root/call/parent.go
@@ -16,7 +16,7 @@
 
 type (
 	// parentRequest is a request that runs in the local backend server. Its nested calls inherit its
-	// identity, deadline and retries.
+	// identity, deadline, retries and allowed regions.
 	parentRequest struct {
 		ctx        context.Context // ends with the request
 		id         string
@@ -25,6 +25,7 @@
 		deadline   time.Time
 		budget     *retry.Budget
 		chain      []string
+		regions    []string // in which nested calls may be handled, empty for all
 
 		overloaded atomic.Bool // a nested call was refused for overload
 
--- a/internal/root/call/request.go
+++ b/internal/root/call/request.go
@@ -41,10 +41,12 @@
 	Budget        *retry.Budget
 	Chain         []string
 	Fingerprint   string
+	ParentRegions []string // allowed regions of the parent request, empty if all are allowed or without one
 
-	body      io.Reader // as received
-	streamErr atomic.Pointer[error]
-	upload    chan struct{} // closed when the goroutine that streams the body has ended; nil without one
+	body       io.Reader // as received
+	restricted bool      // an attempt was sent with restricted regions
+	streamErr  atomic.Pointer[error]
+	upload     chan struct{} // closed when the goroutine that streams the body has ended; nil without one
 }
 
 // idempotent reports whether the request may be executed more than once.
--- a/internal/root/call/respond.go
+++ b/internal/root/call/respond.go
@@ -196,6 +196,9 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	body := fmt.Sprintf("%s: %s (request %s)\n", row.Reason, row.Outcome, requestID)
+	if row.Text != "" {
+		body += row.Text + "\n"
+	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(row.Status)
 	_, _ = w.Write([]byte(body))
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -51,7 +51,8 @@
 			return broken{}
 		}
 		now := f.Clock.Now()
-		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: f.reach(r)})
+		policy := f.reach(r)
+		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy})
 		if !ok {
 			return broken{}
 		}
@@ -60,7 +61,7 @@
 		rangeRequest.Header.Set("Range", fmt.Sprintf("bytes=%d-", s.sent))
 		rangeRequest.Header.Set("If-Range", s.etag)
 		loan := r.Budget.Lend()
-		attempt := f.send(ctx, rangeRequest, &endpoint, loan.Retries)
+		attempt := f.send(ctx, rangeRequest, &endpoint, policy.Regions, loan.Retries)
 		r.Budget.ReturnLoan(loan, attempt.report.Unspent)
 		if attempt.failure == nil && s.matches(attempt.response) {
 			f.Meter.Resume()
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -51,6 +51,7 @@
 		Outcome Outcome
 		Resend  Resend
 		After   time.Duration // delay in Retry-After, zero for none
+		Text    string        // more for the caller, usually empty
 	}
 
 	// NoRoute is a request that matches no route.
@@ -101,6 +102,9 @@
 	BackendLost struct{}
 	// Draining is a request to a daemon or backend server that is leaving.
 	Draining struct{}
+	// RegionNotAllowed is a request that no backend server in its allowed regions can take. Regions names them, separated
+	// by commas.
+	RegionNotAllowed struct{ Regions string }
 	// BodyTooLarge is a request whose body exceeds its limit.
 	BodyTooLarge struct{ Dispatched bool }
 	// HeaderTooLarge is a request whose header exceeds its limit.
@@ -131,6 +135,7 @@
 func (DeadlineAfter) failure()     {}
 func (BackendLost) failure()       {}
 func (Draining) failure()          {}
+func (RegionNotAllowed) failure()  {}
 func (BodyTooLarge) failure()      {}
 func (HeaderTooLarge) failure()    {}
 
@@ -185,6 +190,12 @@
 		return Row{Reason: "backend-lost", Status: http.StatusBadGateway, Outcome: Unknown, Resend: IfIdempotent}
 	case Draining:
 		return Row{Reason: "draining", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case RegionNotAllowed:
+		text := "no backend server is available in the allowed regions " + f.Regions
+		if f.Regions == "" {
+			text = "no region is allowed"
+		}
+		return Row{Reason: "region-not-allowed", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause, Text: text}
 	case BodyTooLarge:
 		row := Row{Reason: "body-too-large", Status: http.StatusRequestEntityTooLarge, Outcome: NotRun}
 		if f.Dispatched {
@@ -236,6 +247,7 @@
 		DeadlineAfter{},
 		BackendLost{},
 		Draining{},
+		RegionNotAllowed{},
 		BodyTooLarge{},
 		BodyTooLarge{Dispatched: true},
 		HeaderTooLarge{},
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -107,6 +107,7 @@
 			account:    head.Account,
 			importance: admit.Importance(head.Importance),
 			budget:     retry.NewBudget(head.Retries),
+			regions:    head.Regions,
 			chain:      append(head.Chain[:len(head.Chain):len(head.Chain)], ""),
 		},
 	}
--- a/internal/root/reach/reach.go
+++ b/internal/root/reach/reach.go
@@ -2,10 +2,15 @@
 
 import (
 	"slices"
+	"strings"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
+// maxRegionText bounds the names of regions in a refusal, in bytes.
+const maxRegionText = 512
+
 type (
 	// Policy holds the restrictions that apply to one request. The zero value allows all backend servers.
 	Policy struct {
@@ -33,17 +38,21 @@
 // For returns the policy of a request. Each list of regions that is not empty applies, so that only the regions that
 // are in all of them are allowed.
 func For(evacuated map[string]snap.Evacuation, lists ...[]string) Policy {
-	policy := Policy{Evacuated: evacuated}
+	return Policy{Evacuated: evacuated}.Narrow(lists...)
+}
+
+// Narrow returns the policy with further lists of regions applied as by For.
+func (p Policy) Narrow(lists ...[]string) Policy {
 	for _, list := range lists {
 		switch {
 		case len(list) == 0:
-		case !policy.Restricted:
-			policy.Restricted, policy.Regions = true, list
+		case !p.Restricted:
+			p.Restricted, p.Regions = true, list
 		default:
-			policy.Regions = intersect(policy.Regions, list)
+			p.Regions = intersect(p.Regions, list)
 		}
 	}
-	return policy
+	return p
 }
 
 func intersect(a, b []string) []string {
@@ -66,3 +75,22 @@
 	}
 	return nil
 }
+
+// Refusal returns the failure of a request that was sent nowhere because none of the endpoints could be chosen: the
+// allowed regions are named if they exclude one.
+func (p *Policy) Refusal(endpoints []snap.Endpoint) retry.Failure {
+	for i := range endpoints {
+		if _, foreign := p.Exclude(&endpoints[i]).(ForeignRegion); foreign {
+			return retry.RegionNotAllowed{Regions: p.regionText()}
+		}
+	}
+	return retry.NoBackend{}
+}
+
+func (p *Policy) regionText() string {
+	text := strings.Join(p.Regions, ",")
+	if len(text) > maxRegionText {
+		return strings.ToValidUTF8(text[:maxRegionText], "") + "…"
+	}
+	return text
+}
--- a/internal/root/reach/reach_test.go
+++ b/internal/root/reach/reach_test.go
@@ -1,10 +1,13 @@
 package reach
 
 import (
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -38,3 +41,18 @@
 	assert.DeepEqual(t, For(nil, []string{"eu", "us"}, nil, []string{"us", "ap"}), Policy{Restricted: true, Regions: []string{"us"}})
 	assert.DeepEqual(t, For(nil, []string{"eu"}, []string{"us"}), Policy{Restricted: true})
 }
+
+// Guards against a refusal that blames the regions for servers that are missing, or names the wrong regions.
+func TestRefusal(t *testing.T) {
+	allowed := For(nil, []string{"eu", "us"}, []string{"us", "eu", "ap"})
+	foreign := []snap.Endpoint{{Region: "sa"}, {}}
+	assert.Equal(t, allowed.Refusal(foreign), retry.Failure(retry.RegionNotAllowed{Regions: "eu,us"}))
+	assert.Equal(t, allowed.Refusal(nil), retry.Failure(retry.NoBackend{}))
+	assert.Equal(t, allowed.Refusal([]snap.Endpoint{{Region: "eu", Leaving: true}}), retry.Failure(retry.NoBackend{}))
+	free, disjoint := For(nil), For(nil, []string{"eu"}, []string{"us"})
+	assert.Equal(t, free.Refusal(foreign), retry.Failure(retry.NoBackend{}))
+	assert.Equal(t, disjoint.Refusal(foreign), retry.Failure(retry.RegionNotAllowed{}))
+	long := For(nil, []string{strings.Repeat("é", maxRegionText)})
+	failure, _ := long.Refusal(foreign).(retry.RegionNotAllowed)
+	assert.Assert(t, len(failure.Regions) <= maxRegionText+len("…") && utf8.ValidString(failure.Regions))
+}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -23,14 +23,19 @@
 // forward sends the request until it is completed, or until no further send is allowed or useful.
 func (f *Forwarder) forward(ctx context.Context, state *forwardState) outcome {
 	svc := f.service(state.service)
-	if !f.refreshEndpoints(ctx, state, svc) {
+	list := f.refreshEndpoints(ctx, state, svc)
+	if list == nil {
 		return notRun{failure: retry.NoBackend{}, retryAfter: noServerRetryAfter}
 	}
 	svc.mu.Lock()
 	svc.retries.RecordRequest(state.started)
 	svc.mu.Unlock()
 	for {
-		endpoint, ok := f.choose(state, svc)
+		policy := f.reach(state)
+		endpoint, ok := f.choose(state, svc, policy)
+		if !ok && state.callerOutcome == nil {
+			return notRun{failure: policy.Refusal(list.Instances), retryAfter: noServerRetryAfter}
+		}
 		if !ok {
 			return state.finalOutcome()
 		}
@@ -47,9 +52,9 @@
 	}
 }
 
-// refreshEndpoints updates the balancer of a service from the published list, and reports false if there is
+// refreshEndpoints updates the balancer of a service from the published list and returns that list, nil if there is
 // none.
-func (f *Forwarder) refreshEndpoints(ctx context.Context, state *forwardState, svc *serviceState) bool {
+func (f *Forwarder) refreshEndpoints(ctx context.Context, state *forwardState, svc *serviceState) *snap.Endpoints {
 	list, wait := f.Control.Snapshot().Endpoints[state.service], f.startupWait(state)
 	if list == nil {
 		wait = max(wait, endpointsWait)
@@ -62,28 +67,37 @@
 		}
 	}
 	if list == nil {
-		return false
+		return nil
 	}
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	svc.balancer.Update(f.Clock.Now(), list)
-	return true
+	return list
 }
 
-func (f *Forwarder) choose(state *forwardState, svc *serviceState) (snap.Endpoint, bool) {
+func (f *Forwarder) choose(state *forwardState, svc *serviceState, policy reach.Policy) (snap.Endpoint, bool) {
 	now := f.Clock.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	return svc.balancer.Choose(now, place.Request{
 		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
-		Reach: f.reach(state),
+		Reach: policy,
 	})
 }
 
-// reach returns where the request may be sent. It is computed for each send, because an evacuation may begin
-// meanwhile.
-func (f *Forwarder) reach(*forwardState) reach.Policy {
-	return reach.For(f.Control.Snapshot().Evacuated)
+// reach returns where the request may be sent. It is computed for each send, because an evacuation may begin or the
+// rules may change meanwhile: both the rules by which the request was admitted and those in force apply.
+func (f *Forwarder) reach(state *forwardState) reach.Policy {
+	snapshot := f.Control.Snapshot()
+	policy := reach.For(snapshot.Evacuated, state.route.Regions, state.accountRegions())
+	latest := snapshot.Rules
+	if latest == nil || latest.Revision == state.revision {
+		return policy
+	}
+	if route, ok := latest.MatchHost(state.request.Host, state.request.Path); ok {
+		policy = policy.Narrow(route.Regions)
+	}
+	return policy.Narrow(latest.AccountRegions(state.accountName()))
 }
 
 // send sends the request once to the daemon of the endpoint.
@@ -124,7 +138,7 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	svc.balancer.MarkUnreached(now, id)
-	if svc.balancer.Servers() < 2 || !state.mayRetryLost(now, state.sends+1) {
+	if svc.balancer.Untried([]string{id}, f.reach(state)) == 0 || !state.mayRetryLost(now, state.sends+1) {
 		return false
 	}
 	state.retryAllowed = svc.retries.AllowRetry(now, share.Lost)
@@ -226,7 +240,7 @@
 	case notRun:
 		if !result.reached {
 			// This needs no retry budget, because no server received the request.
-			return len(state.tried) < min(svc.balancer.Servers(), maxServersTried(result.failure))
+			return len(state.tried) < maxServersTried(result.failure) && svc.balancer.Untried(state.tried, f.reach(state)) > 0
 		}
 		if state.sends > state.route.MaxSends {
 			return false
@@ -237,7 +251,11 @@
 			return false
 		}
 	}
-	if len(state.tried) >= svc.balancer.Servers() {
+	policy := f.reach(state)
+	if svc.balancer.Untried(nil, policy) == 0 {
+		return false
+	}
+	if svc.balancer.Untried(state.tried, policy) == 0 {
 		state.tried = state.tried[:0] // the same servers may be tried again
 	}
 	return svc.retries.AllowRetry(now, cause)
@@ -341,6 +359,9 @@
 	if state.route != nil {
 		event = event.Str("route", state.route.Name).Str("service", state.service)
 	}
+	if regions, ok := failure.(retry.RegionNotAllowed); ok {
+		event = event.Str("allowed-regions", regions.Regions).Str("rule", rules.RegionRule(state.route, state.account).Identity())
+	}
 	if !state.deadline.IsZero() {
 		event = event.Dur("deadline", state.deadline.Sub(state.started))
 	}
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -285,6 +285,13 @@
 	return s.account.Name
 }
 
+func (s *forwardState) accountRegions() []string {
+	if s.account == nil {
+		return nil
+	}
+	return s.account.Regions
+}
+
 // takeToken counts a request against the rate of its client account; tokenTaken reports whether a token was
 // spent.
 func (f *Forwarder) takeToken(ctx context.Context, state *forwardState) (tokenTaken bool, refused *notRun) {
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -279,8 +279,16 @@
 	}
 }
 
-// Servers returns the number of servers.
-func (b *Balancer) Servers() int { return len(b.servers) }
+// Untried returns the number of servers that a request may be sent to, other than those with the given endpoint ids.
+func (b *Balancer) Untried(tried []string, policy reach.Policy) int {
+	request, count := Request{Tried: tried, Reach: policy}, 0
+	for _, s := range b.servers {
+		if request.allows(s) {
+			count++
+		}
+	}
+	return count
+}
 
 // summarizeRunTimes returns the shortest and the median of the servers' average run times of a route.
 func (b *Balancer) summarizeRunTimes(route string) runTimeSummary {
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -169,6 +169,24 @@
 	return false
 }
 
+// AccountRegions returns the allowed regions of the client account with the given name, empty if all are allowed or
+// there is no such account.
+func (s *Set) AccountRegions(name string) []string {
+	if account := s.Accounts[name]; account != nil {
+		return account.Regions
+	}
+	return nil
+}
+
+// RegionRule returns the rule that restricts the regions of a request: the account's if it has a list and the route has
+// none, otherwise the route's; account may be nil.
+func RegionRule(route *Route, account *Account) *Rule {
+	if len(route.Regions) == 0 && account != nil && len(account.Regions) > 0 {
+		return &account.Rule
+	}
+	return &route.Rule
+}
+
 func (r *Revision) statement() *Rule { return &r.Rule }
 func (s *Service) statement() *Rule  { return &s.Rule }
 func (a *Account) statement() *Rule  { return &a.Rule }
