--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
@@ -185,7 +186,11 @@
 		return
 	}
 	hash := sha256.Sum256(text)
+	regions := current.regions()
 	*current = activeRules{set: set, text: text, hash: hash[:]}
+	if !slices.Equal(regions, current.regions()) {
+		l.sendSubscriptions() // the views have to hold instances of these regions
+	}
 	l.dirty = true
 	l.stepHolder(now, &limit.SetLimits{Limits: limitsOf(set)})
 	l.tokenPools.Store(&l.daemon.tokenHolder.Pools)
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -101,6 +101,15 @@
 	return r.set.Revision
 }
 
+// regions returns the regions that the rules name and that the views of this daemon have to hold instances of.
+func (r *activeRules) regions() []string {
+	if r.set == nil {
+		return nil
+	}
+	names := r.set.RegionNames()
+	return names[:min(len(names), member.MaxRegions)]
+}
+
 // publish replaces the snapshot that traffic reads.
 func (l *Loop) publish() {
 	d := l.daemon
@@ -345,7 +354,9 @@
 
 func (l *Loop) sendSubscriptions() {
 	if len(l.daemon.subscriptions) > 0 {
-		l.sendToLeader(subscriptionMessage{&member.Subscription{Services: slices.Sorted(maps.Keys(l.daemon.subscriptions))}})
+		l.sendToLeader(subscriptionMessage{&member.Subscription{
+			Services: slices.Sorted(maps.Keys(l.daemon.subscriptions)), Regions: l.daemon.rules.regions(),
+		}})
 	}
 }
 
--- a/internal/root/ctrl/member/message.go
+++ b/internal/root/ctrl/member/message.go
@@ -12,6 +12,11 @@
 	// MaxView is the largest number of instances of one service in a view.
 	MaxView = 24
 
+	// MaxRegions is the largest number of regions of which a view holds minPerRegion instances; together they take at most
+	// half of the view.
+	MaxRegions   = 6
+	minPerRegion = 2
+
 	maxName     = 64
 	maxID       = 2*maxName + 1
 	maxStart    = 128
@@ -66,6 +71,8 @@
 	// Subscription lists all services that a daemon calls; the leader sends a full view of each.
 	Subscription struct {
 		Services []string `protobuf:"bytes,1,rep,name=services"`
+		// Regions lists regions of which each view has to hold some instances, because the rules restrict requests to them.
+		Regions []string `protobuf:"bytes,2,rep,name=regions"`
 	}
 
 	// Change updates a daemon's view of one service.
@@ -136,6 +143,14 @@
 	if len(s.Services) > maxServices {
 		return fmt.Errorf("%w: %d services, limit %d", ErrMessage, len(s.Services), maxServices)
 	}
+	if len(s.Regions) > MaxRegions {
+		return fmt.Errorf("%w: %d regions, limit %d", ErrMessage, len(s.Regions), MaxRegions)
+	}
+	for _, region := range s.Regions {
+		if region == "" || len(region) > maxName {
+			return fmt.Errorf("%w: region of %d bytes, want 1 to %d", ErrMessage, len(region), maxName)
+		}
+	}
 	for _, service := range s.Services {
 		if service == "" || len(service) > maxName {
 			return fmt.Errorf("%w: service of %d bytes, want 1 to %d", ErrMessage, len(service), maxName)
--- /dev/null
+++ b/internal/root/ctrl/member/region.go
@@ -0,0 +1,57 @@
+package member
+
+import "slices"
+
+// coverRegions replaces candidates of a full view, the last ones first, until it holds minPerRegion instances of each
+// region that the daemon needs, as far as there are any.
+func (s *service) coverRegions(d *daemon, view []candidate) {
+	if len(view) < MaxView {
+		return // the view holds all instances
+	}
+	for _, region := range d.regions {
+		for countRegion(view, region) < minPerRegion {
+			missing, found := s.bestInRegion(d, region, view)
+			spare := lastSpare(view, d.regions)
+			if !found || spare < 0 {
+				break
+			}
+			view[spare] = missing
+		}
+	}
+}
+
+// bestInRegion returns the best candidate of the region that is not in the view.
+func (s *service) bestInRegion(d *daemon, region string, view []candidate) (best candidate, found bool) {
+	for _, inst := range s.instances {
+		if inst.endpoint.Leaving || inst.endpoint.Region != region {
+			continue
+		}
+		c := candidate{inst.endpoint, mix(d.hash ^ inst.hash), inst.endpoint.Zone == d.zone}
+		inView := slices.ContainsFunc(view, func(other candidate) bool { return other.endpoint == c.endpoint })
+		if !inView && (!found || c.before(best)) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// lastSpare returns the index of the last candidate that none of the regions needs, -1 if there is none.
+func lastSpare(view []candidate, regions []string) int {
+	for i := len(view) - 1; i >= 0; i-- {
+		region := view[i].endpoint.Region
+		if !slices.Contains(regions, region) || countRegion(view, region) > minPerRegion {
+			return i
+		}
+	}
+	return -1
+}
+
+func countRegion(view []candidate, region string) int {
+	count := 0
+	for _, c := range view {
+		if c.endpoint.Region == region {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/root/ctrl/member/registry.go
+++ b/internal/root/ctrl/member/registry.go
@@ -64,6 +64,8 @@
 		// out of order has no effect.
 		instances map[string]*instance
 		views     map[string]*view
+		// regions lists the regions of which each view has to hold some instances.
+		regions []string
 	}
 
 	instance struct {
--- a/internal/root/ctrl/member/view.go
+++ b/internal/root/ctrl/member/view.go
@@ -46,6 +46,7 @@
 	if d == nil {
 		return
 	}
+	d.regions = subscription.Regions
 	for service, v := range d.views {
 		if !slices.Contains(subscription.Services, service) {
 			r.unsubscribe(v)
@@ -101,7 +102,9 @@
 		if v.index < 0 {
 			continue
 		}
-		if c, ok := v.update(v.service.choose(v.daemon.hash, v.daemon.zone, buffer[:0])); ok {
+		chosen := v.service.choose(v.daemon.hash, v.daemon.zone, buffer[:0])
+		v.service.coverRegions(v.daemon, chosen)
+		if c, ok := v.update(chosen); ok {
 			out = append(out, ViewUpdate{Daemon: v.daemon.name, Change: c})
 		}
 	}
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -178,6 +179,27 @@
 	return nil
 }
 
+// RegionNames returns the sorted names of the regions that routes and client accounts list. Names that no region can have
+// are left out.
+func (s *Set) RegionNames() []string {
+	var names []string
+	add := func(list []string) {
+		for _, name := range list {
+			if name != "" && len(name) <= maxNameLength && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	for _, route := range s.Routes {
+		add(route.Regions)
+	}
+	for _, account := range s.Accounts {
+		add(account.Regions)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // RegionRule returns the rule that restricts the regions of a request: the account's if it has a list and the route has
 // none, otherwise the route's; account may be nil.
 func RegionRule(route *Route, account *Account) *Rule {
