--- a/internal/root/reach/reach_test.go
+++ b/internal/root/reach/reach_test.go
@@ -56,3 +56,13 @@
 	failure, _ := long.Refusal(foreign).(retry.RegionNotAllowed)
 	assert.Assert(t, len(failure.Regions) <= maxRegionText+len("…") && utf8.ValidString(failure.Regions))
 }
+
+// Guards against a cost for requests without allowed regions, which are most: their policy must not allocate.
+func TestNoRegionsAllocateNothing(t *testing.T) {
+	endpoint := snap.Endpoint{Zone: "a", Region: "eu"}
+	assert.Equal(t, testing.AllocsPerRun(100, func() {
+		policy := For(nil, nil, nil, nil)
+		policy = policy.Narrow(nil)
+		policy.Exclude(&endpoint)
+	}), 0.0)
+}
