--- a/internal/head/check_test.go
+++ b/internal/head/check_test.go
@@ -175,6 +175,23 @@
 	}
 }
 
+// Guards against bytes of a response in the text of an error, which is logged.
+func TestErrorsQuoteNoResponse(t *testing.T) {
+	for _, text := range []string{
+		"secret", "HTTP/1.1 secret Bad\r\n\r\n", "HTTP/1.1 200 OK\r\nsecret\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: secret\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: secret\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nsecret\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nsecret\r\n\r\n", "HTTP/1.1 200 OK\r\na secret: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nOdd: secret\x01\r\n\r\n", "secret/1.1 200 OK\r\n\r\n",
+	} {
+		response, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), http.MethodGet)
+		if err == nil {
+			_, err = io.ReadAll(response.Body)
+		}
+		assert.Assert(t, err != nil, text)
+		assert.Assert(t, !strings.Contains(err.Error(), "secret"), "%v", err)
+	}
+}
+
 // Guards against a trailer without an end that occupies memory.
 func TestReadResponseLongTrailer(t *testing.T) {
 	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("Odd: x\r\n", 1<<20)
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -82,7 +82,7 @@
 		nextHeartbeat:        now,
 		tokenHolder:          limit.NewHolder(now, cfg.Boot, cfg.TokenWait),
 		tokenWaiters:         map[uint64]chan<- call.TokenVerdict{},
-		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Boot),
+		localInstances:       member.NewLocalInstances(cfg.PeerAddress, cfg.Zone, cfg.Region, cfg.Boot),
 		views:                member.NewViews(),
 		endpointVersions:     map[string]uint64{},
 		endpointWaiters:      map[string][]chan<- *snap.Endpoints{},
@@ -101,6 +101,15 @@
 	return r.set.Revision
 }
 
+// regions returns the regions that the rules name and that the views of this daemon have to hold instances of.
+func (r *activeRules) regions() []string {
+	if r.set == nil {
+		return nil
+	}
+	names := r.set.RegionNames()
+	return names[:min(len(names), member.MaxRegions)]
+}
+
 // publish replaces the snapshot that traffic reads.
 func (l *Loop) publish() {
 	d := l.daemon
@@ -145,7 +154,7 @@
 	d.session, d.staleLeases = s, 0
 	clear(d.unansweredHeartbeats)
 	l.sendToLeader(&Join{
-		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Boot: l.boot,
+		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Region: l.cfg.Region, Boot: l.boot,
 		Revision: d.rules.revision(), Hash: d.rules.hash, Views: len(d.views.Services) > 0, Decompresses: true,
 	})
 	for _, announce := range d.localInstances.AnnounceAll() {
@@ -345,7 +354,9 @@
 
 func (l *Loop) sendSubscriptions() {
 	if len(l.daemon.subscriptions) > 0 {
-		l.sendToLeader(subscriptionMessage{&member.Subscription{Services: slices.Sorted(maps.Keys(l.daemon.subscriptions))}})
+		l.sendToLeader(subscriptionMessage{&member.Subscription{
+			Services: slices.Sorted(maps.Keys(l.daemon.subscriptions)), Regions: l.daemon.rules.regions(),
+		}})
 	}
 }
 
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	DefaultRetryShare = 0.10
 	// DefaultRetries is the retry budget of a route whose rule names none.
 	DefaultRetries = 2
+
+	// MaxRegions bounds the allowed regions of one rule, which are compared with each server of a request.
+	MaxRegions = 64
 )
 
 type (
@@ -91,6 +95,8 @@
 		Burst int  `json:"burst"` // requests
 		// Rank, when set, overrides the rank of a route.
 		Rank *int `json:"rank,omitempty"`
+		// Regions lists the regions in which requests of the account may be handled; empty allows all.
+		Regions []string `json:"regions,omitempty"`
 	}
 
 	// Rate is a number of requests per period.
@@ -132,6 +138,8 @@
 		Retries    int           `json:"retries"`  // over the whole call graph
 		Offline    bool          `json:"offline"`  // served while the daemon is not fresh
 		Nested     bool          `json:"nested"`   // only for nested calls, hidden from callers
+		// Regions lists the regions in which requests of the route may be handled; empty allows all.
+		Regions []string `json:"regions,omitempty"`
 
 		// The fields below belong to routes by host and prefix.
 		Host             string            `json:"host,omitempty"`
@@ -162,6 +170,45 @@
 	return false
 }
 
+// AccountRegions returns the allowed regions of the client account with the given name, empty if all are allowed or
+// there is no such account.
+func (s *Set) AccountRegions(name string) []string {
+	if account := s.Accounts[name]; account != nil {
+		return account.Regions
+	}
+	return nil
+}
+
+// RegionNames returns the sorted names of the regions that routes and client accounts list. Names that no region can have
+// are left out.
+func (s *Set) RegionNames() []string {
+	var names []string
+	add := func(list []string) {
+		for _, name := range list {
+			if name != "" && len(name) <= maxNameLength && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	for _, route := range s.Routes {
+		add(route.Regions)
+	}
+	for _, account := range s.Accounts {
+		add(account.Regions)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// RegionRule returns the rule that restricts the regions of a request: the account's if it has a list and the route has
+// none, otherwise the route's; account may be nil.
+func RegionRule(route *Route, account *Account) *Rule {
+	if len(route.Regions) == 0 && account != nil && len(account.Regions) > 0 {
+		return &account.Rule
+	}
+	return &route.Rule
+}
+
 func (r *Revision) statement() *Rule { return &r.Rule }
 func (s *Service) statement() *Rule  { return &s.Rule }
 func (a *Account) statement() *Rule  { return &a.Rule }
