--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,8 @@
 	truncatedResponses     prometheus.Counter
 	refusalsWithinRate     *prometheus.CounterVec
 	addedLatency           *prometheus.HistogramVec
+	coldServers            prometheus.Gauge
+	coldStarts             *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -60,8 +62,12 @@
 			Namespace: namespace, Name: "added_latency_seconds", Buckets: latencyBuckets,
 			Help: "Time to the head of a call's answer that was not spent in the backend server.",
 		}, []string{"service"}),
+		coldServers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "cold_servers", Help: "Backend servers beside this daemon that are cold and have a cold rate.",
+		}),
+		coldStarts: newCounterVec("cold_starts_total", "Calls that were delayed or refused because their backend server is cold.", "result"),
 	}
-	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.Registry.MustRegister(m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -116,3 +122,9 @@
 func (m *Meter) AddedLatency(service string, latency time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(max(latency, 0).Seconds())
 }
+
+// ColdServers adds to the number of cold backend servers.
+func (m *Meter) ColdServers(change float64) { m.coldServers.Add(change) }
+
+// ColdStart counts a call that was delayed or refused because its backend server is cold.
+func (m *Meter) ColdStart(result string) { m.coldStarts.WithLabelValues(result).Inc() }
--- /dev/null
+++ b/internal/root/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe tells from the connections to a backend server whether the server may have restarted.
+package probe
--- /dev/null
+++ b/internal/root/probe/watch.go
@@ -0,0 +1,100 @@
+package probe
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+)
+
+type (
+	// Watch knows the connections to one process of a backend server. The end of the process closes them, and a new
+	// process at the same address has none of them. The zero value is ready for use; it is safe for concurrent use.
+	Watch struct {
+		mu       sync.Mutex
+		conns    map[net.Conn]int // open connections, with the number of restarts before each was opened
+		ended    bool             // the server has closed a connection since the latest one was opened
+		restarts int              // suspected so far
+	}
+
+	state uint8
+)
+
+const (
+	open    state = iota // the peer has not closed it, and no bytes wait to be read
+	ended                // the peer has closed or reset it
+	unknown              // bytes wait to be read, or it is closed at this end
+)
+
+// Opened records a new connection and returns the number of restarts suspected so far. A restart is suspected if the
+// server has closed a connection and no earlier one is open: one that is open belongs to the process that has
+// accepted the new one.
+func (w *Watch) Opened(conn net.Conn) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.mayHaveRestarted() {
+		w.restarts++
+	}
+	w.ended = false
+	if w.conns == nil {
+		w.conns = map[net.Conn]int{}
+	}
+	w.conns[conn] = w.restarts
+	return w.restarts
+}
+
+func (w *Watch) mayHaveRestarted() bool {
+	someEnded := w.ended
+	for conn, restarts := range w.conns {
+		switch stateOf(conn) {
+		case open:
+			return false
+		case ended:
+			someEnded = someEnded || restarts == w.restarts
+		}
+	}
+	return someEnded
+}
+
+// Closing records that this daemon is about to close a connection. A connection to an earlier process says nothing about
+// the present one.
+func (w *Watch) Closing(conn net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if restarts, found := w.conns[conn]; found && restarts == w.restarts && stateOf(conn) == ended {
+		w.ended = true
+	}
+	delete(w.conns, conn)
+}
+
+// Forget records that a connection is closed that the server has announced to close.
+func (w *Watch) Forget(conn net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.conns, conn)
+}
+
+// stateOf returns the state of a connection. It does not wait for a read in progress.
+func stateOf(conn net.Conn) state {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return unknown
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return unknown
+	}
+	found := unknown
+	_ = control.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			found = open
+		case err == nil && n > 0, errors.Is(err, syscall.EINTR):
+		default:
+			found = ended
+		}
+	})
+	return found
+}
--- /dev/null
+++ b/internal/root/probe/watch_test.go
@@ -0,0 +1,69 @@
+package probe
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pair returns both ends of a TCP connection.
+func pair(t *testing.T, listener net.Listener) (client, server net.Conn) {
+	t.Helper()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	server, err = listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	return client, server
+}
+
+// awaitEnd waits until the end of the connection has arrived.
+func awaitEnd(conn net.Conn) {
+	for stateOf(conn) == open {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a restart that is not suspected because a read is in progress on a connection that has ended, and
+// against a restart that is suspected although a connection to the process is open, was closed by this daemon, or
+// was announced to be closed. Guards also against one restart that is suspected twice.
+func TestRestartIsSuspectedWhenAllConnectionsHaveEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	w := &Watch{}
+	connect := func(want int) (client, server net.Conn) {
+		client, server = pair(t, listener)
+		assert.Equal(t, w.Opened(client), want)
+		return client, server
+	}
+	first, firstServer := connect(0)
+	second, secondServer := connect(0)
+	_ = secondServer.Close()
+	awaitEnd(second)
+	third, thirdServer := connect(0) // the first one is open
+	w.Closing(second)
+	_ = firstServer.Close()
+	awaitEnd(first)
+	_ = thirdServer.(*net.TCPConn).SetLinger(0)
+	_ = thirdServer.Close()
+	awaitEnd(third)
+	fourth, fourthServer := connect(1)
+	w.Closing(first)
+	w.Closing(third)
+	w.Closing(fourth) // open
+	fifth, _ := connect(1)
+	_ = fourthServer.Close()
+	w.Forget(fifth)
+	sixth, sixthServer := connect(1)
+	_ = sixthServer.Close()
+	awaitEnd(sixth)
+	w.Forget(sixth)
+	seventh, seventhServer := connect(1)
+	go func() { _, _ = seventh.Read(make([]byte, 1)) }()
+	_ = seventhServer.Close()
+	awaitEnd(seventh)
+	connect(2)
+}
--- /dev/null
+++ b/internal/root/relay/cold_test.go
@@ -0,0 +1,158 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	testColdRate   = 10 // requests per second
+	testColdPeriod = 3 * time.Second
+
+	// maxColdSecond is the number of requests that a cold server tolerates in one second.
+	maxColdSecond = 1.5*testColdRate + 8
+)
+
+// newColdFleet returns a daemon whose server has 50 slots and a cold rate, and the server's first notice, in which it
+// is warm.
+func newColdFleet(t *testing.T) (*testFleet, *testDaemon, Notice) {
+	f := newTestFleet(t, 1)
+	f.control.mu.Lock()
+	service := f.control.set.Services["shop"]
+	service.ColdRate, service.ColdPeriod = testColdRate, testColdPeriod
+	f.control.mu.Unlock()
+	d := f.daemons[0]
+	notice := d.notice(StateReady)
+	notice.Slots, notice.Sequence = 50, 2
+	assert.NilError(t, d.relay.LocalBackend.Notice(context.Background(), notice))
+	return f, d, notice
+}
+
+// burst sends requests at the same time and returns how many of them were served.
+func (f *testFleet) burst(d *testDaemon, name, path string, n int) int {
+	var sent sync.WaitGroup
+	var mu sync.Mutex
+	served := 0
+	for i := range n {
+		sent.Go(func() {
+			response := f.request(d, fmt.Sprintf("%s-%d", name, i), path, "", "")
+			mu.Lock()
+			defer mu.Unlock()
+			if response.StatusCode == http.StatusOK {
+				served++
+			}
+		})
+	}
+	sent.Wait()
+	return served
+}
+
+// countReceived returns how many requests the server has received.
+func (s *testServer) countReceived() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.received)
+}
+
+// Guards against a server that restarts at the same address and gets the full load before its first notice: its
+// connections have ended, which is all that the daemon can see. Guards also against a limit that stays after the
+// server has reported that it is warm.
+func TestRestartedServerCountsAsCold(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	assert.Equal(t, f.burst(d, "warm", "/open/x", 40), 40)
+	d.server.restart()
+	before, started := d.server.countReceived(), time.Now()
+	served := f.burst(d, "cold", "/open/x", 60)
+	took := time.Since(started)
+	got := d.server.countReceived() - before
+	assert.Assert(t, float64(got) <= maxColdSecond*max(took.Seconds(), 1), "%d requests in %s", got, took)
+	assert.Assert(t, served >= 5 && served < 40, "%d of 60 served", served)
+	notice.StartUnixMilli, notice.Sequence = 2, 1
+	assert.NilError(t, d.relay.LocalBackend.Notice(context.Background(), notice))
+	assert.Equal(t, f.burst(d, "warm-again", "/open/x", 40), 40)
+}
+
+// Guards against a restart that is not noticed because the crash ended requests in progress and no connection was idle.
+func TestServerThatCrashedWithRequestsInProgressCountsAsCold(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	var held sync.WaitGroup
+	for i := range 20 {
+		held.Go(func() { f.request(d, fmt.Sprintf("held-%d", i), "/once/hold", "", "") })
+	}
+	for d.server.countReceived() < 20 {
+		time.Sleep(time.Millisecond)
+	}
+	d.server.restart()
+	held.Wait()
+	before, started := d.server.countReceived(), time.Now()
+	f.burst(d, "cold", "/open/x", 60)
+	got, took := d.server.countReceived()-before, time.Since(started)
+	assert.Assert(t, float64(got) <= maxColdSecond*max(took.Seconds(), 1), "%d requests in %s", got, took)
+}
+
+// Guards against a warm server that is taken for a restarted one because it closes some of its connections, and against
+// a limit on a service that has no cold rate.
+func TestServerThatClosesSomeConnectionsStaysWarm(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	go f.request(d, "kept", "/open/hold", "", "")
+	for d.server.countReceived() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 5 {
+		f.request(d, fmt.Sprintf("reset-%d", i), "/once/reset", "", "")
+	}
+	assert.Equal(t, f.burst(d, "warm", "/open/x", 40), 40)
+	close(d.server.hold)
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = 0
+	f.control.mu.Unlock()
+	d.server.restart()
+	assert.Equal(t, f.burst(d, "no-limit", "/open/x", 40), 40)
+}
+
+// Guards against an older notice that arrives late and ends the cold period that a newer one reported, and against a cold
+// server whose queue is not dispatched when it reports itself warm.
+func TestLateNoticeDoesNotEndColdPeriod(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	cold, late := notice, notice
+	cold.Sequence, cold.ColdFor = 5, time.Minute
+	late.Sequence = 4
+	backend := d.relay.LocalBackend
+	assert.NilError(t, backend.Notice(context.Background(), cold))
+	assert.NilError(t, backend.Notice(context.Background(), late))
+	served := make(chan int, 1)
+	go func() { served <- f.burst(d, "cold", "/open/x", 8) }()
+	for _, _, waiting := backend.Status(); waiting == 0; _, _, waiting = backend.Status() {
+		time.Sleep(time.Millisecond)
+	}
+	warm := notice
+	warm.Sequence = 6
+	started := time.Now()
+	assert.NilError(t, backend.Notice(context.Background(), warm))
+	assert.Equal(t, <-served, 8)
+	assert.Assert(t, time.Since(started) < 300*time.Millisecond)
+}
+
+// Guards against a daemon that restarts beside a cold server and sends it the full load, because the health check says
+// nothing about the cold state.
+func TestServerFoundByHealthCheckCountsAsCold(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	backend := &LocalBackend{
+		Clock: d.relay.Clock, Control: f.control, Dialect: testDialect{}, Meter: d.relay.LocalBackend.Meter,
+		Suspects: d.relay.LocalBackend.Suspects, MaxBody: 1 << 20, expected: Expected{Service: "shop"},
+	}
+	assert.NilError(t, backend.CheckHealth(context.Background(), Notice{Service: "shop", Address: notice.Address, Slots: 50}, "/x/health"))
+	_, ticket, decided, refused := backend.offer(d.relay.Clock.Now(), &job{
+		service: "shop", deadline: time.Now().Add(time.Second), arrived: time.Now(), request: &Request{ID: "first"},
+	})
+	assert.Assert(t, refused == nil && ticket != nil && decided != nil)
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	assert.Assert(t, backend.cold.Remaining(d.relay.Clock.Now()) > testColdPeriod-time.Second)
+}
--- a/internal/root/relay/gate/fairness.go
+++ b/internal/root/relay/gate/fairness.go
@@ -12,12 +12,12 @@
 // startStarved starts one request of each class that has received less than its share of the starts.
 func (g *Controller) startStarved(now time.Time) (started []*Ticket) {
 	for _, c := range g.classes {
-		if c.deficit < 1 || g.running >= g.slots {
+		if _, delayed := g.Cold.NextStart(now); delayed || c.deficit < 1 || g.running >= g.slots {
 			continue
 		}
 		for i, t := range c.queue {
 			r := g.route(t.Route)
-			if t.state == queued && r.hasCapacity(t) && !now.Add(r.minRunTime()).After(t.Deadline) {
+			if t.state == queued && !now.Add(r.minRunTime()).After(t.Deadline) && g.mayStart(now, t, r) {
 				c.queue = slices.Delete(c.queue, i, i+1)
 				g.waiting--
 				g.start(now, t, r)
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
 const (
@@ -59,6 +61,7 @@
 		started   time.Time
 		overtaken int  // runs of its route that started later and have completed
 		lost      bool // its response counts as lost
+		paced     bool // it started within the rate of a cold server
 	}
 
 	// Decision is Admitted, Queued or Refused.
@@ -67,13 +70,19 @@
 	// Admitted is the decision to start the request at once.
 	Admitted struct{}
 
-	// Queued is the decision to keep the request until Dispatch returns it; Wait is the predicted wait.
-	Queued struct{ Wait time.Duration }
+	// Queued is the decision to keep the request until Dispatch returns it; Wait is the predicted wait. Cold is set
+	// if the request waits because the server is cold.
+	Queued struct {
+		Wait time.Duration
+		Cold bool
+	}
 
-	// Refused is the decision not to serve the request; a retry may succeed after RetryAfter.
+	// Refused is the decision not to serve the request; a retry may succeed after RetryAfter. Cold is set if the wait is
+	// too long because the server is cold.
 	Refused struct {
 		RetryAfter time.Duration
 		Wait       time.Duration // predicted
+		Cold       bool
 	}
 
 	// Result is Completed, Shed or Aborted.
@@ -98,11 +107,16 @@
 		// Congestion is the predicted wait of a nested call divided by the run time, or the congestion of the
 		// services that this server calls if it is greater. At 1 a call takes twice as long as without load.
 		Congestion float64
+		ColdRate   float64       // starts per second while the server is cold, zero for no limit
+		ColdFor    time.Duration // how long that rate applies, zero for a warm server
 	}
 
 	// Controller admits the requests of one incarnation of a backend server. It is not safe for concurrent
 	// use.
 	Controller struct {
+		// Cold limits the starts while the server is cold.
+		Cold *warmup.Limiter
+
 		slots   int // usable, without the reserve
 		running int
 		lost    int // runs in the server that no longer count in running
@@ -150,7 +164,7 @@
 
 // New returns the admission controller of a server with the given number of slots.
 func New(slots int) *Controller {
-	return &Controller{slots: usableSlots(slots), routes: map[string]*route{}}
+	return &Controller{Cold: &warmup.Limiter{}, slots: usableSlots(slots), routes: map[string]*route{}}
 }
 
 // SetSlots changes the number of slots of the server.
@@ -171,20 +185,23 @@
 	c.arrivals.add(now)
 	r := g.route(t.Route)
 	ahead := g.queuedAhead(c)
-	if ahead == 0 && g.running < g.slots && r.hasCapacity(t) {
+	if ahead == 0 && g.mayStart(now, t, r) {
 		g.start(now, t, r)
 		return Admitted{}
 	}
 	wait := g.predictWait(now, c, r, ahead)
+	coldWait := g.coldWait(now, c, ahead)
+	cold := coldWait > wait
+	wait = max(wait, coldWait)
 	run := time.Duration(runTimeMargin * float64(r.expectedRunTime(g.runTime)))
 	late := now.Add(wait + run).Sub(latestResponse(t))
 	if late > 0 || g.waiting >= maxQueued {
-		return Refused{RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait}
+		return Refused{RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait, Cold: cold}
 	}
 	t.state = queued
 	c.queue = append(c.queue, t)
 	g.waiting++
-	return Queued{Wait: wait}
+	return Queued{Wait: wait, Cold: cold}
 }
 
 // latestResponse returns the latest predicted time of the response at which a request is still queued. Requests
@@ -215,7 +232,7 @@
 				t.state = done
 				g.waiting--
 				dropped = append(dropped, t)
-			case g.running < g.slots && r.hasCapacity(t):
+			case g.mayStart(now, t, r):
 				g.waiting--
 				g.start(now, t, r)
 				started = append(started, t)
@@ -308,10 +325,13 @@
 	return g.downstream * math.Exp(-idleTime.Seconds()/congestionFallTime.Seconds())
 }
 
-// NextExpiry returns the earliest time at which a queued request has to be dropped, and false if the queue is
-// empty.
-func (g *Controller) NextExpiry() (time.Time, bool) {
+// NextDispatch returns the earliest time at which Dispatch is due without another event, because a queued request has
+// to be dropped or a cold server may get the next one; it returns false if the queue is empty.
+func (g *Controller) NextDispatch(now time.Time) (time.Time, bool) {
 	var next time.Time
+	if start, delayed := g.Cold.NextStart(now); delayed && g.waiting > 0 && g.running < g.slots {
+		next = start
+	}
 	for _, c := range g.classes {
 		for _, t := range c.queue {
 			expiry := t.Deadline.Add(-g.route(t.Route).minRunTime())
@@ -326,10 +346,16 @@
 // Load returns the load that another request like t would meet.
 func (g *Controller) Load(now time.Time, t *Ticket) Load {
 	c, r := g.class(t), g.route(t.Route)
-	return Load{
-		Wait: g.predictWait(now, c, r, g.queuedAhead(c)), Run: r.meanRunTime,
+	ahead := g.queuedAhead(c)
+	load := Load{
+		Wait: max(g.predictWait(now, c, r, ahead), g.coldWait(now, c, ahead)), Run: r.meanRunTime,
 		Running: g.running, Waiting: g.waiting, Slots: g.slots, Congestion: g.congestion(now),
+		ColdFor: g.Cold.Remaining(now),
+	}
+	if load.ColdFor > 0 {
+		load.ColdRate = g.Cold.Rate
 	}
+	return load
 }
 
 // ExpectedRun returns the average run time of a route, zero before its first run.
@@ -395,14 +421,7 @@
 		return 0
 	}
 	perSecond := float64(g.slots) / g.runTime.Seconds()
-	available := perSecond
-	for _, c := range g.classes {
-		if c == target {
-			break
-		}
-		available -= c.arrivals.current(now)
-	}
-	available = max(available, perSecond*minStartShare)
+	available := max(perSecond-g.urgentArrivals(now, target), perSecond*minStartShare)
 	// The first request gets the slot of the run that ends next.
 	return time.Duration((float64(n) + 1) / available * float64(time.Second))
 }
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
 const (
@@ -50,12 +51,17 @@
 		Suspects *crash.Suspects
 		MaxBody  int64 // limit of a response in bytes
 		Bodies   *bodyBudget
+		Zone     string // availability zone of this daemon
 
 		mu       sync.Mutex
 		expected Expected
 		current  *serverProcess // nil before the first notice
 		draining bool           // the daemon is draining
 		wake     *time.Timer
+
+		cold       warmup.Limiter
+		coldNotice Notice // latest notice of which the limiter knows
+		coldLogged bool   // the log says that the server is cold
 	}
 
 	// Expected is what the settings say about the local backend server. An empty field accepts any value.
@@ -77,6 +83,7 @@
 		unreachableUntil time.Time
 		unanswered       int // consecutive runs that ended without a response
 		probing          bool
+		restarts         int // suspected restarts that the limiter knows of
 	}
 )
 
@@ -89,6 +96,9 @@
 	b.mu.Lock()
 	err := b.checkSender(n)
 	outdated := err == nil && b.current != nil && isOutdated(n, b.current.notice)
+	if err == nil && n.State == StateReady {
+		b.recordCold(b.Clock.Now(), n)
+	}
 	b.mu.Unlock()
 	switch {
 	case err != nil:
@@ -162,10 +172,7 @@
 func (b *LocalBackend) Service() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.expected.Service == "" && b.current != nil {
-		return b.current.notice.Service
-	}
-	return b.expected.Service
+	return b.serviceName()
 }
 
 // CheckHealth sends a health check to the server at n.Address and registers the server if it accepts requests,
@@ -190,15 +197,19 @@
 		return fmt.Errorf("check health of backend server: %w", err)
 	}
 	_ = response.Body.Close()
-	instance, ok := b.Dialect.DecodeHealth(response.StatusCode, response.Header)
-	b.Log.Info().Str("address", n.Address).Str("instance", instance).Int("status", response.StatusCode).Bool("ready", ok).Msg("backend-server-asked")
+	health := b.Dialect.DecodeHealth(response.StatusCode, response.Header)
+	b.Log.Info().Str("address", n.Address).Str("instance", health.Instance).Int("status", response.StatusCode).Bool("ready", health.Ready).
+		Bool("cold-known", health.ColdKnown).Dur("cold-for", health.ColdFor).Msg("backend-server-asked")
 	b.mu.Lock()
 	registered = b.current != nil
 	b.mu.Unlock()
-	if !ok || registered {
+	if !health.Ready || registered {
 		return nil
 	}
-	n.Instance, n.State = instance, StateReady
+	n.Instance, n.State, n.ColdFor = health.Instance, StateReady, health.ColdFor
+	if !health.ColdKnown {
+		n.ColdFor = b.coldPeriod(n.Service)
+	}
 	return b.Notice(ctx, n)
 }
 
@@ -237,7 +248,7 @@
 	defer b.mu.Unlock()
 	old := b.current
 	if old != nil && old.start == start && old.notice.Address == n.Address && old.notice.Service == n.Service {
-		if old.leaving {
+		if old.leaving || isOutdated(n, old.notice) { // a later notice was processed first
 			return
 		}
 		old.notice = n
@@ -252,6 +263,8 @@
 		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies, log: b.Log},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
+	b.current.controller.Cold = &b.cold
+	b.updateCold(b.Clock.Now())
 	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
 		Uint64("incarnation", incarnation).Msg("backend-server-ready")
 }
--- /dev/null
+++ b/internal/root/relay/localbackend_cold.go
@@ -0,0 +1,131 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+)
+
+const (
+	// unconfiguredColdRate is the rate of a cold server while this daemon has no configuration yet, in requests per
+	// second, and unconfiguredColdPeriod its cold period. Other daemons may have a configuration and send requests.
+	unconfiguredColdRate   = 1
+	unconfiguredColdPeriod = 10 * time.Second
+
+	// Results of the metric about starts at a cold server.
+	coldDelayed = "delayed"
+	coldRefused = "refused"
+)
+
+// errTurnedCold reports a request that was not sent, because the server has turned cold since the admission controller
+// started it, or because another process has taken its place.
+var errTurnedCold = errors.New("server has turned cold")
+
+// recordCold records what a notice says about the cold state. This happens before the notice is passed to the
+// control group, which may take long or fail; b.mu is held.
+func (b *LocalBackend) recordCold(now time.Time, n Notice) {
+	if isOutdated(n, b.coldNotice) {
+		if n.StartUnixMilli == 0 {
+			b.cold.ReportOutdated(now, n.ColdFor)
+		}
+		return
+	}
+	newProcess := n.Instance != b.coldNotice.Instance || n.StartUnixMilli != b.coldNotice.StartUnixMilli
+	b.coldNotice = n
+	b.updateCold(now)
+	b.cold.Report(now, n.ColdFor, newProcess)
+	b.applyCold(now)
+}
+
+// confirm reports whether a request may be sent on a connection that was opened after the given number of suspected
+// restarts. The error is errTurnedCold.
+func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, restarts int) error {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if restarts > s.restarts {
+		s.restarts = restarts
+		b.suspectRestart(now, s)
+	}
+	if b.cold.Rate > 0 && b.current != s || !s.controller.Confirm(now, t) {
+		return errTurnedCold
+	}
+	return nil
+}
+
+// suspectRestart records that the server may have restarted, because it could not be reached or has closed all
+// connections; b.mu is held.
+func (b *LocalBackend) suspectRestart(now time.Time, s *serverProcess) {
+	if b.current != s {
+		return // a notice has reported the new process
+	}
+	b.cold.SuspectRestart(now)
+	b.applyCold(now)
+}
+
+// updateCold applies the configuration and the end of an evacuation to the limiter; b.mu is held.
+func (b *LocalBackend) updateCold(now time.Time) {
+	snapshot := b.Control.Snapshot()
+	b.cold.Rate, b.cold.Period = unconfiguredColdRate, unconfiguredColdPeriod
+	if snapshot.Rules != nil {
+		b.cold.Rate, b.cold.Period = 0, 0
+		if service := snapshot.Rules.Services[b.serviceName()]; service != nil {
+			b.cold.Rate, b.cold.Period = service.ColdRate, service.ColdPeriod
+		}
+	}
+	b.cold.Restore(now, snapshot.Restored[b.Zone])
+	b.logCold(now)
+}
+
+// applyCold starts what may start after a change of the cold state and sets the timer; b.mu is held.
+func (b *LocalBackend) applyCold(now time.Time) {
+	b.logCold(now)
+	if b.current != nil {
+		b.admitWaiting(now, b.current)
+	}
+}
+
+// logCold logs and counts a change of the cold state; b.mu is held.
+func (b *LocalBackend) logCold(now time.Time) {
+	cold := b.cold.Cold(now)
+	if cold == b.coldLogged {
+		return
+	}
+	b.coldLogged = cold
+	event := b.Log.Info().Str("instance", b.coldNotice.Instance).Str("service", b.serviceName())
+	if !cold {
+		b.Meter.ColdServers(-1)
+		event.Msg("backend-server-warm")
+		return
+	}
+	b.Meter.ColdServers(1)
+	event.Float64("rate", b.cold.Rate).Dur("for", b.cold.Remaining(now)).Msg("backend-server-cold")
+}
+
+// countColdStart counts a request that did not start at once because the server is cold.
+func (b *LocalBackend) countColdStart(cold bool, result string) {
+	if cold {
+		b.Meter.ColdStart(result)
+	}
+}
+
+// coldPeriod returns how long a server of the service counts as cold after its start.
+func (b *LocalBackend) coldPeriod(service string) time.Duration {
+	set := b.Control.Snapshot().Rules
+	if set == nil || set.Services[service] == nil {
+		return 0
+	}
+	return set.Services[service].ColdPeriod
+}
+
+// serviceName returns the service of the server, empty if it is not known; b.mu is held.
+func (b *LocalBackend) serviceName() string {
+	switch {
+	case b.expected.Service != "":
+		return b.expected.Service
+	case b.current != nil:
+		return b.current.notice.Service
+	}
+	return b.coldNotice.Service
+}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -44,24 +44,41 @@
 	}
 )
 
-// serve passes a request through the admission controller and sends it to the server.
+// serve passes a request through the admission controller and sends it to the server. A request that was on its way
+// when the server turned cold is offered to the controller again.
 func (b *LocalBackend) serve(ctx context.Context, j *job) (outcome, Report) {
+	for {
+		s, result := b.tryServe(ctx, j)
+		if result != nil {
+			return result, b.report(s, j)
+		}
+	}
+}
+
+// tryServe serves the request, or returns nil if it has to be offered again.
+func (b *LocalBackend) tryServe(ctx context.Context, j *job) (*serverProcess, outcome) {
 	s, ticket, refused := b.admit(ctx, j)
 	if refused != nil {
-		return refused, b.report(s, j)
+		return s, refused
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
 	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), requestMeta: RequestMetadata{
 		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
 		Account: j.account, CallerService: j.caller,
 	}}
+	ex.confirm = func(restarts int) error { return b.confirm(s, ticket, restarts) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
+	if errors.Is(err, errTurnedCold) {
+		b.endSuspect(s, j, false)
+		b.finishRun(s, ticket, gate.Shed{}, err)
+		return s, nil
+	}
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		err = fmt.Errorf("%w: %w", context.Canceled, err) // the error does not count against the server
 	}
 	gateResult, result := b.classifyResult(ctx, s, j, response, responseMeta, err)
 	b.finishRun(s, ticket, gateResult, err)
-	return result, b.report(s, j)
+	return s, result
 }
 
 // linger returns how long the response of a run is awaited after its caller has gone: a long run is ended at once.
@@ -108,17 +125,20 @@
 	if refused := b.unavailable(now, s, j); refused != nil {
 		return s, nil, nil, refused
 	}
+	b.updateCold(now)
 	ticket = j.ticket()
 	switch decision := s.controller.Offer(now, ticket).(type) {
 	case gate.Admitted:
 		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
 	case gate.Refused:
+		b.countColdStart(decision.Cold, coldRefused)
 		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
 			Dur("predicted-wait", decision.Wait).Dur("after", decision.RetryAfter).
 			Int("running", s.controller.Running()).Int("waiting", s.controller.Waiting()).
 			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
 		return s, nil, nil, notRun{failure: retry.QueueFull{}, retryAfter: decision.RetryAfter}
 	case gate.Queued:
+		b.countColdStart(decision.Cold, coldDelayed)
 		decided = make(chan admission, 1)
 		s.waiting[ticket] = decided
 		b.scheduleWake(now, s)
@@ -209,8 +229,13 @@
 	switch {
 	case err == nil:
 		s.unanswered, s.probing = 0, false
+	case errors.Is(err, errTurnedCold):
+		s.probing = false
 	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
 		s.unreachableUntil = now.Add(unreachablePeriod)
+		if !errors.Is(err, context.Canceled) {
+			b.suspectRestart(now, s)
+		}
 		s.probing = false
 		// Requests in flight when the server stopped accepting connections may have crashed it.
 		if fingerprints := b.Suspects.Died(now, s.incarnation); len(fingerprints) > 0 && !s.leaving {
@@ -234,6 +259,7 @@
 
 // admitWaiting starts waiting requests and refuses those whose time in the queue is over; b.mu is held.
 func (b *LocalBackend) admitWaiting(now time.Time, s *serverProcess) {
+	b.updateCold(now)
 	b.reclaimLost(now, s)
 	started, dropped := s.controller.Dispatch(now)
 	for _, t := range started {
@@ -245,9 +271,13 @@
 	b.scheduleWake(now, s)
 }
 
-// scheduleWake sets the timer for the next waiting request that has to be refused; b.mu is held.
+// scheduleWake sets the timer for the next waiting request that may start or has to be refused, and for the end of
+// the cold period; b.mu is held.
 func (b *LocalBackend) scheduleWake(now time.Time, s *serverProcess) {
-	due, ok := s.controller.NextExpiry()
+	due, ok := s.controller.NextDispatch(now)
+	if left := b.cold.Remaining(now); left > 0 && (!ok || now.Add(left).Before(due)) {
+		due, ok = now.Add(left), true
+	}
 	if !ok {
 		return
 	}
@@ -278,7 +308,7 @@
 	load := s.controller.Load(b.Clock.Now(), j.ticket())
 	return Report{
 		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: load.Run,
-		Leaving: s.leaving || b.draining, Congestion: load.Congestion,
+		Leaving: s.leaving || b.draining, Congestion: load.Congestion, ColdRate: load.ColdRate, ColdFor: load.ColdFor,
 	}
 }
 
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -86,7 +87,9 @@
 		Slots      uint32        `protobuf:"varint,3,opt,name=slots,proto3"`
 		Run        time.Duration `protobuf:"varint,4,opt,name=run,proto3"` // run time of the request's route
 		Leaving    bool          `protobuf:"varint,5,opt,name=leaving,proto3"`
-		Congestion float64       `protobuf:"fixed64,6,opt,name=strain,proto3"` // congestion that nested calls meet
+		Congestion float64       `protobuf:"fixed64,6,opt,name=strain,proto3"`    // congestion that nested calls meet
+		ColdRate   float64       `protobuf:"fixed64,7,opt,name=cold_rate,proto3"` // requests per second while the server is cold, zero for no limit
+		ColdFor    time.Duration `protobuf:"varint,8,opt,name=cold_for,proto3"`   // how long the server is still cold, zero for a warm one
 	}
 
 	// Reply is the reply to a SendRequest and carries the outcome of the request.
@@ -106,14 +109,15 @@
 
 	// NoticeRequest forwards a notice that a backend server sent to a control instance.
 	NoticeRequest struct {
-		Number         uint64      `protobuf:"varint,1,opt,name=number,proto3"`
-		Instance       string      `protobuf:"bytes,2,opt,name=instance,proto3"`
-		Service        string      `protobuf:"bytes,3,opt,name=service,proto3"`
-		Address        string      `protobuf:"bytes,4,opt,name=address,proto3"`
-		Slots          uint32      `protobuf:"varint,5,opt,name=slots,proto3"`
-		State          NoticeState `protobuf:"varint,6,opt,name=state,proto3"`
-		Sequence       uint64      `protobuf:"varint,7,opt,name=sequence,proto3"`
-		StartUnixMilli int64       `protobuf:"varint,8,opt,name=born,proto3"`
+		Number         uint64        `protobuf:"varint,1,opt,name=number,proto3"`
+		Instance       string        `protobuf:"bytes,2,opt,name=instance,proto3"`
+		Service        string        `protobuf:"bytes,3,opt,name=service,proto3"`
+		Address        string        `protobuf:"bytes,4,opt,name=address,proto3"`
+		Slots          uint32        `protobuf:"varint,5,opt,name=slots,proto3"`
+		State          NoticeState   `protobuf:"varint,6,opt,name=state,proto3"`
+		Sequence       uint64        `protobuf:"varint,7,opt,name=sequence,proto3"`
+		StartUnixMilli int64         `protobuf:"varint,8,opt,name=born,proto3"`
+		ColdFor        time.Duration `protobuf:"varint,9,opt,name=cold_for,proto3"`
 	}
 
 	// NoticeReply is the reply to a NoticeRequest.
@@ -142,8 +146,13 @@
 // Check accepts every value.
 func (c *Cancel) Check() error { return nil }
 
-// Check accepts every value.
-func (r *Report) Check() error { return nil }
+// Check reports a rate that no configuration allows.
+func (r *Report) Check() error {
+	if !(r.ColdRate >= 0 && r.ColdRate <= rules.MaxColdRate) || r.ColdFor < 0 {
+		return fmt.Errorf("cold rate %g for %s is not valid", r.ColdRate, r.ColdFor)
+	}
+	return nil
+}
 
 // Check reports an unknown outcome and invalid fields.
 func (r *Reply) Check() error {
@@ -159,11 +168,17 @@
 	default:
 		return fmt.Errorf("unknown outcome kind %d", r.Kind)
 	}
+	if err := r.Report.Check(); err != nil {
+		return err
+	}
 	return checkSizes(r.Header, r.Body)
 }
 
-// Check reports a text that is too long.
+// Check reports a text that is too long, and a server that is cold for a negative time.
 func (n *NoticeRequest) Check() error {
+	if n.ColdFor < 0 {
+		return fmt.Errorf("cold for %s", n.ColdFor)
+	}
 	if len(n.Instance) > maxLabel || len(n.Service) > maxLabel || len(n.Address) > maxLabel {
 		return errors.New("a name in the notice is too long")
 	}
@@ -195,7 +210,7 @@
 func (n *NoticeRequest) notice() Notice {
 	return Notice{
 		Instance: n.Instance, Service: n.Service, Address: n.Address, Slots: n.Slots,
-		State: n.State, Sequence: n.Sequence, StartUnixMilli: n.StartUnixMilli,
+		State: n.State, Sequence: n.Sequence, StartUnixMilli: n.StartUnixMilli, ColdFor: n.ColdFor,
 	}
 }
 
@@ -236,5 +251,5 @@
 
 // balancerReport converts the report for the load balancer.
 func (r *Report) balancerReport() *place.Report {
-	return &place.Report{Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run}
+	return &place.Report{Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run, ColdRate: r.ColdRate, ColdFor: r.ColdFor}
 }
--- a/internal/root/relay/notice_test.go
+++ b/internal/root/relay/notice_test.go
@@ -82,6 +82,11 @@
 	first, second := f.daemons[0], f.daemons[1]
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
+	cold := second.notice(StateReady)
+	cold.ColdFor = time.Minute
+	assert.NilError(t, first.relay.PeerStreams.SendNotice(ctx, second.peerAddress, cold))
+	notice, _, _ := second.relay.LocalBackend.Status()
+	assert.Equal(t, notice.ColdFor, time.Minute)
 	assert.NilError(t, first.relay.PeerStreams.SendNotice(ctx, second.peerAddress, second.notice(StateLeaving)))
 	assert.Equal(t, f.request(first, "n", "/once/echo", "", "").StatusCode, 200)
 	assert.Equal(t, second.server.runs("n"), 0)
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -146,7 +146,7 @@
 	defer stream.unregister(number)
 	frame, err := encodeFrame(kindNotice, &NoticeRequest{
 		Number: number, Instance: n.Instance, Service: n.Service, Address: n.Address, Slots: n.Slots,
-		State: n.State, Sequence: n.Sequence, StartUnixMilli: n.StartUnixMilli,
+		State: n.State, Sequence: n.Sequence, StartUnixMilli: n.StartUnixMilli, ColdFor: n.ColdFor,
 	})
 	if err != nil {
 		return err
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -89,6 +89,9 @@
 		Running int
 		Slots   int
 		Run     time.Duration // average run time of the request's route, zero if unknown
+		// ColdRate is the number of requests per second that the server gets while it is cold, zero for no limit.
+		ColdRate float64
+		ColdFor  time.Duration // how long the server is still cold
 	}
 
 	// Result is Served, Refused, Failed or Unreached.
@@ -373,7 +376,21 @@
 	if wait > 0 {
 		wait += time.Duration(float64(s.sentSinceReport) / float64(slots) * float64(run))
 	}
-	return wait
+	return max(wait, s.coldWait(now))
+}
+
+// coldWait returns the wait for a start at a server that was cold at its latest report: the reported wait and that of the
+// requests sent since then, less the time that has passed. It is zero once the server is warm. The report counts until
+// then, also when it is older than maxReportAge.
+func (s *server) coldWait(now time.Time) time.Duration {
+	age := now.Sub(s.reportedAt)
+	remaining := s.report.ColdFor - age
+	if s.report.ColdRate <= 0 || remaining <= 0 {
+		return 0
+	}
+	added := min(float64(s.sentSinceReport)/s.report.ColdRate, remaining.Seconds())
+	wait := s.report.Wait + time.Duration(added*float64(time.Second)) - age
+	return min(max(wait, 0), remaining)
 }
 
 // recordResult counts one result; failure is 1 for a failure and 0 for a success.
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
 
@@ -64,6 +65,8 @@
 		mu     sync.Mutex
 		idle   []*backendConn // most recently used last
 		closed bool
+
+		watch probe.Watch
 	}
 
 	backendConn struct {
@@ -71,6 +74,7 @@
 		limit     *limitedReader // below reader
 		reader    *bufio.Reader
 		idleUntil time.Time // when an idle connection expires
+		restarts  int       // restarts of the server suspected before the connection was opened
 	}
 
 	// exchange is one request that is sent to the server.
@@ -81,6 +85,9 @@
 		// linger is how long the response is still awaited once the caller has gone. Closing the connection would
 		// cost a new one, which is more than the rest of a short run.
 		linger time.Duration
+		// confirm is called before the request is written, with the number of suspected restarts of the server. If it
+		// returns an error, the request is not sent.
+		confirm func(restarts int) error
 	}
 )
 
@@ -91,6 +98,10 @@
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	if err := ex.confirm(conn.restarts); err != nil {
+		p.put(conn)
+		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
+	}
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(ended)
@@ -104,9 +115,13 @@
 	if !stop() {
 		<-ended // it must not change the deadline of the next request
 	}
-	if !reusable || err != nil {
+	switch {
+	case err != nil:
+		p.drop(conn)
+	case !reusable:
+		p.watch.Forget(conn.Conn)
 		_ = conn.Close()
-	} else {
+	default:
 		p.put(conn)
 	}
 	return response, responseMeta, err
@@ -275,7 +290,7 @@
 		if now.Before(conn.idleUntil) && conn.stillIdle() {
 			return conn, nil
 		}
-		_ = conn.Close()
+		p.drop(conn)
 	}
 	dialer := net.Dialer{Timeout: serverDialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", p.address)
@@ -283,7 +298,10 @@
 		return nil, err
 	}
 	limit := &limitedReader{reader: conn}
-	return &backendConn{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}, nil
+	return &backendConn{
+		Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10), idleUntil: now.Add(defaultIdleTimeout),
+		restarts: p.watch.Opened(conn),
+	}, nil
 }
 
 func (p *pool) put(conn *backendConn) {
@@ -301,10 +319,16 @@
 	}
 	p.mu.Unlock()
 	for _, old := range expired {
-		_ = old.Close()
+		p.drop(old)
 	}
 }
 
+// drop closes a connection that cannot be used again.
+func (p *pool) drop(conn *backendConn) {
+	p.watch.Closing(conn.Conn)
+	_ = conn.Close()
+}
+
 // close closes the idle connections and those that are returned later.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -59,9 +59,17 @@
 		// EncodeRefusal encodes a refusal by the daemon itself; retryAfter is the advised delay before a
 		// retry.
 		EncodeRefusal(id string, failure retry.Failure, retryAfter time.Duration) Response
-		// DecodeHealth decodes the response to a health check: the server's own ID and whether it accepts
-		// requests.
-		DecodeHealth(status int, header http.Header) (instance string, ok bool)
+		// DecodeHealth decodes the response to a health check.
+		DecodeHealth(status int, header http.Header) Health
+	}
+
+	// Health is what a backend server reports in the response to a health check.
+	Health struct {
+		Instance string // the server's own ID
+		Ready    bool   // the server accepts requests
+		// ColdFor is how long the server is still cold, zero for a warm one. It is valid if ColdKnown is set.
+		ColdFor   time.Duration
+		ColdKnown bool
 	}
 
 	// Control is the part of the control loop that the relay uses.
@@ -85,8 +93,9 @@
 		Address        string
 		Slots          uint32
 		State          NoticeState
-		Sequence       uint64 // increases with each notice of one server process
-		StartUnixMilli int64  // start of the server process, zero if not reported
+		Sequence       uint64        // increases with each notice of one server process
+		StartUnixMilli int64         // start of the server process, zero if not reported
+		ColdFor        time.Duration // how long the server is still cold, zero for a warm one
 	}
 
 	// NoticeState is the state that a server reports in a notice.
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -16,6 +16,7 @@
 	Endpoints   map[string]*Endpoints // by service; only the services that this daemon calls
 	Quarantine  map[string]wire.Stamp // end of the quarantine by request fingerprint
 	Evacuated   map[string]Evacuation // by availability zone
+	Restored    map[string]time.Time  // by availability zone: when this daemon learned that its evacuation had ended
 }
 
 // Endpoints is the list of instances of one service at one version.
