--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -156,3 +156,24 @@
 	defer backend.mu.Unlock()
 	assert.Assert(t, backend.cold.Remaining(d.relay.Clock.Now()) > testColdPeriod-time.Second)
 }
+
+// Guards against a burst that was admitted to a warm server and is sent after the first new connection has shown that
+// the server has restarted.
+func TestAdmittedRequestsAreNotSentAfterRestart(t *testing.T) {
+	_, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	confirmed := 0
+	for i := range 40 {
+		now := time.Now()
+		s, ticket, decided, refused := backend.offer(now, &job{
+			service: "shop", arrived: now, deadline: now.Add(time.Second), request: &Request{ID: fmt.Sprint(i)},
+		})
+		assert.Assert(t, refused == nil && decided == nil)
+		defer func() {
+			if backend.confirm(s, ticket, 1) == nil {
+				confirmed++
+			}
+			assert.Assert(t, confirmed <= 8)
+		}()
+	}
+}
