--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -30,6 +30,8 @@
 	addedLatency           *prometheus.HistogramVec
 	randomChoices          *prometheus.CounterVec
 	unevenRefusals         *prometheus.CounterVec
+	coldServers            prometheus.Gauge
+	coldStarts             *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -66,8 +68,12 @@
 			"Calls sent to another server than the one with the lowest predicted cost, to even out the load.", "service"),
 		unevenRefusals: newCounterVec("uneven_refusals_total",
 			"Calls refused by a full server that another server of the service then answered.", "service"),
+		coldServers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "cold_servers", Help: "Backend servers beside this daemon that are cold and have a cold rate.",
+		}),
+		coldStarts: newCounterVec("cold_starts_total", "Calls that were delayed or refused because their backend server is cold.", "result"),
 	}
-	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.Registry.MustRegister(m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -129,3 +135,9 @@
 
 // UnevenRefusal counts a call that a full server refused and another one answered.
 func (m *Meter) UnevenRefusal(service string) { m.unevenRefusals.WithLabelValues(service).Inc() }
+
+// ColdServers adds to the number of cold backend servers.
+func (m *Meter) ColdServers(change float64) { m.coldServers.Add(change) }
+
+// ColdStart counts a call that was delayed or refused because its backend server is cold.
+func (m *Meter) ColdStart(result string) { m.coldStarts.WithLabelValues(result).Inc() }
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -50,6 +51,7 @@
 	Responded struct {
 		Latency time.Duration
 		Load    float64
+		Cold    warmup.Report
 	}
 
 	// Refused is a refusal by admission control, by the backend server (429, 503), or by an instance
@@ -57,6 +59,7 @@
 	Refused struct {
 		Load     float64
 		Draining bool
+		Cold     warmup.Report
 	}
 
 	// Failed is a connection that was refused or broke, or a deadline that passed without a response
@@ -178,10 +181,9 @@
 	latency := p.defaultLatency()
 	p.candidates = p.candidates[:0]
 	for _, in := range candidates {
-		base := in.baseCost(now, latency)
-		cost := time.Duration(float64(in.inFlight+1) * base)
+		cost := time.Duration(in.cost(now, latency))
 		p.candidates = append(p.candidates, spread.Candidate{
-			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(base, 1)), Others: maxOthers * in.currentLoad(now),
+			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(in.baseCost(now, latency), 1)), Others: maxOthers * in.currentLoad(now),
 		})
 	}
 	choice, _ := spread.Choose(p.random, p.candidates)
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -92,6 +93,9 @@
 		Run     time.Duration // average run time of the request's route, zero if unknown
 		// Arrivals is the rate per second of requests that the server accepts from all daemons, zero if unknown.
 		Arrivals float64
+		// ColdRate is the number of requests per second that the server gets while it is cold, zero for no limit.
+		ColdRate float64
+		ColdFor  time.Duration // how long the server is still cold
 	}
 
 	// Result is Served, Refused, Failed or Unreached.
@@ -361,13 +365,14 @@
 	slots := s.slots()
 	estimate := s.estimate(now, run)
 	perRequest := estimate.RequestCost(slots, run)
+	coldWait := s.coldWait(now)
 	c := spread.Candidate{
 		Near: s.endpoint.Zone == request.Zone, Others: estimate.Others, Slope: perRequest,
-		Cost: s.cost(now, request, run, waitFor(estimate.Known+estimate.Others, slots, run)),
+		Cost: s.cost(now, request, run, max(waitFor(estimate.Known+estimate.Others, slots, run), coldWait)),
 	}
 	c.Base = c.Cost
 	if estimate.Known+estimate.Others > float64(slots) && estimate.Others > 0 {
-		c.Base = s.cost(now, request, run, waitFor(estimate.Known, slots, run))
+		c.Base = s.cost(now, request, run, max(waitFor(estimate.Known, slots, run), coldWait))
 	}
 	c.Base += time.Duration(estimate.Known * float64(perRequest))
 	if estimate.Known >= float64(slots) {
@@ -384,14 +389,19 @@
 	return int(max(s.endpoint.Slots, 1))
 }
 
-// estimate extrapolates the last report to the present. A reported wait counts as that many requests ahead.
+// estimate extrapolates the last report to the present. A reported wait counts as that many requests ahead, except at a
+// server that was cold: coldWait predicts its wait.
 func (s *server) estimate(now time.Time, run time.Duration) spread.Estimate {
+	wait := s.report.Wait
+	if s.report.ColdFor > 0 {
+		wait = 0
+	}
 	load := spread.Load{
-		Occupancy: float64(s.report.Running), Arrivals: s.report.Arrivals, Stay: run + s.report.Wait,
+		Occupancy: float64(s.report.Running), Arrivals: s.report.Arrivals, Stay: run + wait,
 		Age: max(now.Sub(s.reportedAt), 0), Sent: s.sentSinceReport, InFlight: s.inFlight,
 	}
-	if slots := float64(s.slots()); s.report.Wait > 0 {
-		load.Occupancy = max(load.Occupancy, slots) + float64(s.report.Wait)/float64(run)*slots
+	if slots := float64(s.slots()); wait > 0 {
+		load.Occupancy = max(load.Occupancy, slots) + float64(wait)/float64(run)*slots
 	}
 	if s.reportedAt.IsZero() {
 		load.Age = 0 // nothing to extrapolate
@@ -428,6 +438,13 @@
 	return cost
 }
 
+// coldWait returns the expected wait for a start at a server that was cold at its latest report, zero once it is warm.
+// The report counts until then, however old it is.
+func (s *server) coldWait(now time.Time) time.Duration {
+	cold := warmup.Report{Rate: s.report.ColdRate, For: s.report.ColdFor, Wait: s.report.Wait}
+	return cold.ExpectedWait(now.Sub(s.reportedAt), s.sentSinceReport)
+}
+
 // recordResult counts one result; failure is 1 for a failure and 0 for a success.
 func (s *server) recordResult(now time.Time, failure float64) {
 	decay := s.decay(now)
