--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -358,6 +358,7 @@
 
 func (p *pool) put(conn *backendConn) {
 	now := time.Now()
+	_ = conn.SetDeadline(time.Time{}) // once it has passed, stillIdle could not look at the connection
 	var expired []*backendConn
 	p.mu.Lock()
 	if p.closed {
