--- a/internal/root/ctrl/transport.go
+++ b/internal/root/ctrl/transport.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
@@ -16,8 +17,24 @@
 	raftQueueSize    = 256 // messages; more are dropped, which consensus tolerates
 	raftRedialDelay  = 50 * time.Millisecond
 	raftWriteTimeout = 2 * time.Second // a slower write ends the stream
+
+	// minCompressed is the size in bytes from which a consensus message is compressed: entries and snapshots that hold
+	// configurations shrink to a tenth, and go to other availability zones. The many short messages are not worth
+	// the processor time.
+	minCompressed = 4 << 10
+
+	// kindRaftPeer is the kind of the only frame that the receiver of a consensus stream sends.
+	kindRaftPeer wire.Kind = 254
 )
 
+// raftPeer tells the sender of a consensus stream about its receiver. A receiver of an earlier version sends none.
+type raftPeer struct {
+	Decompresses bool `protobuf:"varint,1,opt,name=decompresses"`
+}
+
+// Check accepts every value.
+func (*raftPeer) Check() error { return nil }
+
 // raftLink sends consensus messages to one peer.
 type raftLink struct {
 	name    string
@@ -62,6 +79,8 @@
 		return false, fmt.Errorf("open consensus stream: %w", err)
 	}
 	defer func() { _ = stream.Close() }()
+	var decompresses atomic.Bool
+	go readRaftPeer(stream, &decompresses) // ends with the stream
 	writer := bufio.NewWriterSize(stream, 64<<10)
 	for {
 		select {
@@ -70,7 +89,7 @@
 		case message := <-r.queue:
 			// The deadline bounds real I/O, so it uses the system clock instead of the clock of the loop.
 			_ = stream.SetWriteDeadline(time.Now().Add(raftWriteTimeout))
-			frame, err := codec.Encode(message)
+			frame, err := encodeRaft(message, decompresses.Load())
 			if err == nil {
 				err = wire.WriteFrame(writer, frame.Kind, frame.Body)
 			}
@@ -84,17 +103,56 @@
 	}
 }
 
+// encodeRaft returns the frame of a consensus message, compressed if it is long and the receiver decompresses.
+func encodeRaft(message raft.Message, decompresses bool) (wire.Frame, error) {
+	frame, err := codec.Encode(message)
+	if err == nil && decompresses && len(frame.Body) >= minCompressed {
+		frame = wire.Compress(frame)
+	}
+	return frame, err
+}
+
+// readRaftPeer sets decompresses once the receiver of a stream has said that it decompresses frames.
+func readRaftPeer(stream *link.Stream, decompresses *atomic.Bool) {
+	frame, err := wire.ReadFrame(stream, maxControlFrame)
+	if err != nil || frame.Kind != kindRaftPeer {
+		return
+	}
+	peer, err := wire.Decode[raftPeer](frame.Body)
+	if err == nil {
+		decompresses.Store(peer.Decompresses)
+	}
+}
+
+// writeRaftPeer tells the sender of a stream what this instance accepts.
+func writeRaftPeer(stream *link.Stream) error {
+	frame, err := frameOf(kindRaftPeer, &raftPeer{Decompresses: true})
+	if err != nil {
+		return err
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(raftWriteTimeout))
+	return wire.WriteFrame(stream, frame.Kind, frame.Body)
+}
+
 // ServeRaft receives the consensus messages of a peer until the stream or ctx ends.
 func (l *Loop) ServeRaft(ctx context.Context, stream *link.Stream) {
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetReadDeadline(pastDeadline) })
 	defer stop()
 	defer func() { _ = stream.Close() }()
+	if err := writeRaftPeer(stream); err != nil {
+		return
+	}
 	reader := bufio.NewReaderSize(stream, 64<<10)
 	for {
-		frame, err := wire.ReadFrame(reader, wire.MaxFrame)
+		received, err := wire.ReadFrame(reader, wire.MaxFrame)
 		if err != nil {
 			return
 		}
+		frame, err := wire.Decompress(received, wire.MaxFrame)
+		if err != nil {
+			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("raft-message-refused")
+			return
+		}
 		message, err := codec.Decode(frame)
 		if err != nil {
 			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("raft-message-refused")
