--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -149,6 +149,7 @@
 		DaemonGone    *DaemonGone    `protobuf:"bytes,4,opt,name=daemon_gone"`
 		QuarantineAdd *QuarantineAdd `protobuf:"bytes,5,opt,name=quarantine_add"`
 		Tick          *Tick          `protobuf:"bytes,6,opt,name=tick"`
+		OrderZone     *OrderZone     `protobuf:"bytes,7,opt,name=order_zone"`
 	}
 )
 
@@ -175,6 +176,8 @@
 		e.QuarantineAdd = c
 	case *Tick:
 		e.Tick = c
+	case *OrderZone:
+		e.OrderZone = c
 	}
 	if err := e.Check(); err != nil {
 		return nil, err
@@ -209,6 +212,8 @@
 		return e.QuarantineAdd
 	case e.Tick != nil:
 		return e.Tick
+	case e.OrderZone != nil:
+		return e.OrderZone
 	}
 	return nil
 }
@@ -218,7 +223,7 @@
 	count := 0
 	for _, set := range []bool{
 		e.ProposeConfig != nil, e.OnceBegin != nil, e.OnceFinish != nil,
-		e.DaemonGone != nil, e.QuarantineAdd != nil, e.Tick != nil,
+		e.DaemonGone != nil, e.QuarantineAdd != nil, e.Tick != nil, e.OrderZone != nil,
 	} {
 		if set {
 			count++
--- a/internal/root/ctrl/state/machine.go
+++ b/internal/root/ctrl/state/machine.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -23,6 +24,10 @@
 		Revisions []*Revision
 		// QuarantineVersion increases whenever the set of quarantined fingerprints changes.
 		QuarantineVersion uint64
+		// Evacuations contains the availability zones under evacuation by name; the slice is immutable.
+		Evacuations []snap.Evacuation
+		// EvacuationVersion increases with each accepted order.
+		EvacuationVersion uint64
 
 		validate Validate
 		// textCount is the number of revisions with their text, and textBytes the total size of the texts.
@@ -84,6 +89,9 @@
 	case *Tick:
 		m.advanceTime(c.At)
 		return &Ticked{Now: m.Now}
+	case *OrderZone:
+		m.advanceTime(c.At)
+		return m.orderZone(c)
 	}
 	return nil
 }
--- a/internal/root/ctrl/state/snapshot.go
+++ b/internal/root/ctrl/state/snapshot.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -32,6 +33,9 @@
 		Revisions         []*Revision  `protobuf:"bytes,5,rep,name=revisions"`
 		Records           []*Record    `protobuf:"bytes,6,rep,name=records"`
 		Quarantines       []Quarantine `protobuf:"bytes,7,rep,name=quarantines"`
+
+		Evacuations       []snap.Evacuation `protobuf:"bytes,8,rep,name=evacuations"`
+		EvacuationVersion uint64            `protobuf:"varint,9,opt,name=evacuation_version"`
 	}
 )
 
@@ -42,6 +46,7 @@
 		Revisions:   slices.Clone(m.Revisions),
 		Records:     make([]*Record, 0, m.recordsByChange.Len()),
 		Quarantines: slices.Clone(m.quarantines),
+		Evacuations: m.Evacuations, EvacuationVersion: m.EvacuationVersion,
 	}
 	for element := m.recordsByChange.Front(); element != nil; element = element.Next() {
 		image.Records = append(image.Records, element.Value.(*Record))
@@ -73,6 +78,7 @@
 	m := New(validate)
 	m.Now, m.Index, m.QuarantineVersion = image.Now, image.Index, image.QuarantineVersion
 	m.Revisions, m.quarantines = image.Revisions, image.Quarantines
+	m.Evacuations, m.EvacuationVersion = image.Evacuations, image.EvacuationVersion
 	for _, r := range image.Revisions {
 		if len(r.Text) > 0 {
 			m.textCount++
@@ -98,6 +104,9 @@
 	case !slices.IsSortedFunc(i.Quarantines, compareQuarantines):
 		return fmt.Errorf("%w: quarantines are not in order", ErrSnapshot)
 	}
+	if err := checkEvacuations(i.Evacuations); err != nil {
+		return err
+	}
 	for k, r := range i.Revisions {
 		if r == nil {
 			return fmt.Errorf("%w: empty revision", ErrSnapshot)
