--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -23,7 +23,7 @@
 		IngressAddress   netip.AddrPort    `toml:"ingress-address" required:"alone" doc:"Address on which callers are served over HTTP."`
 		LocalAddress     netip.AddrPort    `toml:"local-address" required:"alone" doc:"Address for the backend server beside the daemon: announcements and nested calls."`
 		PeerAddress      netip.AddrPort    `toml:"peer-address" required:"true" doc:"Address on which other daemons connect."`
-		AdminAddress     netip.AddrPort    `toml:"admin-address" required:"true" doc:"Address of the operators' endpoint: status, dump and metrics."`
+		AdminAddress     netip.AddrPort    `toml:"admin-address" required:"true" doc:"Address of the operators' endpoint: status, dump, metrics and orders for availability zones."`
 		PeerAdvertise    netip.AddrPort    `toml:"peer-advertise" doc:"Address under which other daemons reach peer-address; the default is peer-address, which then has to name one IP address."`
 		DataFolder       string            `toml:"data-folder" doc:"Folder of the durable log; set on control instances only."`
 		ControlAddresses []ControlInstance `toml:"control-addresses" required:"alone" doc:"Table of the control instances: voter name = peer address."`
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -28,6 +28,7 @@
 	truncatedResponses     prometheus.Counter
 	refusalsWithinRate     *prometheus.CounterVec
 	addedLatency           *prometheus.HistogramVec
+	evacuationRefusals     prometheus.Counter
 }
 
 // New returns a meter with its own registry.
@@ -61,7 +62,8 @@
 			Help: "Time to the head of a call's answer that was not spent in the backend server.",
 		}, []string{"service"}),
 	}
-	m.Registry.MustRegister(m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.evacuationRefusals = newCounter("evacuation_refusals_total", "Requests refused at the daemon of their backend server because its availability zone is under evacuation.")
+	m.Registry.MustRegister(m.evacuationRefusals, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -116,3 +118,13 @@
 func (m *Meter) AddedLatency(service string, latency time.Duration) {
 	m.addedLatency.WithLabelValues(service).Observe(max(latency, 0).Seconds())
 }
+
+// EvacuationRefused counts a request that the daemon of its backend server refused because of an evacuation.
+func (m *Meter) EvacuationRefused() { m.evacuationRefusals.Inc() }
+
+// WatchZones registers a gauge of the availability zones under evacuation, whose number read returns at each scrape.
+func (m *Meter) WatchZones(read func() int) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "evacuated_zones", Help: "Availability zones under evacuation, as this daemon knows them.",
+	}, func() float64 { return float64(read()) }))
+}
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -68,6 +68,10 @@
 		CreateKey *createKeyCommand `arg:"subcommand:create-key" help:"create a key for a client account"`
 		Trace     *traceCommand     `arg:"subcommand:trace" help:"show what daemons logged about a request"`
 		Format    *formatCommand    `arg:"subcommand:format" help:"print a rules file in its canonical form"`
+
+		EvacuateZone *evacuateZoneCommand `arg:"subcommand:evacuate-zone" help:"send no more requests to the backend servers of an availability zone"`
+		RestoreZone  *restoreZoneCommand  `arg:"subcommand:restore-zone" help:"end the evacuation of an availability zone"`
+		Zones        *zonesCommand        `arg:"subcommand:zones" help:"list the availability zones under evacuation"`
 	}
 
 	// output is the format of a result: text or json.
@@ -99,7 +103,7 @@
 
 // Description is the first line of the help text.
 func (*arguments) Description() string {
-	return "buckthornctl shows the state of a buckthornpitch fleet and checks rules files. It changes nothing."
+	return "buckthornctl shows the state of a buckthornpitch fleet and checks rules files. It changes nothing, except that evacuate-zone and restore-zone order and revoke an evacuation, also while the rules file cannot be edited."
 }
 
 // UnmarshalText accepts text and json.
@@ -165,6 +169,12 @@
 		return c.run(s)
 	case *traceCommand:
 		return c.run(s)
+	case *evacuateZoneCommand:
+		return c.run(ctx, s)
+	case *restoreZoneCommand:
+		return c.run(ctx, s)
+	case *zonesCommand:
+		return c.run(ctx, s)
 	}
 	return outcome{}, fmt.Errorf("command %T is not handled", chosen)
 }
@@ -243,7 +253,7 @@
 		switch adminErr.Reason {
 		case admin.ReasonBadRequest:
 			return ExitUsage
-		case admin.ReasonNoLeader:
+		case admin.ReasonNoLeader, admin.ReasonUnconfirmed:
 			return ExitUnreachable
 		}
 		return ExitRefused
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -57,6 +57,7 @@
 		Listener net.Listener
 		Clock    clock.Clock
 		Reporter Reporter
+		Orders   Orders
 		Traffic  Traffic
 		Sessions func() int // returns the number of open connections with other daemons
 		Meter    *meter.Meter
@@ -83,6 +84,9 @@
 	server.HandlePrefix(admin.PathRevision, s.handle(s.revision))
 	server.HandleFunc(admin.PathExplain, s.handle(s.explain))
 	server.HandleFunc(admin.PathDump, s.handle(s.dump))
+	server.HandleFunc(admin.PathZones, s.handle(s.zones))
+	server.HandleFunc(admin.PathEvacuateZone, s.handleOrder(true))
+	server.HandleFunc(admin.PathRestoreZone, s.handleOrder(false))
 	server.Handle(metricsPath, promhttp.HandlerFor(s.Meter.Registry, promhttp.HandlerOpts{}))
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Start(context.WithoutCancel(ctx)) }()
@@ -101,7 +105,7 @@
 func (s *Server) handle(report func(*http.Request) ([]byte, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodGet {
-			writeError(w, http.StatusMethodNotAllowed, admin.ReasonBadRequest, "only GET is supported; the rules file is the only way to change anything")
+			writeError(w, http.StatusMethodNotAllowed, admin.ReasonBadRequest, "only GET is supported; except for orders for availability zones, the rules file is the only way to change anything")
 			return
 		}
 		body, err := report(r)
--- a/internal/root/ctrl/localzones.go
+++ b/internal/root/ctrl/localzones.go
@@ -58,13 +58,13 @@
 // applyEvacuations applies the list of the leader.
 func (l *Loop) applyEvacuations(now time.Time, list *EvacuationList) {
 	zones := &l.daemon.zones
-	before, wasKnown := zones.version, zones.known
+	before := zones.version
 	if !zones.replace(now, list) {
 		l.log.Warn().Uint64("version", list.Version).Uint64("own", zones.version).Msg("evacuations-outdated")
 		return
 	}
 	l.dirty = true
-	if !wasKnown || before != list.Version {
+	if before != list.Version { // not for a group that has never had an order
 		l.log.Info().Strs("zones", slices.Sorted(maps.Keys(zones.evacuated))).Uint64("version", list.Version).Msg("evacuations-received")
 	}
 }
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -186,6 +186,7 @@
 		}
 		*binding.target = listener
 	}
+	b.meter.WatchZones(func() int { return len(b.loop.Snapshot().Evacuated) })
 	trafficRelay := relay.New(options, platform.Dialect{}, b.clock, b.loop, b.trafficDialer, b.meter, b.log, requestLog)
 	trafficRelay.SetHandlers(
 		&platform.RPCHandler{Registrar: trafficRelay.LocalBackend, Address: s.Fleet.CallAddress, Log: b.log},
@@ -204,7 +205,7 @@
 	peerStreams := &relay.PeerStreams{Clock: b.clock, Dialer: b.trafficDialer, Log: b.log}
 	handler := &platform.RPCHandler{
 		Registrar: &relay.NoticeForwarder{PeerStreams: peerStreams, Port: b.settings.PeerAdvertise.Port()},
-		Configs:   b.loop, Address: b.settings.Fleet.CallAddress, Log: b.log,
+		Configs:   b.loop, Orders: b.loop, Address: b.settings.Fleet.CallAddress, Log: b.log,
 	}
 	return &super.Group{Name: "calls", Log: b.log, Children: []super.Child{
 		{Name: "calls-server", Run: relay.HTTPServerRunner("calls", listener, handler, b.log)},
@@ -219,7 +220,7 @@
 		return nil, err
 	}
 	return &admin.Server{
-		Name: b.settings.Name, Region: b.settings.Region, Listener: listener, Clock: b.clock, Reporter: b.loop, Traffic: traffic,
+		Name: b.settings.Name, Region: b.settings.Region, Listener: listener, Clock: b.clock, Reporter: b.loop, Orders: b.loop, Traffic: traffic,
 		Sessions: func() int { return b.peerServer.Sessions() + b.trafficDialer.Sessions() + b.controlDialer.Sessions() },
 		Meter:    b.meter, Settings: settingsSection(b.settings), Log: b.log,
 	}, nil
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -77,6 +77,7 @@
 		return nil, err
 	}
 	metrics := meter.New()
+	metrics.WatchZones(func() int { return len(loop.Snapshot().Evacuated) })
 	traffic := call.New(call.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
 		Ingress: listeners.ingress, Local: listeners.local,
@@ -94,7 +95,7 @@
 		peerServer.Handlers[link.StreamRaft] = loop.ServeRaft
 	}
 	adminServer := &admin.Server{
-		Name: settings.Name, Region: settings.Region, Listener: listeners.admin, Clock: clk, Reporter: loop,
+		Name: settings.Name, Region: settings.Region, Listener: listeners.admin, Clock: clk, Reporter: loop, Orders: loop,
 		Traffic:  traffic,
 		Sessions: func() int { return peerServer.Sessions() + callDialer.Sessions() + controlDialer.Sessions() },
 		Meter:    metrics, Settings: settingsSection(settings), Log: log,
