--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,8 +111,9 @@
 			return failed{Failure: previous, Final: true} // more specific than NoBackend
 		}
 		if !ok {
-			return failed{Failure: retry.NoBackend{}, Final: true}
+			return failed{Failure: f.noServer(r), Final: true}
 		}
+		firstOffer := !slices.Contains(tried, endpoint.ID)
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
 		attempt := f.send(ctx, r, &endpoint, loan.Retries)
@@ -120,7 +122,7 @@
 			return f.deliver(ctx, r, out, attempt, &endpoint, instances)
 		}
 		instances.Done(f.Clock.Now(), endpoint.ID, attempt.feedback)
-		verdict := f.decide(r, attempt, attempts)
+		verdict := f.decide(r, attempt, attempts, firstOffer)
 		retryVerdict, ok := verdict.(retry.Retry)
 		if !ok {
 			return f.giveUp(ctx, r, out, attempt, verdict, previous)
@@ -310,7 +312,7 @@
 	return false
 }
 
-func (f *Forwarder) decide(r *Request, attempt attemptResult, attempts int) retry.Verdict {
+func (f *Forwarder) decide(r *Request, attempt attemptResult, attempts int, firstOffer bool) retry.Verdict {
 	if _, consumed := r.Rest.(consumedBody); consumed {
 		return retry.GiveUp{Cause: retry.NotAllowed, Final: true}
 	}
@@ -326,6 +328,7 @@
 		Idempotent: r.idempotent(),
 		Final:      attempt.report.Final,
 		Sent:       attempts,
+		FirstOffer: firstOffer,
 		Deadline:   r.Deadline,
 	})
 	if retryVerdict, ok := verdict.(retry.Retry); ok {
@@ -445,7 +448,7 @@
 		return picker.Responded{Latency: attempt.latency, Load: attempt.report.Load}
 	case retry.Draining:
 		return picker.Refused{Load: attempt.report.Load, Draining: true}
-	case retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.DeadlineBefore:
+	case retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.DeadlineBefore, retry.Evacuated:
 		return picker.Refused{Load: attempt.report.Load}
 	}
 	return picker.Failed{Latency: attempt.latency}
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -224,7 +224,7 @@
 func withinRate(failure retry.Failure) bool {
 	switch failure.(type) {
 	case retry.Throttled, retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.NoBackend, retry.Unreached,
-		retry.RecordUnavailable, retry.DeadlineBefore, retry.Draining:
+		retry.RecordUnavailable, retry.DeadlineBefore, retry.Draining, retry.Evacuated:
 		return true
 	}
 	return false
--- a/internal/root/call/outcome_test.go
+++ b/internal/root/call/outcome_test.go
@@ -163,6 +163,12 @@
 		{name: "draining backend", method: "POST", target: "/once", header: []string{keyed}, cause: func(s *outcomeFixture) {
 			s.nodes[1].handler.backends.leave(s.lists["reader"].Instances[0].Address)
 		}, status: 503, outcome: "not-run", reason: "draining", rule: "route/POST/once"},
+		{name: "evacuated zone", method: "POST", target: "/once", header: []string{keyed}, cause: func(s *outcomeFixture) {
+			s.evacuate("z")
+		}, status: 503, outcome: "not-run", reason: "evacuated", rule: "route/POST/once"},
+		{name: "evacuations not known", method: "POST", target: "/once", header: []string{keyed}, cause: func(s *outcomeFixture) {
+			s.publish(func(p *snap.Snapshot) { p.EvacuationsUnknown = true })
+		}, status: 503, outcome: "not-run", reason: "no-backend", rule: "route/POST/once"},
 		{name: "announced body too large", method: "POST", target: "/once", header: []string{keyed}, cause: func(s *outcomeFixture) { s.nodes[0].handler.MaxBody = 10 }, body: "more than ten bytes", status: 413, outcome: "not-run", reason: "body-too-large", rule: "route/POST/once"},
 		{name: "header too large", target: "/open", header: []string{"X-Long: " + strings.Repeat("x", 17<<10)}, status: 431, outcome: "not-run", reason: "header-too-large"},
 		{name: "header far too large", target: "/open", header: []string{"X-Long: " + strings.Repeat("x", 40<<10)}, status: 431, outcome: "not-run", reason: "header-too-large"},
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -45,7 +45,7 @@
 func (f *Forwarder) resume(ctx context.Context, r *Request, out sink, s *resumption, instances *picker.Picker, tried []string) result {
 	rangeRequest := r.rangeRequest()
 	for attempts := 1; s.sent < s.length; attempts++ {
-		verdict := f.decide(r, attemptResult{failure: retry.BackendLost{}}, attempts)
+		verdict := f.decide(r, attemptResult{failure: retry.BackendLost{}}, attempts, false)
 		retryVerdict, ok := verdict.(retry.Retry)
 		if !ok || !f.pause(ctx, retryVerdict.After) {
 			return broken{}
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -101,6 +101,9 @@
 	BackendLost struct{}
 	// Draining is a request to a daemon or backend server that is leaving.
 	Draining struct{}
+	// Evacuated is a request that the daemon of a backend server refused before the server received it, because the
+	// availability zone is under evacuation.
+	Evacuated struct{}
 	// BodyTooLarge is a request whose body exceeds its limit.
 	BodyTooLarge struct{ Dispatched bool }
 	// HeaderTooLarge is a request whose header exceeds its limit.
@@ -131,6 +134,7 @@
 func (DeadlineAfter) failure()     {}
 func (BackendLost) failure()       {}
 func (Draining) failure()          {}
+func (Evacuated) failure()         {}
 func (BodyTooLarge) failure()      {}
 func (HeaderTooLarge) failure()    {}
 
@@ -185,6 +189,8 @@
 		return Row{Reason: "backend-lost", Status: http.StatusBadGateway, Outcome: Unknown, Resend: IfIdempotent}
 	case Draining:
 		return Row{Reason: "draining", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+	case Evacuated:
+		return Row{Reason: "evacuated", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
 	case BodyTooLarge:
 		row := Row{Reason: "body-too-large", Status: http.StatusRequestEntityTooLarge, Outcome: NotRun}
 		if f.Dispatched {
@@ -236,6 +242,7 @@
 		DeadlineAfter{},
 		BackendLost{},
 		Draining{},
+		Evacuated{},
 		BodyTooLarge{},
 		BodyTooLarge{Dispatched: true},
 		HeaderTooLarge{},
--- a/internal/root/call/retry/planner.go
+++ b/internal/root/call/retry/planner.go
@@ -41,6 +41,7 @@
 		Idempotent bool
 		Final      bool // the response reports that a lower layer has decided about retries
 		Sent       int  // sends of this call so far, at least 1
+		FirstOffer bool // the instance had not been offered the call before
 		Deadline   time.Time
 	}
 
@@ -104,6 +105,10 @@
 	case !MayResend(a.Failure, a.Idempotent):
 		return GiveUp{Cause: NotAllowed, Final: true}
 	}
+	if _, evacuated := a.Failure.(Evacuated); evacuated && a.FirstOffer && now.Before(a.Deadline) {
+		// The server has not received the call. The number of servers bounds these retries.
+		return Retry{}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delay := p.backoff(a.Sent)
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -181,7 +181,15 @@
 		c.refuse(retry.Draining{})
 		return
 	}
-	if failure := c.admit(ctx); failure != nil {
+	failure := c.admit(ctx)
+	if closed := c.server.backends.closed(found); failure == nil && closed != nil {
+		found.limiter.Cancel(c.server.Clock.Now(), c.ticket)
+		failure = closed
+	}
+	if failure != nil {
+		if failure == (retry.Evacuated{}) {
+			c.server.Meter.EvacuationRefused()
+		}
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			c.server.Meter.Shed(importanceName(c.parent.importance), string(retry.Describe(failure).Reason))
 		}
@@ -195,6 +203,9 @@
 
 // admit waits for a slot; it returns nil once the call has one.
 func (c *incomingCall) admit(ctx context.Context) retry.Failure {
+	if failure := c.server.backends.closed(c.backend); failure != nil {
+		return failure
+	}
 	now := c.server.Clock.Now()
 	c.ticket = &admit.Ticket{
 		Account:    c.head.Account,
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -134,6 +134,7 @@
 	return &super.Group{Name: "call", Log: t.Log, Children: []super.Child{
 		{Name: "ingress", Run: t.serveHTTP("ingress", t.ingress, t.handler.ServeIngress)},
 		{Name: "drain", Run: t.drain},
+		{Name: "evacuation", Run: t.server.backends.watchEvacuations},
 		{Name: "local", Run: t.serveHTTP("local", newBoundedListener(t.Local, t.MaxConnections), t.handler.ServeLocal)},
 	}}
 }
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -32,7 +32,7 @@
 	for {
 		endpoint, ok := f.choose(state, svc)
 		if !ok {
-			return state.finalOutcome()
+			return f.noServer(state)
 		}
 		result, report := f.send(ctx, state, svc, &endpoint)
 		state.tried = append(state.tried, endpoint.ID)
@@ -134,6 +134,7 @@
 // reportResult reports the result of a send to the balancer.
 func (f *Forwarder) reportResult(svc *serviceState, state *forwardState, id string, result outcome, report *Report) {
 	var balancerResult place.Result = place.Failed{}
+	avoid := false
 	switch result := result.(type) {
 	case completed:
 		balancerResult = place.Served{}
@@ -146,6 +147,9 @@
 			balancerResult = place.Unreached{}
 		case retry.Draining:
 			balancerResult = place.Refused{Leaving: true}
+		case retry.Evacuated:
+			balancerResult = place.Refused{}
+			avoid = true // this daemon may not receive the list, so that it would choose the idle server again
 		default:
 			balancerResult = place.Refused{}
 			if result.reached {
@@ -164,6 +168,9 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	svc.balancer.Done(f.Clock.Now(), id, state.route.Name, load, balancerResult)
+	if avoid {
+		svc.balancer.MarkUnreached(f.Clock.Now(), id)
+	}
 }
 
 // recordOutcome updates the outcome that the caller receives if no further send is made. A request that may have
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -50,6 +50,7 @@
 		Suspects *crash.Suspects
 		MaxBody  int64 // limit of a response in bytes
 		Bodies   *bodyBudget
+		Zone     string // availability zone
 
 		mu       sync.Mutex
 		expected Expected
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -48,6 +48,7 @@
 func (b *LocalBackend) serve(ctx context.Context, j *job) (outcome, Report) {
 	s, ticket, refused := b.admit(ctx, j)
 	if refused != nil {
+		b.countRefusal(refused)
 		return refused, b.report(s, j)
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
@@ -139,6 +140,9 @@
 	case s.unanswered >= maxUnanswered && s.probing:
 		return notRun{failure: retry.Unreached{}}
 	}
+	if failure := b.closed(); failure != nil {
+		return notRun{failure: failure}
+	}
 	return nil
 }
 
@@ -235,6 +239,7 @@
 // admitWaiting starts waiting requests and refuses those whose time in the queue is over; b.mu is held.
 func (b *LocalBackend) admitWaiting(now time.Time, s *serverProcess) {
 	b.reclaimLost(now, s)
+	b.refuseClosed(s)
 	started, dropped := s.controller.Dispatch(now)
 	for _, t := range started {
 		b.notifyWaiting(s, t, admission{})
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -261,8 +261,8 @@
 	}
 }
 
-// MarkUnreached avoids the server with that endpoint id for a while, because its daemon has fallen silent. The
-// requests in flight there are not done.
+// MarkUnreached avoids the server with that endpoint id for a while, because its daemon has fallen silent or refuses
+// requests for it. The requests in flight there are not done.
 func (b *Balancer) MarkUnreached(now time.Time, id string) {
 	at := slices.IndexFunc(b.servers, func(s *server) bool { return s.endpoint.ID == id })
 	if at >= 0 {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -103,7 +103,7 @@
 	bodies := newBodyBudget(o.MemoryLimit)
 	backend := &LocalBackend{
 		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
-		MaxBody: maxBody, Bodies: bodies, expected: Expected{Service: o.Service, Address: o.BackendAddress},
+		MaxBody: maxBody, Bodies: bodies, Zone: o.Zone, expected: Expected{Service: o.Service, Address: o.BackendAddress},
 	}
 	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
 	forwarder := &Forwarder{
@@ -141,6 +141,7 @@
 		{Name: "ready", Run: HTTPServerRunner("ready", r.Options.Ready, r.ready, r.Log)},
 		{Name: "calls", Run: HTTPServerRunner("calls", r.Calls, r.calls, r.Log)},
 		{Name: "greet", Run: r.checkHealth},
+		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
 		{Name: "lanes", Run: r.PeerStreams.Run},
 	}}
 }
