--- a/internal/root/relay/evacuation_test.go
+++ b/internal/root/relay/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,10 @@
 func TestDaemonEnforcesTheEvacuation(t *testing.T) {
 	zones := []string{"a", "b"}
 	f := newTestFleet(t, 2, func(o *Options) { o.Zone, zones = zones[0], zones[1:] })
+	f.control.mu.Lock()
+	f.control.version++
+	slices.Reverse(f.control.list) // of servers of equal cost, the first is chosen
+	f.control.mu.Unlock()
 	f.control.evacuate("b") // the list of servers names zone a for both, so that only the daemon knows better
 	for i := range 30 {
 		id := fmt.Sprint("e", i)
