--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -32,6 +32,7 @@
 	unevenRefusals         *prometheus.CounterVec
 	coldServers            prometheus.Gauge
 	coldStarts             *prometheus.CounterVec
+	evacuationRefusals     prometheus.Counter
 }
 
 // New returns a meter with its own registry.
@@ -73,7 +74,8 @@
 		}),
 		coldStarts: newCounterVec("cold_starts_total", "Calls that were delayed or refused because their backend server is cold.", "result"),
 	}
-	m.Registry.MustRegister(m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.evacuationRefusals = newCounter("evacuation_refusals_total", "Requests refused at the daemon of their backend server because its availability zone is under evacuation.")
+	m.Registry.MustRegister(m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -141,3 +143,13 @@
 
 // ColdStart counts a call that was delayed or refused because its backend server is cold.
 func (m *Meter) ColdStart(result string) { m.coldStarts.WithLabelValues(result).Inc() }
+
+// EvacuationRefused counts a request that the daemon of its backend server refused because of an evacuation.
+func (m *Meter) EvacuationRefused() { m.evacuationRefusals.Inc() }
+
+// WatchZones registers a gauge of the availability zones under evacuation, whose number read returns at each scrape.
+func (m *Meter) WatchZones(read func() int) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "evacuated_zones", Help: "Availability zones under evacuation, as this daemon knows them.",
+	}, func() float64 { return float64(read()) }))
+}
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -116,6 +117,7 @@
 		if !ok {
 			return failed{Failure: f.refusal(r, &policy), Final: true}
 		}
+		firstOffer := !slices.Contains(tried, endpoint.ID)
 		tried = append(tried, endpoint.ID)
 		loan := r.Budget.Lend()
 		attempt := f.send(ctx, r, &endpoint, policy.Regions, loan.Retries)
@@ -124,7 +126,7 @@
 			return f.deliver(ctx, r, out, attempt, &endpoint, instances)
 		}
 		instances.Done(f.Clock.Now(), endpoint.ID, attempt.feedback)
-		verdict := f.decide(r, attempt, attempts)
+		verdict := f.decide(r, attempt, attempts, firstOffer)
 		retryVerdict, ok := verdict.(retry.Retry)
 		if !ok {
 			return f.giveUp(ctx, r, out, attempt, verdict, previous)
@@ -334,7 +336,7 @@
 	return false
 }
 
-func (f *Forwarder) decide(r *Request, attempt attemptResult, attempts int) retry.Verdict {
+func (f *Forwarder) decide(r *Request, attempt attemptResult, attempts int, firstOffer bool) retry.Verdict {
 	if _, consumed := r.Rest.(consumedBody); consumed {
 		return retry.GiveUp{Cause: retry.NotAllowed, Final: true}
 	}
@@ -350,6 +352,7 @@
 		Idempotent: r.idempotent(),
 		Final:      attempt.report.Final,
 		Sent:       attempts,
+		FirstOffer: firstOffer,
 		Deadline:   r.Deadline,
 	})
 	if retryVerdict, ok := verdict.(retry.Retry); ok {
@@ -471,7 +474,7 @@
 		return picker.Responded{Latency: attempt.latency, Load: report.Load, Cold: cold}
 	case retry.Draining:
 		return picker.Refused{Load: report.Load, Draining: true, Cold: cold}
-	case retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.DeadlineBefore:
+	case retry.Overload, retry.QueueFull, retry.QueueTimeout, retry.DeadlineBefore, retry.Evacuated:
 		return picker.Refused{Load: report.Load, Cold: cold}
 	}
 	return picker.Failed{Latency: attempt.latency}
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -105,6 +105,9 @@
 	// RegionNotAllowed is a request that no backend server in its allowed regions can take. Regions names them, separated
 	// by commas.
 	RegionNotAllowed struct{ Regions string }
+	// Evacuated is a request that the daemon of a backend server refused before the server received it, because the
+	// availability zone is under evacuation.
+	Evacuated struct{}
 	// BodyTooLarge is a request whose body exceeds its limit.
 	BodyTooLarge struct{ Dispatched bool }
 	// HeaderTooLarge is a request whose header exceeds its limit.
@@ -136,6 +139,7 @@
 func (BackendLost) failure()       {}
 func (Draining) failure()          {}
 func (RegionNotAllowed) failure()  {}
+func (Evacuated) failure()         {}
 func (BodyTooLarge) failure()      {}
 func (HeaderTooLarge) failure()    {}
 
@@ -196,6 +200,8 @@
 			text = "no region is allowed"
 		}
 		return Row{Reason: "region-not-allowed", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause, Text: text}
+	case Evacuated:
+		return Row{Reason: "evacuated", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
 	case BodyTooLarge:
 		row := Row{Reason: "body-too-large", Status: http.StatusRequestEntityTooLarge, Outcome: NotRun}
 		if f.Dispatched {
@@ -248,6 +254,7 @@
 		BackendLost{},
 		Draining{},
 		RegionNotAllowed{},
+		Evacuated{},
 		BodyTooLarge{},
 		BodyTooLarge{Dispatched: true},
 		HeaderTooLarge{},
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -36,6 +36,11 @@
 	kindRedirect
 	kindQueryReply
 	kindMembers
+
+	// Kinds of both directions that were added later; the numbers of the earlier kinds stay.
+	kindEvacuations
+	kindOrderCall
+	kindOrderReply
 )
 
 const (
@@ -67,6 +72,8 @@
 		Decompresses bool `protobuf:"varint,7,opt,name=decompresses"`
 		// Region is empty if the daemon is of a version that does not report it.
 		Region string `protobuf:"bytes,8,opt,name=region"`
+		// Evacuations is set if the daemon accepts an EvacuationList.
+		Evacuations bool `protobuf:"varint,9,opt,name=evacuations"`
 	}
 
 	// OnceCall carries one idempotency command; the reply has the same ID.
@@ -156,6 +163,7 @@
 	QueryHistory
 	QueryRevision
 	QueryLeaderDump
+	QueryZones
 )
 
 // Wrappers of messages of other packages, which cannot have the marker methods of this package.
@@ -267,7 +275,7 @@
 
 // Check returns an error for an unknown kind.
 func (q *Query) Check() error {
-	if q.Kind < QueryInForce || q.Kind > QueryLeaderDump {
+	if q.Kind < QueryInForce || q.Kind > QueryZones {
 		return fmt.Errorf("query kind %d is unknown", q.Kind)
 	}
 	return nil
--- a/internal/root/reach/reach.go
+++ b/internal/root/reach/reach.go
@@ -76,9 +76,12 @@
 	return nil
 }
 
-// Refusal returns the failure of a request that was sent nowhere because none of the endpoints could be chosen: the
-// allowed regions are named if they exclude one.
+// Refusal returns the failure of a request that was sent nowhere because none of the endpoints could be chosen. The
+// evacuation is named if all others are excluded too, and otherwise the allowed regions if they exclude one.
 func (p *Policy) Refusal(endpoints []snap.Endpoint) retry.Failure {
+	if _, evacuated := p.ExcludeAll(endpoints).(EvacuatedZone); evacuated {
+		return retry.Evacuated{}
+	}
 	for i := range endpoints {
 		if _, foreign := p.Exclude(&endpoints[i]).(ForeignRegion); foreign {
 			return retry.RegionNotAllowed{Regions: p.regionText()}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -61,6 +61,7 @@
 func (b *LocalBackend) tryServe(ctx context.Context, j *job) (*serverProcess, outcome) {
 	s, ticket, refused := b.admit(ctx, j)
 	if refused != nil {
+		b.countRefusal(refused)
 		return s, refused
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
@@ -161,6 +162,9 @@
 	case s.unanswered >= maxUnanswered && s.probing:
 		return notRun{failure: retry.Unreached{}}
 	}
+	if failure := b.closed(); failure != nil {
+		return notRun{failure: failure}
+	}
 	return nil
 }
 
@@ -263,6 +267,7 @@
 func (b *LocalBackend) admitWaiting(now time.Time, s *serverProcess) {
 	b.updateCold(now)
 	b.reclaimLost(now, s)
+	b.refuseClosed(s)
 	started, dropped := s.controller.Dispatch(now)
 	for _, t := range started {
 		b.notifyWaiting(s, t, admission{})
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -141,6 +141,7 @@
 		{Name: "ready", Run: HTTPServerRunner("ready", r.Options.Ready, r.ready, r.Log)},
 		{Name: "calls", Run: HTTPServerRunner("calls", r.Calls, r.calls, r.Log)},
 		{Name: "greet", Run: r.checkHealth},
+		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
 		{Name: "lanes", Run: r.PeerStreams.Run},
 	}}
 }
--- a/internal/snap/snapshot.go
+++ b/internal/snap/snapshot.go
@@ -17,6 +17,9 @@
 	Quarantine  map[string]wire.Stamp // end of the quarantine by request fingerprint
 	Evacuated   map[string]Evacuation // by availability zone
 	Restored    map[string]time.Time  // by availability zone: when this daemon learned that its evacuation had ended
+
+	EvacuationsUnknown bool            // no leader has sent the list of evacuations since the start of the daemon
+	EvacuationsChanged <-chan struct{} // closed once a later snapshot has another list of evacuations
 }
 
 // Endpoints is the list of instances of one service at one version.
