--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -163,16 +164,16 @@
 	if load/float64(localCount) >= maxLocalLoad {
 		return p.evenly(now, p.eligible)
 	}
-	localPick := p.evenly(now, local)
 	remotePick := remote[p.random.IntN(len(remote))]
-	latency := p.defaultLatency()
 	if p.random.IntN(explorationPeriod) == 0 {
 		return remotePick
 	}
-	if localPick.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < localPick.cost(now, latency) {
+	latency := p.defaultLatency()
+	cheapest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
+	if cheapest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < cheapest.cost(now, latency) {
 		return remotePick
 	}
-	return localPick
+	return p.evenly(now, local)
 }
 
 // evenly chooses among candidates that are equally near. The load that an instance reports stands for the calls of
--- a/internal/root/call/picker/picker_test.go
+++ b/internal/root/call/picker/picker_test.go
@@ -243,6 +243,27 @@
 	assert.Assert(t, len(picks) == 8 && picks["7"] < 200, "%v", picks)
 }
 
+// Guards against calls that leave the availability zone because the local instance that was chosen at random is slow,
+// while another one there is as fast as those of other zones.
+func TestSlowLocalInstanceSendsNothingAway(t *testing.T) {
+	p := newPicker("a", []snap.Endpoint{
+		{ID: "0", Zone: "a", Slots: 10, Incarnation: 1}, {ID: "1", Zone: "a", Slots: 10, Incarnation: 2}, {ID: "2", Zone: "b", Slots: 10, Incarnation: 3},
+	})
+	for i, in := range p.instances {
+		in.started, in.latency = time.Time{}, float64([]time.Duration{10, 25, 10}[i]*time.Millisecond)
+		in.load, in.loadAt = 0.2, start
+	}
+	away := 0
+	for range 20 * explorationPeriod {
+		endpoint, _ := p.Pick(start, Request{})
+		if endpoint.Zone != "a" {
+			away++
+		}
+		p.Done(start, endpoint.ID, Canceled{})
+	}
+	assert.Assert(t, away < 60, "%d calls to the other zone", away) // about 20 are explorations
+}
+
 func BenchmarkPickDone(b *testing.B) {
 	for _, n := range []int{3, 24} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -109,6 +109,7 @@
 		Congestion float64
 		// Arrivals is the rate per second of requests that were started or queued.
 		Arrivals float64
+		MeanRun  time.Duration // average run time of all routes, zero before the first run
 		ColdRate float64       // starts per second while the server is cold, zero for no limit
 		ColdFor  time.Duration // how long that rate applies, zero for a warm server
 	}
@@ -355,8 +356,8 @@
 	load := Load{
 		Wait: max(g.predictWait(now, c, r, ahead), g.coldWait(now, c, ahead)), Run: r.meanRunTime,
 		Running: g.running, Waiting: g.waiting, Slots: g.slots, Congestion: g.congestion(now),
-		Arrivals: g.accepted.current(now),
-		ColdFor:  g.Cold.Remaining(now),
+		Arrivals: g.accepted.current(now), MeanRun: g.runTime,
+		ColdFor: g.Cold.Remaining(now),
 	}
 	if load.ColdFor > 0 {
 		load.ColdRate = g.Cold.Rate
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -316,7 +316,7 @@
 	return Report{
 		Wait: load.Wait, Running: uint32(load.Running), Slots: uint32(load.Slots), Run: load.Run,
 		Leaving: s.leaving || b.draining, Congestion: load.Congestion, ColdRate: load.ColdRate, ColdFor: load.ColdFor,
-		Arrivals: uint32(math.Ceil(load.Arrivals)),
+		Arrivals: uint32(math.Ceil(load.Arrivals)), MeanRun: load.MeanRun,
 	}
 }
 
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -92,6 +92,7 @@
 		ColdRate   float64       `protobuf:"fixed64,7,opt,name=cold_rate,proto3"` // requests per second while the server is cold, zero for no limit
 		ColdFor    time.Duration `protobuf:"varint,8,opt,name=cold_for,proto3"`   // how long the server is still cold, zero for a warm one
 		Arrivals   uint32        `protobuf:"varint,9,opt,name=arrivals,proto3"`   // requests per second that the server accepts from all daemons
+		MeanRun    time.Duration `protobuf:"varint,10,opt,name=mean_run,proto3"`  // average run time of all routes
 	}
 
 	// Reply is the reply to a SendRequest and carries the outcome of the request.
@@ -265,6 +266,6 @@
 func (r *Report) balancerReport() *place.Report {
 	return &place.Report{
 		Wait: r.Wait, Running: int(r.Running), Slots: int(r.Slots), Run: r.Run, ColdRate: r.ColdRate, ColdFor: r.ColdFor,
-		Arrivals: float64(r.Arrivals),
+		Arrivals: float64(r.Arrivals), MeanRun: r.MeanRun,
 	}
 }
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -91,6 +91,7 @@
 		Running int
 		Slots   int
 		Run     time.Duration // average run time of the request's route, zero if unknown
+		MeanRun time.Duration // average run time of all routes, zero if unknown
 		// Arrivals is the rate per second of requests that the server accepts from all daemons, zero if unknown.
 		Arrivals float64
 		// ColdRate is the number of requests per second that the server gets while it is cold, zero for no limit.
@@ -362,21 +363,21 @@
 // candidate returns the cost of the server with and without the requests that others have sent since its report.
 func (s *server) candidate(now time.Time, request *Request, summary runTimeSummary) spread.Candidate {
 	run := max(s.expectedRunTime(now, request.Route, summary), minRunTime)
-	slots := s.slots()
-	estimate := s.estimate(now, run)
+	slots, meanRun := s.slots(), s.meanRun(run)
+	estimate := s.estimate(now, meanRun)
 	perRequest := estimate.RequestCost(slots, run)
 	coldWait := s.coldWait(now)
 	c := spread.Candidate{
 		Near: s.endpoint.Zone == request.Zone, Others: estimate.Others, Slope: perRequest,
-		Cost: s.cost(now, request, run, max(waitFor(estimate.Known+estimate.Others, slots, run), coldWait)),
+		Cost: s.cost(now, request, run, max(waitFor(estimate.Known+estimate.Others, slots, meanRun), coldWait)),
 	}
 	c.Base = c.Cost
 	if estimate.Known+estimate.Others > float64(slots) && estimate.Others > 0 {
-		c.Base = s.cost(now, request, run, max(waitFor(estimate.Known, slots, run), coldWait))
+		c.Base = s.cost(now, request, run, max(waitFor(estimate.Known, slots, meanRun), coldWait))
 	}
 	c.Base += time.Duration(estimate.Known * float64(perRequest))
 	if estimate.Known >= float64(slots) {
-		c.Slope += waitFactor * run / time.Duration(slots)
+		c.Slope += waitFactor * meanRun / time.Duration(slots)
 	}
 	return c
 }
@@ -389,19 +390,29 @@
 	return int(max(s.endpoint.Slots, 1))
 }
 
+// meanRun returns the average run time of the requests of all routes at the server. The requests there are of all routes,
+// so that the run time of one of them says neither how long they stay nor how soon a slot becomes free. A daemon of an
+// earlier version does not report it; the given run time stands for it then.
+func (s *server) meanRun(run time.Duration) time.Duration {
+	if s.report.MeanRun > 0 {
+		return s.report.MeanRun
+	}
+	return run
+}
+
 // estimate extrapolates the last report to the present. A reported wait counts as that many requests ahead, except at a
 // server that was cold: coldWait predicts its wait.
-func (s *server) estimate(now time.Time, run time.Duration) spread.Estimate {
+func (s *server) estimate(now time.Time, meanRun time.Duration) spread.Estimate {
 	wait := s.report.Wait
 	if s.report.ColdFor > 0 {
 		wait = 0
 	}
 	load := spread.Load{
-		Occupancy: float64(s.report.Running), Arrivals: s.report.Arrivals, Stay: run + wait,
+		Occupancy: float64(s.report.Running), Arrivals: s.report.Arrivals, Stay: meanRun + wait,
 		Age: max(now.Sub(s.reportedAt), 0), Sent: s.sentSinceReport, InFlight: s.inFlight,
 	}
 	if slots := float64(s.slots()); wait > 0 {
-		load.Occupancy = max(load.Occupancy, slots) + float64(wait)/float64(run)*slots
+		load.Occupancy = max(load.Occupancy, slots) + float64(wait)/float64(meanRun)*slots
 	}
 	if s.reportedAt.IsZero() {
 		load.Age = 0 // nothing to extrapolate
@@ -410,8 +421,8 @@
 }
 
 // waitFor returns the predicted wait for one of the slots that the given number of requests use or wait for.
-func waitFor(requests float64, slots int, run time.Duration) time.Duration {
-	return time.Duration(max(requests-float64(slots), 0) / float64(slots) * float64(run))
+func waitFor(requests float64, slots int, meanRun time.Duration) time.Duration {
+	return time.Duration(max(requests-float64(slots), 0) / float64(slots) * float64(meanRun))
 }
 
 // cost returns the cost of a server at which a request waits and runs for the given times.
--- a/internal/root/relay/place/balancer_test.go
+++ b/internal/root/relay/place/balancer_test.go
@@ -303,6 +303,26 @@
 	}
 }
 
+// Guards against requests of a slow route that leave the availability zone while its servers have free slots: the many
+// requests of a fast route there were expected to stay as long as those of the slow one.
+func TestSlowRouteStaysInZone(t *testing.T) {
+	for _, age := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+		for seed := range uint64(20) {
+			b := New(seed)
+			list := &snap.Endpoints{Version: 1}
+			for i, zone := range []string{"a", "a", "b"} {
+				list.Instances = append(list.Instances, snap.Endpoint{ID: fmt.Sprint("s", i), Zone: zone, Slots: 10, Incarnation: uint64(i + 1)})
+			}
+			b.Update(t0, list)
+			for _, id := range []string{"s0", "s1"} {
+				b.Done(t0.Add(-age), id, "slow", &Report{Slots: 9, Running: 4, Run: 2 * time.Second, MeanRun: 13 * time.Millisecond, Arrivals: 300}, Served{})
+			}
+			endpoint, _ := b.Choose(t0, Request{Route: "slow", Zone: "a", Urgent: true, Objective: 3 * time.Second, Remaining: 10 * time.Second})
+			assert.Equal(t, endpoint.Zone, "a", "reports %s old", age)
+		}
+	}
+}
+
 // Guards against allocations in each choice.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	b := newBalancer()
--- a/internal/root/spread/spread.go
+++ b/internal/root/spread/spread.go
@@ -88,7 +88,7 @@
 // among servers that are equally near.
 func (e *Estimate) RequestCost(slots int, run time.Duration) time.Duration {
 	weight := freshWeight + (staleWeight-freshWeight)*e.Stale
-	return time.Duration(weight / float64(slots) * float64(run))
+	return max(time.Duration(weight/float64(slots)*float64(run)), 1)
 }
 
 // Choose chooses one of the candidates, and reports false without any.
@@ -147,7 +147,7 @@
 			lowest = min(lowest, candidates[i].Base)
 		}
 	}
-	g.maxBase = maxCostRatio * lowest
+	g.maxBase = max(maxCostRatio*lowest, candidates[best].Base)
 	for i := range candidates {
 		if g.contains(&candidates[i]) {
 			g.requests += candidates[i].Others
--- a/internal/root/spread/spread_test.go
+++ b/internal/root/spread/spread_test.go
@@ -177,3 +177,19 @@
 		})
 	}
 }
+
+// Guards against a server with the lowest expected cost that is left out, because another one costs far less without
+// the requests that others are expected to have sent there.
+func TestCheapestTakesPart(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []Candidate{
+		{Near: true, Cost: 260 * time.Millisecond, Base: 10 * time.Millisecond, Slope: 10 * time.Millisecond, Others: 20},
+		{Near: true, Cost: 40 * time.Millisecond, Base: 40 * time.Millisecond, Slope: 10 * time.Millisecond},
+	}
+	picks := [2]int{}
+	for range 1000 {
+		choice, _ := Choose(random, candidates)
+		picks[choice.Index]++
+	}
+	assert.Assert(t, picks[1] >= 400, "%v", picks)
+}
