--- a/internal/root/call/answers_test.go
+++ b/internal/root/call/answers_test.go
@@ -82,3 +82,21 @@
 		_ = conn.Close()
 	}
 }
+
+// Guards against a server that works and counts as crashed, or as restarted, because the trailer of a response is
+// malformed.
+func TestMalformedTrailerIsNoCrash(t *testing.T) {
+	f := newFleet(t, 2, clock.Real{}, readerRules)
+	rawBackend(t, f, 1, func(conn net.Conn, request *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nOdd name: x\r\n\r\n")
+		request.Close = true
+	})
+	f.request(0, "POST", "/once", "", "Buckthorn-Key: "+goodKey)
+	suspects := f.nodes[1].server.suspects
+	backends := f.nodes[1].server.backends
+	backends.mu.RLock()
+	defer backends.mu.RUnlock()
+	for _, server := range backends.byID {
+		assert.Equal(t, len(suspects.Died(time.Now(), server.endpoint.Incarnation)), 0)
+	}
+}
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -94,6 +94,7 @@
 		ID: r.ID, Rules: r.Rules, Route: r.Route, Account: r.Account, Importance: r.Importance,
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header.Clone(), ContentLength: r.ContentLength,
 		Prefix: r.Prefix, Started: r.Started, Deadline: r.Deadline, Budget: r.Budget, Chain: r.Chain, Fingerprint: r.Fingerprint,
+		ParentRegions: r.ParentRegions, restricted: r.restricted,
 	}
 }
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -289,10 +289,7 @@
 	defer c.conns.cancel()
 	response, err := head.Transport{Base: c.backend.transport}.RoundTrip(request)
 	if errors.Is(err, head.ErrMalformed) {
-		c.endSuspect(false)
-		c.conns.discard()
-		c.refuseResponse(err)
-		return admit.Lost{}
+		return c.malformed(err, true)
 	}
 	if err != nil {
 		return c.roundTripFailed(ctx, started, err)
@@ -319,6 +316,9 @@
 	}
 	c.backend.limiter.Responded(now, c.ticket, latency)
 	err = c.relay(response, backendLatency)
+	if errors.Is(err, head.ErrMalformed) {
+		return c.malformed(err, errors.Is(err, errNoBody))
+	}
 	if errors.Is(err, errNoBody) {
 		return c.roundTripFailed(ctx, started, err)
 	}
@@ -338,6 +338,17 @@
 	c.refuse(retry.BackendLost{})
 }
 
+// malformed ends a call whose response is malformed. The server works, so that it is not suspected of a crash. Nothing has
+// been sent to the other daemon if refuse is set; otherwise the missing end of the stream shows the failure.
+func (c *incomingCall) malformed(cause error, refuse bool) admit.Result {
+	c.endSuspect(false)
+	c.conns.discard()
+	if refuse {
+		c.refuseResponse(cause)
+	}
+	return admit.Lost{}
+}
+
 // endsWithConnection reports whether only the end of the connection marks the end of the response. That end
 // looks the same when the backend server dies, so the response cannot be known to be complete.
 func endsWithConnection(response *http.Response) bool {
--- a/internal/root/relay/reuse_test.go
+++ b/internal/root/relay/reuse_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -20,3 +22,25 @@
 	defer d.server.mu.Unlock()
 	assert.Equal(t, len(d.server.conns), 1)
 }
+
+// Guards against a request that is sent to the server although its caller has left before: the deadline of the request
+// replaced the one that the caller's end had set.
+func TestCallerThatHasLeftSendsNothing(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	assert.Equal(t, f.request(d, "first", "/open/echo", "", "").StatusCode, 200)
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	ex := &exchange{
+		request: &Request{ID: "gone", Method: http.MethodGet, Target: "/open/echo", Host: "shop.example"}, requestMeta: RequestMetadata{ID: "gone"},
+		deadline: time.Now().Add(time.Second), confirm: func(int) error { return nil },
+	}
+	_, _, err := d.relay.LocalBackend.current.pool.do(left, ex)
+	assert.ErrorIs(t, err, errNotSent)
+	assert.ErrorIs(t, err, context.Canceled)
+	assert.Equal(t, f.request(d, "second", "/open/echo", "", "").StatusCode, 200)
+	assert.Equal(t, d.server.runs("gone"), 0)
+	d.server.mu.Lock()
+	defer d.server.mu.Unlock()
+	assert.Equal(t, len(d.server.conns), 1)
+}
