--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -159,6 +159,7 @@
 	d := l.daemon
 	if d.session != nil {
 		d.session.close()
+		l.closeUplink(d.session)
 	}
 	d.session, d.staleLeases = s, 0
 	clear(d.unansweredHeartbeats)
--- a/internal/root/ctrl/zones_test.go
+++ b/internal/root/ctrl/zones_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -379,3 +380,13 @@
 		assert.Assert(t, strings.Contains(text.String(), want), "%s\n%s", want, text.String())
 	}
 }
+
+// Guards against an operator who waits for the reply to an order that was sent on a control stream that another one has
+// replaced.
+func TestOrderOnAReplacedStreamIsAnswered(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	reply := f.startOrder("d1", "zone-a", true, true)
+	near, _ := net.Pipe()
+	f.loops["d1"].handle(f.clock.Now(), uplinkOpened{session: newSession(&link.Stream{Conn: near}, "c1")})
+	assert.DeepEqual(t, received(t, reply), OrderResult(OrderUnconfirmed{}))
+}
