--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -164,7 +164,7 @@
 	s := b.settings
 	options := relay.Options{
 		PeerAddress: s.PeerAdvertise.String(), Zone: s.AvailabilityZone, Service: s.Fleet.Service, Seed: b.boot,
-		BackendAddress: addressText(s.Fleet.Backend), BodyStall: s.Limits.BodyTimeout, StopWithin: s.Fleet.StopWithin, MemoryLimit: int64(s.Fleet.Memory),
+		BackendAddress: addressText(s.Fleet.Backend), BodyStall: s.Limits.BodyTimeout, WriteStall: s.Limits.WriteTimeout, StopWithin: s.Fleet.StopWithin, MemoryLimit: int64(s.Fleet.Memory),
 		RetryRatio: float64(s.Fleet.RetryRatio), RetryWindow: s.Fleet.RetryWindow,
 		Limits: rules.Limits{
 			HeaderSize: int64(s.Limits.HeaderSize), BodySize: int64(s.Limits.BodySize),
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -26,8 +26,9 @@
 	// read once a slot is free.
 	maxPipelined = 128
 
-	// callerWriteTimeout bounds the write of one response to a caller.
-	callerWriteTimeout = 10 * time.Second
+	// maxWrite is the number of bytes of a response that are written at once. The time for a write starts anew with each
+	// part that the caller has accepted.
+	maxWrite = 64 << 10
 
 	// maxDiscarded bounds the bytes that are read from a caller after its last request. Reading them shows when it
 	// disconnects.
@@ -334,8 +335,7 @@
 
 // writeResponse writes a response; c.mu is held, so that responses keep the order of the requests.
 func (c *callerConn) writeResponse(slot *responseSlot, last bool) {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	if _, err := c.conn.Write(encodeResponse(slot.method, slot.response, last)); err != nil {
+	if err := c.write(encodeResponse(slot.method, slot.response, last)); err != nil {
 		c.broken = true
 		c.cancel()
 		_ = c.conn.Close()
@@ -351,6 +351,19 @@
 	}
 }
 
+// write writes all bytes, however slowly the caller reads, unless it accepts none for WriteStall.
+func (c *callerConn) write(text []byte) error {
+	for len(text) > 0 {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(c.frontend.WriteStall))
+		n, err := c.conn.Write(text[:min(len(text), maxWrite)])
+		text = text[n:]
+		if netErr := net.Error(nil); err != nil && (n == 0 || !errors.As(err, &netErr) || !netErr.Timeout()) {
+			return err
+		}
+	}
+	return nil
+}
+
 // closeWrite closes the write side after the last response, because closing both sides could reset the connection.
 func (c *callerConn) closeWrite() {
 	if closer, ok := c.conn.(interface{ CloseWrite() error }); ok {
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -48,6 +48,8 @@
 	Limits rules.Limits
 	// BodyStall is the longest pause within a request body.
 	BodyStall time.Duration
+	// WriteStall is the longest time that a caller may accept no byte of a response.
+	WriteStall time.Duration
 	// Bodies bounds the bodies of all requests in progress.
 	Bodies *bodyBudget
 	// MaxConnections bounds the number of connections from callers.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -71,6 +71,7 @@
 		Calls          net.Listener
 		Limits         rules.Limits
 		BodyStall      time.Duration
+		WriteStall     time.Duration
 		StopWithin     time.Duration
 		RetryRatio     float64
 		RetryWindow    time.Duration
@@ -117,7 +118,7 @@
 		Options: o, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
-			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall,
+			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
 			Bodies: bodies, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
 		},
 	}
