--- a/internal/root/relay/notice_test.go
+++ b/internal/root/relay/notice_test.go
@@ -119,6 +119,26 @@
 	assert.Assert(t, fresh.current != first)
 }
 
+// Guards against a server that has left and is in use again, because its daemon has restarted meanwhile and a notice that
+// it sent before it left arrives late. Also against a server that is not used once it is well again.
+func TestLateNoticeAfterRestartOfDaemon(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	fresh := &LocalBackend{
+		Clock: d.relay.Clock, Control: f.control, Dialect: testDialect{}, Meter: d.relay.LocalBackend.Meter, Log: d.relay.Log,
+		Suspects: d.relay.LocalBackend.Suspects, MaxBody: 1 << 20,
+	}
+	found := d.notice(StateReady)
+	found.Instance, found.StartUnixMilli, found.Sequence = "", 0, 0
+	d.server.leaving.Store(true)
+	assert.NilError(t, fresh.CheckHealth(t.Context(), found, "/x/health"))
+	assert.NilError(t, fresh.Notice(t.Context(), d.notice(StateReady)))
+	assert.Assert(t, !fresh.registered())
+	d.server.leaving.Store(false)
+	assert.NilError(t, fresh.Notice(t.Context(), d.notice(StateReady)))
+	assert.Assert(t, fresh.registered())
+}
+
 // Guards against a server that is lost because one notice of another writer carries a number too large: the
 // server's own notices then looked older and were ignored.
 func TestNoticeWithANumberTooLarge(t *testing.T) {
