--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -121,3 +123,51 @@
 		assert.Equal(t, err == nil, valid, text)
 	}
 }
+
+// Guards against an idle connection that counts as one with a request in progress.
+func TestTransportReportsIdleConnection(t *testing.T) {
+	c := newColdFleet(t)
+	tracker := &connTracker{}
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: tracker.gotConn, PutIdleConn: tracker.putIdleConn})
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.backend.endpoint.Address, http.NoBody)
+	assert.NilError(t, err)
+	response, err := c.backend.transport.RoundTrip(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	for tracker.conn.idleSince.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !tracker.conn.expired(time.Now()))
+}
+
+// Guards against a quiet period that looks like a restart, because the server has closed a connection that the transport
+// closes after its idle timeout, and against a crash that is not noticed because its request took long.
+func TestExpiredConnectionDoesNotShowRestart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	var watch probe.Watch
+	connect := func() (*countedConn, net.Conn, int) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		server, err := listener.Accept()
+		assert.NilError(t, err)
+		return &countedConn{Conn: client, watch: &watch}, server, watch.Opened(client)
+	}
+	for want, request := range []bool{false, true} {
+		conn, server, _ := connect()
+		long := time.Now().Add(-idleConnTimeout)
+		conn.idleSince.Store(&long)
+		if request {
+			_, err = conn.Write([]byte("x"))
+			assert.NilError(t, err)
+		}
+		_ = server.Close()
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+		assert.NilError(t, conn.Close())
+		last, _, restarts := connect()
+		assert.Equal(t, restarts, want)
+		assert.NilError(t, last.Close())
+	}
+}
--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -5,10 +5,14 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 )
 
+// idleTimerSkew bounds how much later than the transport's idle timer the idle time of a connection starts.
+const idleTimerSkew = 100 * time.Millisecond
+
 type (
 	// connTracker records which connections the HTTP transport uses for one request. Only the goroutine that
 	// calls RoundTrip uses its fields.
@@ -27,12 +31,15 @@
 		written atomic.Int64
 		watch   *probe.Watch
 		lastUse atomic.Bool // the server closes the connection after the response
+
+		idleSince atomic.Pointer[time.Time] // nil while a request uses the connection
 	}
 )
 
 // Write writes p and counts the bytes written, also those of a failed write. It counts them first, because the server
 // may respond before the write returns.
 func (c *countedConn) Write(p []byte) (int, error) {
+	c.idleSince.Store(nil)
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
@@ -43,7 +50,7 @@
 func (c *countedConn) Close() error {
 	switch {
 	case c.watch == nil:
-	case c.lastUse.Load():
+	case c.lastUse.Load(), c.expired(time.Now()):
 		c.watch.Forget(c.Conn)
 	default:
 		c.watch.Closing(c.Conn)
@@ -51,6 +58,21 @@
 	return c.Conn.Close()
 }
 
+// expired reports whether the transport closes the connection after its idle timeout. The server may have closed it for
+// the same reason, so that its end does not show a restart.
+func (c *countedConn) expired(now time.Time) bool {
+	since := c.idleSince.Load()
+	return since != nil && now.Sub(*since) >= idleConnTimeout-idleTimerSkew
+}
+
+// putIdleConn is called when the transport keeps the connection of the request for later ones.
+func (t *connTracker) putIdleConn(err error) {
+	if err == nil && t.conn != nil {
+		now := time.Now()
+		t.conn.idleSince.Store(&now)
+	}
+}
+
 // gotConn is called for each connection that the transport is about to use for the request. When an idle
 // connection turns out to be broken, the transport itself retries some requests, outside the retry budget and
 // even when they must run only once. gotConn prevents that if any byte was written to the first connection.
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -347,7 +347,7 @@
 func (c *incomingCall) newBackendRequest(ctx context.Context, token, attempt string) (*http.Request, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.conns = &connTracker{cancel: cancel, confirm: func() bool { return c.server.backends.confirm(c.backend, c.ticket) }}
-	trace := &httptrace.ClientTrace{GotConn: c.conns.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: c.conns.gotConn, PutIdleConn: c.conns.putIdleConn}
 	var body io.Reader = c.body
 	if c.head.ContentLength == 0 {
 		body = http.NoBody
--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -177,3 +177,35 @@
 		}()
 	}
 }
+
+// Guards against a server that never serves a request, because it closes idle connections sooner than the next request
+// arrives: each one finds a connection that has ended and would have to wait longer than it can.
+func TestServerWithShortIdleTimeoutServesEachRequest(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = 4 // one start in 250 ms
+	f.control.mu.Unlock()
+	for i := range 5 {
+		response := f.request(d, fmt.Sprint(i), "/open/x", "Left: 200ms\r\n", "")
+		assert.Equal(t, response.StatusCode, http.StatusOK, "request %d: %s", i, response.Header.Get("Reason"))
+		d.server.restart()
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// Guards against a burst that is limited after a quiet period, because the server has closed the connections that have
+// expired meanwhile.
+func TestBurstAfterQuietPeriodIsNotLimited(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	for round := range 5 {
+		assert.Equal(t, f.burst(d, fmt.Sprint("burst-", round), "/open/x", 40), 40)
+		d.server.restart()
+		p := backend.current.pool
+		p.mu.Lock()
+		for _, conn := range p.idle {
+			conn.idleUntil = time.Now()
+		}
+		p.mu.Unlock()
+	}
+}
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -331,15 +331,17 @@
 			p.mu.Unlock()
 			return nil, net.ErrClosed
 		}
-		last := len(p.idle) - 1
-		if last < 0 {
-			p.mu.Unlock()
-			break
+		expired := p.takeExpired(now)
+		var conn *backendConn
+		if last := len(p.idle) - 1; last >= 0 {
+			conn, p.idle = p.idle[last], p.idle[:last]
 		}
-		conn := p.idle[last]
-		p.idle = p.idle[:last]
 		p.mu.Unlock()
-		if now.Before(conn.idleUntil) && conn.stillIdle() {
+		closeAll(expired)
+		if conn == nil {
+			break
+		}
+		if conn.stillIdle() {
 			return conn, nil
 		}
 		p.drop(conn)
@@ -359,20 +361,39 @@
 func (p *pool) put(conn *backendConn) {
 	now := time.Now()
 	_ = conn.SetDeadline(time.Time{}) // once it has passed, stillIdle could not look at the connection
-	var expired []*backendConn
 	p.mu.Lock()
 	if p.closed {
-		expired = append(expired, conn)
-	} else {
-		p.idle = append(p.idle, conn)
-	}
-	for len(p.idle) > 0 && !now.Before(p.idle[0].idleUntil) {
-		expired = append(expired, p.idle[0])
-		p.idle = p.idle[1:]
+		p.mu.Unlock()
+		p.drop(conn)
+		return
 	}
+	p.idle = append(p.idle, conn)
+	expired := p.takeExpired(now)
 	p.mu.Unlock()
-	for _, old := range expired {
-		p.drop(old)
+	closeAll(expired)
+}
+
+// takeExpired removes the idle connections that have expired; p.mu is held. The server may have closed them for being
+// idle, so that their end does not show a restart. The watch forgets them before another request can find no
+// idle connection and open one.
+func (p *pool) takeExpired(now time.Time) (expired []*backendConn) {
+	kept := p.idle[:0]
+	for _, conn := range p.idle {
+		if now.Before(conn.idleUntil) {
+			kept = append(kept, conn)
+			continue
+		}
+		p.watch.Forget(conn.Conn)
+		expired = append(expired, conn)
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+	return expired
+}
+
+func closeAll(conns []*backendConn) {
+	for _, conn := range conns {
+		_ = conn.Close()
 	}
 }
 
@@ -388,9 +409,7 @@
 	idle := p.idle
 	p.idle, p.closed = nil, true
 	p.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.Close()
-	}
+	closeAll(idle)
 }
 
 // stillIdle reports whether an idle connection is open and has received no bytes, which would belong to no
--- a/internal/root/warmup/limiter.go
+++ b/internal/root/warmup/limiter.go
@@ -39,7 +39,7 @@
 	if mayBeLate && until.Before(l.until) {
 		return
 	}
-	l.empty(now)
+	l.empty(now, until)
 	l.until, l.reported = until, now
 	if !mayBeLate {
 		l.suspected = time.Time{}
@@ -47,9 +47,11 @@
 }
 
 // SuspectRestart records that the server may have restarted. It counts as cold for the cold period or until its next
-// report.
+// report. A process that has just started has received nothing, so that the first request need not wait. Each restart
+// thus adds one start, which the limit of 8 + 1.5 × rate allows for.
 func (l *Limiter) SuspectRestart(now time.Time) {
-	l.extend(now, now.Add(min(l.Period, MaxCold)))
+	l.next = later(l.next, now)
+	l.until = later(l.until, now.Add(min(l.Period, MaxCold)))
 	l.suspected = now
 }
 
@@ -125,14 +127,14 @@
 
 // extend lengthens the cold period.
 func (l *Limiter) extend(now, until time.Time) {
-	l.empty(now)
+	l.empty(now, until)
 	l.until = later(l.until, until)
 }
 
-// empty delays the first start of a server that turns cold by one interval. A daemon that restarts next to a cold
-// server thus adds nothing to the requests that it sent before.
-func (l *Limiter) empty(now time.Time) {
-	if !now.Before(l.until) {
+// empty delays the first start of a server that turns cold, until the given time, by one interval. A daemon that
+// restarts next to a cold server thus adds nothing to the requests that it sent before.
+func (l *Limiter) empty(now, until time.Time) {
+	if !now.Before(l.until) && now.Before(until) {
 		l.next = later(l.next, now.Add(l.interval()))
 	}
 }
--- a/internal/root/warmup/limiter_test.go
+++ b/internal/root/warmup/limiter_test.go
@@ -128,3 +128,15 @@
 	warm := Report{Wait: time.Second}
 	assert.Equal(t, warm.ExpectedWait(0, 10), time.Duration(0))
 }
+
+// Guards against a first request that waits although the process that may have restarted has received none, and against
+// starts that a series of suspicions adds while the server is cold.
+func TestSuspectedRestartDoesNotDelayFirstStart(t *testing.T) {
+	l := &Limiter{Rate: 10, Period: 3 * time.Second}
+	l.Report(t0, 0, true)
+	l.SuspectRestart(t0)
+	assert.Assert(t, l.Cold(t0) && l.Take(t0))
+	l.SuspectRestart(t0)
+	assert.Assert(t, !l.Take(t0))
+	assert.Assert(t, l.Take(t0.Add(100*time.Millisecond)))
+}
