--- a/internal/root/probe/watch.go
+++ b/internal/root/probe/watch.go
@@ -13,7 +13,7 @@
 	Watch struct {
 		mu       sync.Mutex
 		conns    map[net.Conn]int // open connections, with the number of restarts before each was opened
-		ended    bool             // the server has closed a connection since the latest one was opened
+		ended    bool             // the server has closed its last open connection since the latest one was opened
 		restarts int              // suspected so far
 	}
 
@@ -57,14 +57,25 @@
 }
 
 // Closing records that this daemon is about to close a connection. A connection to an earlier process says nothing about
-// the present one.
+// the present one, nor does one that has ended while the process keeps another open.
 func (w *Watch) Closing(conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if restarts, found := w.conns[conn]; found && restarts == w.restarts && stateOf(conn) == ended {
+	restarts, found := w.conns[conn]
+	delete(w.conns, conn)
+	if found && restarts == w.restarts && stateOf(conn) == ended && !w.someOpen() {
 		w.ended = true
 	}
-	delete(w.conns, conn)
+}
+
+// someOpen reports whether a connection to the present process is open.
+func (w *Watch) someOpen() bool {
+	for conn, restarts := range w.conns {
+		if restarts == w.restarts && stateOf(conn) == open {
+			return true
+		}
+	}
+	return false
 }
 
 // Forget records that a connection is closed that the server has announced to close.
--- a/internal/root/probe/watch_test.go
+++ b/internal/root/probe/watch_test.go
@@ -67,3 +67,33 @@
 	awaitEnd(seventh)
 	connect(2)
 }
+
+// Guards against a restart that is suspected although the process was seen alive after it had closed a connection, and
+// against one that is not suspected because the connections end one after the other.
+func TestConnectionThatEndsBesideOpenOneDoesNotShowRestart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	w := &Watch{}
+	connect := func(want int) (client, server net.Conn) {
+		client, server = pair(t, listener)
+		assert.Equal(t, w.Opened(client), want)
+		return client, server
+	}
+	end := func(client, server net.Conn) {
+		_ = server.Close()
+		awaitEnd(client)
+		w.Closing(client)
+	}
+	first, firstServer := connect(0)
+	second, secondServer := connect(0)
+	end(first, firstServer)
+	_ = secondServer.Close()
+	awaitEnd(second)
+	w.Forget(second) // the server has announced to close it
+	third, thirdServer := connect(0)
+	fourth, fourthServer := connect(0)
+	end(third, thirdServer)
+	end(fourth, fourthServer)
+	connect(1)
+}
