--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -174,7 +174,7 @@
 // connectionLost handles a connection that broke with a request in flight and reports whether the backend
 // server has died. A probe that fails to connect is taken as proof of it.
 func (b *backends) connectionLost(server *backend, fingerprint string) bool {
-	if !server.returnsAttempt { // its connections do not show whether it has restarted
+	if !server.returnsAttempt && !server.watch.SomeOpen() {
 		b.suspectRestart(server)
 	}
 	conn, err := net.DialTimeout("tcp", server.endpoint.Address, probeTimeout)
--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -63,10 +63,10 @@
 // connected records a new connection, which may show that the server has restarted. No request is sent on a
 // connection before this function has returned.
 func (b *backends) connected(server *backend, conn net.Conn) {
+	restarts := server.watch.Opened(conn)
 	if !server.returnsAttempt {
-		return // the server closes each connection after one response
+		return // the server closes each connection after one response, which shows no restart
 	}
-	restarts := server.watch.Opened(conn)
 	c := &server.cold
 	c.mu.Lock()
 	suspected := restarts > c.restarts
--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -124,6 +124,42 @@
 	}
 }
 
+// Guards against a server that counts as cold after each connection that breaks although it serves on its others, and
+// against a restart that is not suspected because the server does not return the attempt.
+func TestBrokenConnectionBesideOpenOneDoesNotShowRestart(t *testing.T) {
+	c := &coldFleet{fleet: newFleet(t, 1, clock.Real{}, coldRules)}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c.runs.Add(1)
+		if r.URL.RawQuery == "hold" {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) { c.conns.Store(conn, state) }
+	server.Start()
+	t.Cleanup(server.Close)
+	c.register(0, "x", 100, server.Listener.Addr().String(), false)
+	backends := c.nodes[0].handler.backends
+	for _, each := range backends.byID {
+		c.backend = each
+	}
+	warm := 0.0
+	backends.reportCold(c.backend.endpoint.ID, &warm)
+	held := make(chan struct{})
+	go func() {
+		defer close(held)
+		c.request(0, http.MethodGet, "/x?hold", "")
+	}()
+	for c.runs.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	c.request(0, http.MethodGet, "/x", "")
+	assert.Equal(t, c.backend.limiter.Load(time.Now()).ColdFor, time.Duration(0))
+	c.restart()
+	<-held
+	assert.Assert(t, c.backend.limiter.Load(time.Now()).ColdFor > 2*time.Second)
+}
+
 // Guards against an idle connection that counts as one with a request in progress.
 func TestTransportReportsIdleConnection(t *testing.T) {
 	c := newColdFleet(t)
--- a/internal/root/probe/watch.go
+++ b/internal/root/probe/watch.go
@@ -68,7 +68,13 @@
 	}
 }
 
-// someOpen reports whether a connection to the present process is open.
+// SomeOpen reports whether a connection to the present process is open.
+func (w *Watch) SomeOpen() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.someOpen()
+}
+
 func (w *Watch) someOpen() bool {
 	for conn, restarts := range w.conns {
 		if restarts == w.restarts && stateOf(conn) == open {
