--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -209,3 +209,32 @@
 		p.mu.Unlock()
 	}
 }
+
+// Guards against a request that ends while it connects and thereby makes the server count as cold, and against a refused
+// connection that does not.
+func TestDialThatItsRequestEndsShowsNoRestart(t *testing.T) {
+	_, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	expired, cancelExpired := context.WithTimeout(context.Background(), 0)
+	defer cancelExpired()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	send := func(ctx context.Context, id string) time.Duration {
+		now := time.Now()
+		backend.mu.Lock()
+		backend.current.unreachableUntil = time.Time{}
+		backend.mu.Unlock()
+		_, result := backend.tryServe(ctx, &job{
+			service: "shop", arrived: now, deadline: now.Add(time.Second), request: &Request{ID: id, Method: http.MethodGet, Target: "/open/x"},
+		})
+		_, isNotRun := result.(notRun)
+		assert.Assert(t, isNotRun)
+		backend.mu.Lock()
+		defer backend.mu.Unlock()
+		return backend.cold.Remaining(time.Now())
+	}
+	assert.Equal(t, send(expired, "expired"), time.Duration(0))
+	assert.Equal(t, send(canceled, "canceled"), time.Duration(0))
+	assert.NilError(t, d.server.listener.Close())
+	assert.Assert(t, send(context.Background(), "refused") > 0)
+}
