--- a/internal/root/call/admit/cold.go
+++ b/internal/root/call/admit/cold.go
@@ -6,6 +6,10 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
+// maxPacedDelay is how long after its start a request may be sent to a cold server without another turn. In any second
+// the server thus receives the starts of at most 1.25 s, which is below the limit of 8 + 1.5 × rate.
+const maxPacedDelay = 250 * time.Millisecond
+
 // ConfigureCold sets the limits of the service for a cold server, and when the evacuation of the server's availability
 // zone ended, by the clock of this daemon.
 func (l *Limiter) ConfigureCold(now time.Time, rate float64, period time.Duration, restored time.Time) {
@@ -32,15 +36,14 @@
 }
 
 // Confirm reports whether an admitted request may still be sent. A server that has turned cold since its admission gets
-// the request only within its rate.
+// the request only within its rate, and so does a cold one if the request has waited for a connection.
 func (l *Limiter) Confirm(now time.Time, t *Ticket) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !t.paced && l.cold.Cold(now) {
-		t.paced = l.cold.Take(now)
-		return t.paced
+	if !l.cold.Cold(now) || !t.pacedAt.IsZero() && now.Sub(t.pacedAt) <= maxPacedDelay {
+		return true
 	}
-	return true
+	return l.take(now, t)
 }
 
 // Dispatch gives free slots to waiting tickets after the time that NextStart has returned.
@@ -72,7 +75,10 @@
 	if !l.cold.Take(now) {
 		return false
 	}
-	t.paced = l.cold.Cold(now)
+	t.pacedAt = time.Time{}
+	if l.cold.Cold(now) {
+		t.pacedAt = now
+	}
 	return true
 }
 
--- a/internal/root/call/admit/cold_test.go
+++ b/internal/root/call/admit/cold_test.go
@@ -81,3 +81,26 @@
 	l.ConfigureCold(start, 0, 0, time.Time{}) // no limit
 	assert.Assert(t, l.Confirm(start, tickets[29]))
 }
+
+// Guards against calls that were started at the rate of a cold server, have waited for a connection since and are sent
+// together, and against a call that takes two turns although it is sent soon.
+func TestLateCallTakesNewTurn(t *testing.T) {
+	l := cold(100, 10*time.Second)
+	now, sent := start, 0
+	var admitted []*Ticket
+	for len(admitted) < 20 {
+		now = now.Add(time.Second / testColdRate)
+		tk := ticket("a", Normal)
+		assert.Equal(t, l.Offer(now, tk), Decision(Admitted{}))
+		assert.Assert(t, l.Confirm(now.Add(maxPacedDelay), tk))
+		admitted = append(admitted, tk)
+	}
+	now = now.Add(2 * maxPacedDelay)
+	for _, tk := range admitted {
+		if l.Confirm(now, tk) {
+			sent++
+		}
+	}
+	assert.Equal(t, sent, 1)
+	assert.Assert(t, l.Confirm(now, admitted[0]))
+}
--- a/internal/root/call/admit/ticket.go
+++ b/internal/root/call/admit/ticket.go
@@ -38,8 +38,8 @@
 		Deadline   time.Time
 
 		phase           phase
-		latencyRecorded bool // Responded has recorded the latency
-		paced           bool // admitted within the rate of a cold server
+		latencyRecorded bool      // Responded has recorded the latency
+		pacedAt         time.Time // when it took its turn at the rate of a cold server, zero at a warm one
 		account         *account
 		verdict         chan Decision
 	}
--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
@@ -81,13 +82,16 @@
 	}
 }
 
-// confirm reports whether an admitted request may still be sent to the server, which may have turned cold or may have
-// been replaced since.
-func (b *backends) confirm(server *backend, t *admit.Ticket) bool {
-	if server.replaced.Load() && server.cold.limited.Load() {
-		return false
+// confirm returns why an admitted request may not be sent to the server any more, nil if it may: the server may have
+// turned cold, may have been replaced, or its zone may have been evacuated since.
+func (b *backends) confirm(server *backend, t *admit.Ticket) retry.Failure {
+	if failure := b.closed(server); failure != nil {
+		return failure
 	}
-	return server.limiter.Confirm(b.clock.Now(), t)
+	if server.replaced.Load() && server.cold.limited.Load() || !server.limiter.Confirm(b.clock.Now(), t) {
+		return retry.QueueFull{}
+	}
+	return nil
 }
 
 // refreshCold applies the present rules before a request is offered.
--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 )
 
@@ -20,8 +21,8 @@
 		conn          *countedConn
 		writtenBefore int64 // bytes written to conn before this request
 		resent        bool
-		confirm       func() bool // reports whether the request may still be sent
-		turnedCold    bool        // it may not, and no byte of it was written
+		confirm       func() retry.Failure // returns why the request may not be sent any more, nil if it may
+		refused       retry.Failure        // the failure that confirm has returned; no byte of the request was written
 		cancel        context.CancelFunc
 	}
 
@@ -83,8 +84,10 @@
 		_ = info.Conn.Close()
 		return
 	}
-	if t.confirm != nil && !t.confirm() {
-		t.turnedCold = true
+	if t.confirm != nil {
+		t.refused = t.confirm()
+	}
+	if t.refused != nil {
 		t.cancel()
 		_ = info.Conn.Close()
 		return
--- a/internal/root/call/evacuation_test.go
+++ b/internal/root/call/evacuation_test.go
@@ -79,3 +79,37 @@
 	assert.Equal(t, (<-running).StatusCode, http.StatusOK)
 	assert.Equal(t, s.runs.Load(), int64(1))
 }
+
+// Guards against a call that is sent to a server of a zone under evacuation because it was admitted before the order and
+// has waited for a connection since.
+func TestCallThatWaitsForConnectionIsNotSentAfterEvacuation(t *testing.T) {
+	f := newFleet(t, 1, clock.Real{}, coldRules)
+	var runs atomic.Int64
+	unblock := make(chan struct{})
+	f.serve(0, "x", 4, func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		<-unblock
+	})
+	server := f.nodes[0].handler.backends.byID[f.lists["x"].Instances[0].ID]
+	server.transport.MaxConnsPerHost = 1
+	warm := 0.0
+	f.nodes[0].handler.backends.reportCold(server.endpoint.ID, &warm)
+	get := func(responses chan testResponse) { responses <- f.request(0, "GET", "/x", "") }
+	running, waiting := make(chan testResponse, 1), make(chan testResponse, 1)
+	go get(running)
+	for runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go get(waiting)
+	for server.limiter.Load(time.Now()).InFlight < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.evacuate("z")
+	close(unblock)
+	assert.Equal(t, (<-running).StatusCode, http.StatusOK)
+	got := <-waiting
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.Header.Get(HeaderReason), "evacuated")
+	assert.Equal(t, got.Header.Get(HeaderOutcome), "not-run")
+	assert.Equal(t, runs.Load(), int64(1))
+}
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -346,7 +346,7 @@
 
 func (c *incomingCall) newBackendRequest(ctx context.Context, token, attempt string) (*http.Request, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c.conns = &connTracker{cancel: cancel, confirm: func() bool { return c.server.backends.confirm(c.backend, c.ticket) }}
+	c.conns = &connTracker{cancel: cancel, confirm: func() retry.Failure { return c.server.backends.confirm(c.backend, c.ticket) }}
 	trace := &httptrace.ClientTrace{GotConn: c.conns.gotConn, PutIdleConn: c.conns.putIdleConn}
 	var body io.Reader = c.body
 	if c.head.ContentLength == 0 {
@@ -424,9 +424,9 @@
 func (c *incomingCall) roundTripFailed(ctx context.Context, started time.Time, err error) admit.Result {
 	now := c.server.Clock.Now()
 	switch {
-	case c.conns.turnedCold && !c.conns.mayHaveReached(ctx):
+	case c.conns.refused != nil && !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
-		c.refuse(retry.QueueFull{})
+		c.refuse(c.conns.refused)
 		return admit.Canceled{}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.endSuspect(false)
