--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -88,7 +88,10 @@
 	if failure := b.closed(server); failure != nil {
 		return failure
 	}
-	if server.replaced.Load() && server.cold.limited.Load() || !server.limiter.Confirm(b.clock.Now(), t) {
+	if !server.cold.limited.Load() {
+		return nil
+	}
+	if server.replaced.Load() || !server.limiter.Confirm(b.clock.Now(), t) {
 		return retry.QueueFull{}
 	}
 	return nil
@@ -97,7 +100,7 @@
 // refreshCold applies the present rules before a request is offered.
 func (b *backends) refreshCold(server *backend) {
 	rate, _ := warmup.Limits(b.control.Snapshot().Rules, server.endpoint.Service)
-	if wasLimited := server.cold.limited.Swap(rate > 0); wasLimited || rate > 0 {
+	if rate > 0 || server.cold.limited.Load() {
 		b.configureCold(server)
 		b.updateCold(server)
 	}
@@ -117,8 +120,8 @@
 	server.limiter.ConfigureCold(b.clock.Now(), rate, period, snapshot.Restored[b.zone])
 }
 
-// updateCold logs a change of the cold state and sets the timer for the next waiting request or the end of the cold
-// period.
+// updateCold logs a change of the cold state, once the rules are known, and sets the timer for the next waiting request
+// or the end of the cold period.
 func (b *backends) updateCold(server *backend) {
 	if !server.cold.limited.Load() && !server.cold.isLogged() {
 		return
@@ -130,9 +133,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cold := load.ColdFor > 0 && !c.ended
-	if cold != c.logged {
-		c.logged = cold
-		b.logCold(server, load.ColdRate, load.ColdFor)
+	if logged := cold && b.control.Snapshot().Rules != nil; logged != c.logged {
+		c.logged = logged
+		b.logCold(server, logged, load)
 	}
 	if !cold {
 		return
@@ -171,15 +174,15 @@
 }
 
 // logCold logs and counts a change of the cold state.
-func (b *backends) logCold(server *backend, rate float64, coldFor time.Duration) {
+func (b *backends) logCold(server *backend, cold bool, load admit.Load) {
 	event := b.log.Info().Str("instance", server.endpoint.ID).Str("service", server.endpoint.Service)
-	if coldFor == 0 {
+	if !cold {
 		b.meter.ColdServers(-1)
 		event.Msg("backend-server-warm")
 		return
 	}
 	b.meter.ColdServers(1)
-	event.Float64("rate", rate).Dur("for", coldFor).Msg("backend-server-cold")
+	event.Float64("rate", load.ColdRate).Dur("for", load.ColdFor).Msg("backend-server-cold")
 }
 
 // countColdStart counts a call that did not start at once because the server is cold.
--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const coldRules = `service x slots=100 connections=200 cold-rate=10/s cold-period=3s
@@ -207,3 +208,22 @@
 		assert.NilError(t, last.Close())
 	}
 }
+
+// Guards against a deployment without cold rates that pays for them with the lock of the limiter for each call, and
+// against a daemon without rules that logs and counts its server as cold although the service may have no cold rate.
+func TestServiceWithoutColdRate(t *testing.T) {
+	c := newColdFleet(t)
+	backends := c.nodes[0].handler.backends
+	setRules := func(set *rules.Set) { c.publish(func(s *snap.Snapshot) { s.Rules = set }) }
+	backends.suspectRestart(c.backend)
+	assert.Assert(t, c.backend.cold.isLogged())
+	setRules(nil)
+	backends.refreshCold(c.backend)
+	assert.Assert(t, !c.backend.cold.isLogged())
+	assert.Assert(t, c.backend.limiter.Load(time.Now()).ColdFor > 0)
+	setRules(&rules.Set{})
+	backends.refreshCold(c.backend)
+	unused := &backend{endpoint: c.backend.endpoint} // has no limiter
+	backends.refreshCold(unused)
+	assert.Assert(t, backends.confirm(unused, nil) == nil)
+}
--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const (
@@ -238,3 +241,54 @@
 	assert.NilError(t, d.server.listener.Close())
 	assert.Assert(t, send(context.Background(), "refused") > 0)
 }
+
+// Guards against a deployment without cold rates that pays for them with the lock of the backend for each request, and
+// against a restart that is forgotten because the service has no cold rate yet.
+func TestConfirmTakesNoLockWithoutColdRate(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = 0
+	f.control.mu.Unlock()
+	backend := d.relay.LocalBackend
+	assert.NilError(t, backend.Notice(context.Background(), notice))
+	s := backend.current
+	backend.mu.Lock()
+	confirmed := make(chan error, 1)
+	go func() { confirmed <- backend.confirm(s, &gate.Ticket{}, 0) }()
+	select {
+	case err := <-confirmed:
+		assert.Check(t, err)
+	case <-time.After(time.Second):
+		t.Error("confirm waits for the lock")
+	}
+	backend.mu.Unlock()
+	assert.NilError(t, backend.confirm(s, &gate.Ticket{}, 1))
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = testColdRate
+	f.control.mu.Unlock()
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	backend.updateCold(time.Now())
+	assert.Assert(t, backend.cold.Cold(time.Now()))
+}
+
+// Guards against a daemon without rules that logs and counts its server as cold although the service may have no cold
+// rate.
+func TestServerIsNotLoggedColdBeforeTheRules(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	backend, known := d.relay.LocalBackend, f.control.set
+	setRules := func(set *rules.Set) {
+		f.control.mu.Lock()
+		defer f.control.mu.Unlock()
+		f.control.set = set
+	}
+	setRules(nil)
+	notice.Sequence, notice.ColdFor = 5, time.Minute
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	backend.recordCold(time.Now(), notice)
+	assert.Assert(t, backend.cold.Cold(time.Now()) && !backend.coldLogged)
+	setRules(known)
+	backend.updateCold(time.Now())
+	assert.Assert(t, backend.coldLogged)
+}
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,6 +64,8 @@
 		cold       warmup.Limiter
 		coldNotice Notice // latest notice of which the limiter knows
 		coldLogged bool   // the log says that the server is cold
+
+		coldLimited atomic.Bool // the service has a cold rate; changes under mu
 	}
 
 	// Expected is what the settings say about the local backend server. An empty field accepts any value.
@@ -84,7 +87,7 @@
 		unreachableUntil time.Time
 		unanswered       int // consecutive runs that ended without a response
 		probing          bool
-		restarts         int // suspected restarts that the limiter knows of
+		restarts         atomic.Int64 // suspected restarts that the limiter knows of; changes under the lock of the backend
 	}
 )
 
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -14,6 +14,13 @@
 	coldRefused = "refused"
 )
 
+// startCheck is the check of a request that has started, before it is written to a connection.
+type startCheck struct {
+	backend *LocalBackend
+	process *serverProcess
+	ticket  *gate.Ticket
+}
+
 // errTurnedCold reports a request that was not sent, because the server has turned cold since the admission controller
 // started it, or because another process has taken its place.
 var errTurnedCold = errors.New("server has turned cold")
@@ -34,14 +41,21 @@
 	b.applyCold(now)
 }
 
+func (c *startCheck) confirm(restarts int) error {
+	return c.backend.confirm(c.process, c.ticket, restarts)
+}
+
 // confirm reports whether a request may be sent on a connection that was opened after the given number of suspected
-// restarts. The error is errTurnedCold.
+// restarts. The error is errTurnedCold. A service without a cold rate takes no lock.
 func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, restarts int) error {
+	if !b.coldLimited.Load() && int64(restarts) <= s.restarts.Load() {
+		return nil
+	}
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if restarts > s.restarts {
-		s.restarts = restarts
+	if int64(restarts) > s.restarts.Load() {
+		s.restarts.Store(int64(restarts))
 		b.suspectRestart(now, s)
 	}
 	if b.cold.Rate > 0 && b.current != s || !s.controller.Confirm(now, t) {
@@ -64,6 +78,7 @@
 func (b *LocalBackend) updateCold(now time.Time) {
 	snapshot := b.Control.Snapshot()
 	b.cold.Rate, b.cold.Period = warmup.Limits(snapshot.Rules, b.serviceName())
+	b.coldLimited.Store(b.cold.Rate > 0)
 	b.cold.Restore(now, snapshot.Restored[b.Zone])
 	b.logCold(now)
 }
@@ -76,9 +91,9 @@
 	}
 }
 
-// logCold logs and counts a change of the cold state; b.mu is held.
+// logCold logs and counts a change of the cold state, once the rules are known; b.mu is held.
 func (b *LocalBackend) logCold(now time.Time) {
-	cold := b.cold.Cold(now)
+	cold := b.cold.Cold(now) && b.Control.Snapshot().Rules != nil
 	if cold == b.coldLogged {
 		return
 	}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -68,11 +68,10 @@
 		return s, refused
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
-	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), requestMeta: RequestMetadata{
+	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, requestMeta: RequestMetadata{
 		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
 		Account: j.account, CallerService: j.caller,
 	}}
-	ex.confirm = func(restarts int) error { return b.confirm(s, ticket, restarts) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
 	if errors.Is(err, errTurnedCold) {
 		b.endSuspect(s, j, false)
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -90,9 +90,7 @@
 		// linger is how long the response is still awaited once the caller has gone. Closing the connection would
 		// cost a new one, which is more than the rest of a short run.
 		linger time.Duration
-		// confirm is called before the request is written, with the number of suspected restarts of the server. If it
-		// returns an error, the request is not sent.
-		confirm func(restarts int) error
+		start  startCheck // the request is not sent if the check returns an error
 	}
 
 	// received is one complete response of the server.
@@ -117,7 +115,7 @@
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	if err := ex.confirm(conn.restarts); err != nil {
+	if err := ex.start.confirm(conn.restarts); err != nil {
 		p.put(conn)
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
