--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const coldRules = `service x slots=100 connections=200 cold-rate=10/s cold-period=3s
@@ -121,3 +124,106 @@
 		assert.Equal(t, err == nil, valid, text)
 	}
 }
+
+// Guards against a server that counts as cold after each connection that breaks although it serves on its others, and
+// against a restart that is not suspected because the server does not return the attempt.
+func TestBrokenConnectionBesideOpenOneDoesNotShowRestart(t *testing.T) {
+	c := &coldFleet{fleet: newFleet(t, 1, clock.Real{}, coldRules)}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		c.runs.Add(1)
+		if r.URL.RawQuery == "hold" {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) { c.conns.Store(conn, state) }
+	server.Start()
+	t.Cleanup(server.Close)
+	c.register(0, "x", 100, server.Listener.Addr().String(), false)
+	backends := c.nodes[0].handler.backends
+	for _, each := range backends.byID {
+		c.backend = each
+	}
+	warm := 0.0
+	backends.reportCold(c.backend.endpoint.ID, &warm)
+	held := make(chan struct{})
+	go func() {
+		defer close(held)
+		c.request(0, http.MethodGet, "/x?hold", "")
+	}()
+	for c.runs.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	c.request(0, http.MethodGet, "/x", "")
+	assert.Equal(t, c.backend.limiter.Load(time.Now()).ColdFor, time.Duration(0))
+	c.restart()
+	<-held
+	assert.Assert(t, c.backend.limiter.Load(time.Now()).ColdFor > 2*time.Second)
+}
+
+// Guards against an idle connection that counts as one with a request in progress.
+func TestTransportReportsIdleConnection(t *testing.T) {
+	c := newColdFleet(t)
+	tracker := &connTracker{}
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: tracker.gotConn, PutIdleConn: tracker.putIdleConn})
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.backend.endpoint.Address, http.NoBody)
+	assert.NilError(t, err)
+	response, err := c.backend.transport.RoundTrip(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	for tracker.conn.idleSince.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !tracker.conn.expired(time.Now()))
+}
+
+// Guards against a quiet period that looks like a restart, because the server has closed a connection that the transport
+// closes after its idle timeout, and against a crash that is not noticed because its request took long.
+func TestExpiredConnectionDoesNotShowRestart(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	var watch probe.Watch
+	connect := func() (*countedConn, net.Conn, int) {
+		client, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		server, err := listener.Accept()
+		assert.NilError(t, err)
+		return &countedConn{Conn: client, watch: &watch}, server, watch.Opened(client)
+	}
+	for want, request := range []bool{false, true} {
+		conn, server, _ := connect()
+		long := time.Now().Add(-idleConnTimeout)
+		conn.idleSince.Store(&long)
+		if request {
+			_, err = conn.Write([]byte("x"))
+			assert.NilError(t, err)
+		}
+		_ = server.Close()
+		_, err = conn.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+		assert.NilError(t, conn.Close())
+		last, _, restarts := connect()
+		assert.Equal(t, restarts, want)
+		assert.NilError(t, last.Close())
+	}
+}
+
+// Guards against a deployment without cold rates that pays for them with the lock of the limiter for each call, and
+// against a daemon without rules that logs and counts its server as cold although the service may have no cold rate.
+func TestServiceWithoutColdRate(t *testing.T) {
+	c := newColdFleet(t)
+	backends := c.nodes[0].handler.backends
+	setRules := func(set *rules.Set) { c.publish(func(s *snap.Snapshot) { s.Rules = set }) }
+	backends.suspectRestart(c.backend)
+	assert.Assert(t, c.backend.cold.isLogged())
+	setRules(nil)
+	backends.refreshCold(c.backend)
+	assert.Assert(t, !c.backend.cold.isLogged())
+	assert.Assert(t, c.backend.limiter.Load(time.Now()).ColdFor > 0)
+	setRules(&rules.Set{})
+	backends.refreshCold(c.backend)
+	unused := &backend{endpoint: c.backend.endpoint} // has no limiter
+	backends.refreshCold(unused)
+	assert.Assert(t, backends.confirm(unused, nil) == nil)
+}
--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const (
@@ -177,3 +180,115 @@
 		}()
 	}
 }
+
+// Guards against a server that never serves a request, because it closes idle connections sooner than the next request
+// arrives: each one finds a connection that has ended and would have to wait longer than it can.
+func TestServerWithShortIdleTimeoutServesEachRequest(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = 4 // one start in 250 ms
+	f.control.mu.Unlock()
+	for i := range 5 {
+		response := f.request(d, fmt.Sprint(i), "/open/x", "Left: 200ms\r\n", "")
+		assert.Equal(t, response.StatusCode, http.StatusOK, "request %d: %s", i, response.Header.Get("Reason"))
+		d.server.restart()
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// Guards against a burst that is limited after a quiet period, because the server has closed the connections that have
+// expired meanwhile.
+func TestBurstAfterQuietPeriodIsNotLimited(t *testing.T) {
+	f, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	for round := range 5 {
+		assert.Equal(t, f.burst(d, fmt.Sprint("burst-", round), "/open/x", 40), 40)
+		d.server.restart()
+		p := backend.current.pool
+		p.mu.Lock()
+		for _, conn := range p.idle {
+			conn.idleUntil = time.Now()
+		}
+		p.mu.Unlock()
+	}
+}
+
+// Guards against a request that ends while it connects and thereby makes the server count as cold, and against a refused
+// connection that does not.
+func TestDialThatItsRequestEndsShowsNoRestart(t *testing.T) {
+	_, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	expired, cancelExpired := context.WithTimeout(context.Background(), 0)
+	defer cancelExpired()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	send := func(ctx context.Context, id string) time.Duration {
+		now := time.Now()
+		backend.mu.Lock()
+		backend.current.unreachableUntil = time.Time{}
+		backend.mu.Unlock()
+		_, result := backend.tryServe(ctx, &job{
+			service: "shop", arrived: now, deadline: now.Add(time.Second), request: &Request{ID: id, Method: http.MethodGet, Target: "/open/x"},
+		})
+		_, isNotRun := result.(notRun)
+		assert.Assert(t, isNotRun)
+		backend.mu.Lock()
+		defer backend.mu.Unlock()
+		return backend.cold.Remaining(time.Now())
+	}
+	assert.Equal(t, send(expired, "expired"), time.Duration(0))
+	assert.Equal(t, send(canceled, "canceled"), time.Duration(0))
+	assert.NilError(t, d.server.listener.Close())
+	assert.Assert(t, send(context.Background(), "refused") > 0)
+}
+
+// Guards against a deployment without cold rates that pays for them with the lock of the backend for each request, and
+// against a restart that is forgotten because the service has no cold rate yet.
+func TestConfirmTakesNoLockWithoutColdRate(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = 0
+	f.control.mu.Unlock()
+	backend := d.relay.LocalBackend
+	assert.NilError(t, backend.Notice(context.Background(), notice))
+	s := backend.current
+	backend.mu.Lock()
+	confirmed := make(chan error, 1)
+	go func() { confirmed <- backend.confirm(s, &gate.Ticket{}, 0) }()
+	select {
+	case err := <-confirmed:
+		assert.Check(t, err)
+	case <-time.After(time.Second):
+		t.Error("confirm waits for the lock")
+	}
+	backend.mu.Unlock()
+	assert.NilError(t, backend.confirm(s, &gate.Ticket{}, 1))
+	f.control.mu.Lock()
+	f.control.set.Services["shop"].ColdRate = testColdRate
+	f.control.mu.Unlock()
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	backend.updateCold(time.Now())
+	assert.Assert(t, backend.cold.Cold(time.Now()))
+}
+
+// Guards against a daemon without rules that logs and counts its server as cold although the service may have no cold
+// rate.
+func TestServerIsNotLoggedColdBeforeTheRules(t *testing.T) {
+	f, d, notice := newColdFleet(t)
+	backend, known := d.relay.LocalBackend, f.control.set
+	setRules := func(set *rules.Set) {
+		f.control.mu.Lock()
+		defer f.control.mu.Unlock()
+		f.control.set = set
+	}
+	setRules(nil)
+	notice.Sequence, notice.ColdFor = 5, time.Minute
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	backend.recordCold(time.Now(), notice)
+	assert.Assert(t, backend.cold.Cold(time.Now()) && !backend.coldLogged)
+	setRules(known)
+	backend.updateCold(time.Now())
+	assert.Assert(t, backend.coldLogged)
+}
