--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
+	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
 // Results of the metric about starts at a cold server.
@@ -42,11 +43,9 @@
 }
 
 // reportCold records what an announcement says about the cold state; nil says nothing.
-func (b *backends) reportCold(id string, seconds *float64) {
-	b.mu.RLock()
-	server := b.byID[id]
-	b.mu.RUnlock()
-	if server == nil || seconds == nil {
+func (b *backends) reportCold(endpoint *snap.Endpoint, seconds *float64) {
+	server, err := b.find(endpoint.ID, endpoint.Incarnation)
+	if err != nil || seconds == nil {
 		return
 	}
 	b.configureCold(server)
@@ -73,7 +72,7 @@
 	suspected := restarts > c.restarts
 	if suspected {
 		c.restarts = restarts
-		b.configureCold(server)
+		b.configureColdLocked(server)
 		server.limiter.SuspectRestart(b.clock.Now())
 	}
 	c.mu.Unlock()
@@ -114,6 +113,13 @@
 
 // configureCold applies the rules and the end of an evacuation to the limiter of the server.
 func (b *backends) configureCold(server *backend) {
+	server.cold.mu.Lock()
+	defer server.cold.mu.Unlock()
+	b.configureColdLocked(server)
+}
+
+// configureColdLocked is configureCold; server.cold.mu is held, so that no older rules replace newer ones.
+func (b *backends) configureColdLocked(server *backend) {
 	snapshot := b.control.Snapshot()
 	rate, period := warmup.Limits(snapshot.Rules, server.endpoint.Service)
 	server.cold.limited.Store(rate > 0)
@@ -126,12 +132,12 @@
 	if !server.cold.limited.Load() && !server.cold.isLogged() {
 		return
 	}
-	now := b.clock.Now()
-	load := server.limiter.Load(now)
-	next, waiting := server.limiter.NextStart(now)
 	c := &server.cold
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := b.clock.Now()
+	load := server.limiter.Load(now)
+	next, waiting := server.limiter.NextStart(now)
 	cold := load.ColdFor > 0 && !c.ended
 	if logged := cold && b.control.Snapshot().Rules != nil; logged != c.logged {
 		c.logged = logged
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -52,7 +52,7 @@
 		return
 	}
 	h.backends.register(endpoint, announcement.ReturnsAttempt)
-	h.backends.reportCold(endpoint.ID, announcement.ColdSeconds)
+	h.backends.reportCold(&endpoint, announcement.ColdSeconds)
 	writeJSON(w, map[string]any{"instance": endpoint.ID, "incarnation": endpoint.Incarnation})
 }
 
