--- a/internal/root/ctrl/disk/disk.go
+++ b/internal/root/ctrl/disk/disk.go
@@ -16,7 +16,7 @@
 
 	defaultSegmentSize = 4 << 20
 	defaultKeepEntries = 4096
-	defaultKeepBytes   = 64 << 20
+	defaultKeepBytes   = 16 << 20
 
 	// maxSegmentSize is the largest segment file in bytes that Load accepts. It exceeds the size at which a
 	// segment is full, because the last batch of a segment can go beyond that size.
--- a/internal/root/ctrl/state/machine_test.go
+++ b/internal/root/ctrl/state/machine_test.go
@@ -272,6 +272,29 @@
 	snapshotAndRestore(t, m)
 }
 
+// Guards against a control instance of 280 MB that exceeds its memory after many changes of a large configuration: it
+// holds the texts of old revisions several times while it takes a snapshot.
+func TestManyChangesOfALargeConfiguration(t *testing.T) {
+	const (
+		changes    = 230
+		textSize   = 800 << 10
+		copies     = 5 // state, snapshot, its encoding, the one being written, the one being sent
+		memory     = 280 << 20
+		otherBytes = 160 << 20 // program, log, garbage
+	)
+	m := New(validate)
+	for n := range uint64(changes) {
+		text := bytes.Repeat([]byte{byte(n)}, textSize)
+		sum := sha256.Sum256(text)
+		_, accepted := m.Apply(n+1, &ProposeConfig{Number: n + 1, Text: text, Hash: sum[:], At: 1}).(*ConfigAccepted)
+		assert.Assert(t, accepted)
+	}
+	image, err := m.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, copies*len(image)+otherBytes <= memory, "snapshot of %d bytes", len(image))
+	assert.Assert(t, m.textCount >= 10, "texts of %d revisions", m.textCount)
+}
+
 // Guards against a panic or a hang on invalid bytes, and against decoded values that do not encode again.
 func FuzzDecode(f *testing.F) {
 	m := New(validate)
--- a/internal/root/ctrl/state/once.go
+++ b/internal/root/ctrl/state/once.go
@@ -25,7 +25,7 @@
 	reservedAnswerBytes = MaxAnswerBytes / 8
 
 	maxRevisionTexts = 1000
-	maxTextBytes     = 64 << 20
+	maxTextBytes     = 12 << 20
 	// maxRevisions covers a week of 14,000 changes a day; a proposal is not resent after that time.
 	maxRevisions   = 100_000
 	maxDetail      = 4 << 10
