--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -170,10 +170,8 @@
 	policy := reach.For(snapshot.Evacuated, r.Route.Regions, r.Rules.AccountRegions(r.Account), r.ParentRegions)
 	if latest := snapshot.Rules; latest != nil && latest != r.Rules {
 		path, _, _ := strings.Cut(r.Target, "?")
-		if match, ok := latest.Match(r.Method, path); ok {
-			policy = policy.Narrow(match.Route.Regions)
-		}
-		policy = policy.Narrow(latest.AccountRegions(r.Account))
+		match, _ := latest.Match(r.Method, path)
+		policy = policy.NarrowTo(latest, match.Route, r.Account)
 	}
 	return policy
 }
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -176,8 +176,8 @@
 	return p.evenly(now, local)
 }
 
-// evenly chooses among candidates that are equally near. The load that an instance reports stands for the calls of
-// other daemons, which it does not report.
+// evenly chooses among candidates that are equally near. Instances do not report the calls of other daemons; they are
+// estimated from the reported load.
 func (p *Picker) evenly(now time.Time, candidates []*instance) *instance {
 	latency := p.defaultLatency()
 	p.candidates = p.candidates[:0]
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -105,8 +105,8 @@
 	// RegionNotAllowed is a request that no backend server in its allowed regions can take. Regions names them, separated
 	// by commas.
 	RegionNotAllowed struct{ Regions string }
-	// Evacuated is a request that the daemon of a backend server refused before the server received it, because the
-	// availability zone is under evacuation.
+	// Evacuated is a request that no backend server received because of an evacuation: the daemon beside the server
+	// refused it, or the sending daemon found no server outside the evacuated availability zones.
 	Evacuated struct{}
 	// BodyTooLarge is a request whose body exceeds its limit.
 	BodyTooLarge struct{ Dispatched bool }
--- a/internal/root/ctrl/localzones.go
+++ b/internal/root/ctrl/localzones.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
-// restoredPeriod is how long the end of an evacuation is kept. Servers stay cold for at most 10 min.
-const restoredPeriod = 10 * time.Minute
+// restoredPeriod is how long the end of an evacuation is kept: no server counts as cold for longer after it.
+const restoredPeriod = rules.MaxColdPeriod
 
 // localZones are the zones under evacuation as this daemon knows them. The maps are immutable.
 type localZones struct {
--- a/internal/root/probe/watch.go
+++ b/internal/root/probe/watch.go
@@ -84,7 +84,8 @@
 	return false
 }
 
-// Forget records that a connection is closed that the server has announced to close.
+// Forget removes a connection whose end says nothing about a restart: the server has announced that it closes it, or it
+// has expired while idle.
 func (w *Watch) Forget(conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/root/reach/reach.go
+++ b/internal/root/reach/reach.go
@@ -6,6 +6,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 // maxRegionText bounds the names of regions in a refusal, in bytes.
@@ -55,6 +56,16 @@
 	return p
 }
 
+// NarrowTo returns the policy with the lists of later rules applied; route is the request's route in them, nil if there
+// is none.
+func (p Policy) NarrowTo(latest *rules.Set, route *rules.Route, account string) Policy {
+	p = p.Narrow(latest.AccountRegions(account))
+	if route == nil {
+		return p
+	}
+	return p.Narrow(route.Regions)
+}
+
 func intersect(a, b []string) []string {
 	var common []string
 	for _, name := range a {
--- a/internal/root/reach/zone.go
+++ b/internal/root/reach/zone.go
@@ -5,9 +5,9 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
-// LocalFailure returns with which failure a daemon refuses the requests for the backend servers beside it, which are in
-// the given availability zone, nil if it passes them on. A daemon that does not know the evacuations yet has just
-// started; it refuses them as before its servers have announced themselves, with a reason that earlier versions know.
+// LocalFailure returns the failure with which a daemon refuses requests for the backend servers beside it, nil if it
+// accepts them; zone is their availability zone. A daemon that has not received the list of evacuations yet returns
+// Unreached, which daemons of earlier versions know too.
 func LocalFailure(snapshot *snap.Snapshot, zone string) retry.Failure {
 	if snapshot.EvacuationsUnknown {
 		return retry.Unreached{}
@@ -18,8 +18,8 @@
 	return nil
 }
 
-// ExcludeAll returns why the request must not be sent to any of the servers, nil if it may be sent to one or if there
-// are none. An evacuation comes first, because it ends by itself for the caller.
+// ExcludeAll returns why none of the servers may receive the request, nil if one may or the list is empty. An evacuation
+// takes precedence over a region: it is temporary, so that a resend may succeed.
 func (p *Policy) ExcludeAll(endpoints []snap.Endpoint) Exclusion {
 	var cause Exclusion
 	for i := range endpoints {
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -116,10 +116,8 @@
 	if latest == nil || latest.Revision == state.revision {
 		return policy
 	}
-	if route, ok := latest.MatchHost(state.request.Host, state.request.Path); ok {
-		policy = policy.Narrow(route.Regions)
-	}
-	return policy.Narrow(latest.AccountRegions(state.accountName()))
+	route, _ := latest.MatchHost(state.request.Host, state.request.Path)
+	return policy.NarrowTo(latest, route, state.accountName())
 }
 
 // send sends the request once to the daemon of the endpoint.
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -21,9 +21,8 @@
 	ticket  *gate.Ticket
 }
 
-// errTurnedCold reports a request that was not sent, because the server has turned cold since the admission controller
-// started it, or because another process has taken its place.
-var errTurnedCold = errors.New("server has turned cold")
+// errNotConfirmed reports a started request that was not sent; it is offered to the admission controller again.
+var errNotConfirmed = errors.New("server has turned cold or was replaced")
 
 // recordCold records what a notice says about the cold state. This happens before the notice is passed to the
 // control group, which may take long or fail; b.mu is held.
@@ -45,8 +44,8 @@
 	return c.backend.confirm(c.process, c.ticket, restarts)
 }
 
-// confirm reports whether a request may be sent on a connection that was opened after the given number of suspected
-// restarts. The error is errTurnedCold. A service without a cold rate takes no lock.
+// confirm returns errNotConfirmed if a started request must not be sent on a connection that was opened after the given
+// number of suspected restarts. It takes no lock for a service without a cold rate, unless a restart is newly suspected.
 func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, restarts int) error {
 	if !b.coldLimited.Load() && int64(restarts) <= s.restarts.Load() {
 		return nil
@@ -59,7 +58,7 @@
 		b.suspectRestart(now, s)
 	}
 	if b.cold.Rate > 0 && b.current != s || !s.controller.Confirm(now, t) {
-		return errTurnedCold
+		return errNotConfirmed
 	}
 	return nil
 }
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -73,7 +73,7 @@
 		Account: j.account, CallerService: j.caller,
 	}}
 	response, responseMeta, err := s.pool.do(ctx, ex)
-	if errors.Is(err, errTurnedCold) {
+	if errors.Is(err, errNotConfirmed) {
 		b.endSuspect(s, j, false)
 		b.finishRun(s, ticket, gate.Shed{}, err)
 		return s, nil
@@ -237,7 +237,7 @@
 	switch {
 	case err == nil:
 		s.unanswered, s.probing = 0, false
-	case errors.Is(err, errTurnedCold):
+	case errors.Is(err, errNotConfirmed):
 		s.probing = false
 	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
 		s.unreachableUntil = now.Add(unreachablePeriod)
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -360,7 +360,9 @@
 	return longest
 }
 
-// candidate returns the cost of the server with and without the requests that others have sent since its report.
+// candidate returns the server as a candidate for spread.Choose. Cost includes the requests that others are expected to
+// have sent since the report; Base leaves them out and adds the cost of the known requests, so that a server with free
+// slots is preferred before any request has to wait.
 func (s *server) candidate(now time.Time, request *Request, summary runTimeSummary) spread.Candidate {
 	run := max(s.expectedRunTime(now, request.Route, summary), minRunTime)
 	slots, meanRun := s.slots(), s.meanRun(run)
--- a/internal/root/spread/spread.go
+++ b/internal/root/spread/spread.go
@@ -16,9 +16,11 @@
 	// maxCostRatio bounds the cost of a server that may be chosen at random, relative to the cheapest one.
 	maxCostRatio = 3
 
-	// rateHalfLife is the time after rateLifetime in which a reported rate of arrivals is halved, so that a server
-	// without reports counts as idle in the end and is used again.
+	// rateLifetime is the age of a report up to which its rate of arrivals is used unchanged.
 	rateLifetime = 700 * time.Millisecond
+
+	// rateHalfLife is the time in which the rate of an older report is halved, so that a server without reports counts
+	// as idle in the end and is used again.
 	rateHalfLife = 500 * time.Millisecond
 )
 
@@ -42,14 +44,16 @@
 
 	// Candidate is a server that may be chosen.
 	Candidate struct {
-		Near   bool          // in the availability zone of the chooser
-		Cost   time.Duration // expected cost; decides between availability zones
-		Base   time.Duration // cost without the requests that others have sent since the report
+		Near bool          // in the availability zone of the chooser
+		Cost time.Duration // expected cost; decides between availability zones
+		// Base orders the servers of one zone: it leaves out the requests that others are expected to have sent since the
+		// report, and adds the cost of the known ones.
+		Base   time.Duration
 		Slope  time.Duration // what each further request adds to Base, at least 1 ns
 		Others float64       // expected requests of others since the report
 	}
 
-	// Choice is the index of the chosen candidate.
+	// Choice is the chosen candidate.
 	Choice struct {
 		Index    int
 		Cheapest bool // no other candidate was expected to cost less
--- a/internal/root/warmup/limiter.go
+++ b/internal/root/warmup/limiter.go
@@ -1,13 +1,17 @@
 package warmup
 
-import "time"
+import (
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
 
 const (
 	// MaxCold bounds how long a server counts as cold after one report or observation.
-	MaxCold = 10 * time.Minute
+	MaxCold = rules.MaxColdPeriod
 
 	// timerLateness is how late a timer may fire without loss of rate. In any second a cold server receives at most
-	// 1 + rate × (1 s + timerLateness) requests, which is below the limit of 8 + 1.5 × rate.
+	// 1 + rate × (1 s + timerLateness) requests, which is below the bound of the package.
 	timerLateness = 2 * time.Millisecond
 
 	// maxReportDelay bounds the time in which a report arrives; a control instance that forwards one gives up
@@ -39,7 +43,7 @@
 	if mayBeLate && until.Before(l.until) {
 		return
 	}
-	l.empty(now, until)
+	l.delayFirstStart(now, until)
 	l.until, l.reported = until, now
 	if !mayBeLate {
 		l.suspected = time.Time{}
@@ -127,13 +131,13 @@
 
 // extend lengthens the cold period.
 func (l *Limiter) extend(now, until time.Time) {
-	l.empty(now, until)
+	l.delayFirstStart(now, until)
 	l.until = later(l.until, until)
 }
 
-// empty delays the first start of a server that turns cold, until the given time, by one interval. A daemon that
-// restarts next to a cold server thus adds nothing to the requests that it sent before.
-func (l *Limiter) empty(now, until time.Time) {
+// delayFirstStart delays the next start by one interval if the server is warm now and counts as cold until the given time.
+// A daemon that restarts next to a cold server thus does not exceed the rate together with its previous process.
+func (l *Limiter) delayFirstStart(now, until time.Time) {
 	if !now.Before(l.until) && now.Before(until) {
 		l.next = later(l.next, now.Add(l.interval()))
 	}
