--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -12,6 +12,12 @@
 // latencyBuckets are in seconds; they cover an added latency of 1.9 ms as well as calls of several seconds.
 var latencyBuckets = []float64{.0001, .00025, .0005, .001, .0019, .003, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
 
+// Results that ColdStart counts.
+const (
+	ColdDelayed = "delayed"
+	ColdRefused = "refused"
+)
+
 // Meter is the set of metrics of one daemon.
 type Meter struct {
 	Registry *prometheus.Registry
--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -12,12 +12,6 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
-// Results of the metric about starts at a cold server.
-const (
-	coldDelayed = "delayed"
-	coldRefused = "refused"
-)
-
 // coldState is what the registry knows of the cold state of one backend server, apart from its limiter.
 type coldState struct {
 	limited atomic.Bool // its service has a cold rate
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -224,10 +224,10 @@
 	c.server.backends.refreshCold(c.backend)
 	switch decision := limiter.Offer(now, c.ticket).(type) {
 	case admit.Refused:
-		c.server.backends.countColdStart(decision.Cold, coldRefused)
+		c.server.backends.countColdStart(decision.Cold, meter.ColdRefused)
 		return decision.Failure
 	case admit.Queued:
-		c.server.backends.countColdStart(decision.Cold, coldDelayed)
+		c.server.backends.countColdStart(decision.Cold, meter.ColdDelayed)
 		c.server.backends.updateCold(c.backend)
 		timer := c.server.Clock.NewTimer(decision.Until.Sub(now))
 		defer timer.Stop()
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -8,12 +8,6 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
-const (
-	// Results of the metric about starts at a cold server.
-	coldDelayed = "delayed"
-	coldRefused = "refused"
-)
-
 // startCheck is the check of a request that has started, before it is written to a connection.
 type startCheck struct {
 	backend *LocalBackend
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
@@ -136,14 +137,14 @@
 	case gate.Admitted:
 		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
 	case gate.Refused:
-		b.countColdStart(decision.Cold, coldRefused)
+		b.countColdStart(decision.Cold, meter.ColdRefused)
 		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
 			Dur("predicted-wait", decision.Wait).Dur("after", decision.RetryAfter).
 			Int("running", s.controller.Running()).Int("waiting", s.controller.Waiting()).
 			Dur("left", j.deadline.Sub(now)).Msg("gate-refused")
 		return s, nil, nil, notRun{failure: retry.QueueFull{}, retryAfter: decision.RetryAfter}
 	case gate.Queued:
-		b.countColdStart(decision.Cold, coldDelayed)
+		b.countColdStart(decision.Cold, meter.ColdDelayed)
 		decided = make(chan admission, 1)
 		s.waiting[ticket] = decided
 		b.scheduleWake(now, s)
