--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -172,7 +172,7 @@
 }
 
 // connectionLost handles a connection that broke with a request in flight and reports whether the backend
-// server has died. A probe that fails to connect is taken as proof of it.
+// server has died. A probe that is refused is taken as proof of it.
 func (b *backends) connectionLost(server *backend, fingerprint string) bool {
 	if !server.returnsAttempt && !server.watch.SomeOpen() {
 		b.suspectRestart(server)
@@ -181,10 +181,11 @@
 	if err == nil {
 		_ = conn.Close()
 	}
-	if err != nil {
+	refused := err != nil && probe.Refused(err)
+	if refused {
 		b.unreachable(server)
 	}
-	if err != nil || server.died.Load() {
+	if refused || server.died.Load() {
 		b.declareDead(server)
 		return true
 	}
--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -264,3 +264,22 @@
 	whileLocked(backends.configureCold, func() { c.publish(func(s *snap.Snapshot) { s.Rules = &rules.Set{} }) })
 	assert.Assert(t, !state.limited.Load())
 }
+
+// Guards against a server that counts as dead and cold because a connection to it was not made in time: the server may
+// hang, or the daemon may have had no processor time.
+func TestProbeWithoutAnswerShowsNoDeath(t *testing.T) {
+	c := newColdFleet(t)
+	backends, warm := c.nodes[0].handler.backends, 0.0
+	backends.reportCold(&c.backend.endpoint, &warm)
+	address, closeFull, err := netest.ListenFull()
+	assert.NilError(t, err)
+	t.Cleanup(closeFull)
+	own := c.backend.endpoint.Address
+	c.backend.endpoint.Address = address
+	assert.Assert(t, !backends.connectionLost(c.backend, "x"))
+	assert.Equal(t, c.backend.limiter.Load(time.Now()).ColdFor, time.Duration(0))
+	c.backend.endpoint.Address = own
+	assert.NilError(t, c.listener.Close())
+	assert.Assert(t, backends.connectionLost(c.backend, "x"))
+	assert.Assert(t, c.backend.limiter.Load(time.Now()).ColdFor > 0)
+}
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"runtime/debug"
@@ -25,6 +24,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -452,7 +452,7 @@
 		return admit.Canceled{}
 	case !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
-		if refused := new(net.OpError); errors.As(err, &refused) && refused.Op == "dial" {
+		if probe.Refused(err) {
 			c.server.backends.unreachable(c.backend)
 		}
 		c.refuse(retry.Unreached{})
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -5,17 +5,17 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
 
 const (
-	// unreachablePeriod is how long no request is sent to a server that has not accepted a connection.
+	// unreachablePeriod is how long no request is sent to a server that has refused a connection.
 	unreachablePeriod = 150 * time.Millisecond
 
 	// maxLinger bounds how long the rest of a run is awaited after its caller has gone. Callers and servers expect
@@ -234,17 +234,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.controller.Done(now, t, gateResult)
-	var dialErr *net.OpError
 	switch {
 	case err == nil:
 		s.unanswered, s.probing = 0, false
 	case errors.Is(err, errNotConfirmed):
 		s.probing = false
-	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
+	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
-		if !errors.Is(err, errRequestEnded) {
-			b.suspectRestart(now, s)
-		}
+		b.suspectRestart(now, s)
 		s.probing = false
 		// Requests in flight when the server stopped accepting connections may have crashed it.
 		if fingerprints := b.Suspects.Died(now, s.incarnation); len(fingerprints) > 0 && !s.leaving {
