--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -182,8 +182,11 @@
 		_ = conn.Close()
 	}
 	refused := err != nil && probe.Refused(err)
-	if refused {
+	switch {
+	case refused:
 		b.unreachable(server)
+	case err != nil:
+		b.suspectRestart(server)
 	}
 	if refused || server.died.Load() {
 		b.declareDead(server)
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -452,8 +452,11 @@
 		return admit.Canceled{}
 	case !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
-		if probe.Refused(err) {
+		switch {
+		case probe.Refused(err):
 			c.server.backends.unreachable(c.backend)
+		case probe.DialFailed(err):
+			c.server.backends.suspectRestart(c.backend)
 		}
 		c.refuse(retry.Unreached{})
 		return admit.Lost{}
--- a/internal/root/probe/dial.go
+++ b/internal/root/probe/dial.go
@@ -5,9 +5,20 @@
 	"net"
 )
 
-// Refused reports whether a failed exchange shows that no process of the server listens. A connection that is not made in
-// time does not: the server may hang, or this daemon may have had no processor time.
+// DialFailed reports whether an exchange failed because no connection was made.
+func DialFailed(err error) bool { return dialError(err) != nil }
+
+// Refused reports whether an exchange failed because no process of the server listens. A connection that is not made in
+// time does not show that: the server may hang, or this daemon may have had no processor time.
 func Refused(err error) bool {
-	var dial *net.OpError
-	return errors.As(err, &dial) && dial.Op == "dial" && !dial.Timeout()
+	dial := dialError(err)
+	return dial != nil && !dial.Timeout()
+}
+
+func dialError(err error) *net.OpError {
+	var found *net.OpError
+	if errors.As(err, &found) && found.Op == "dial" {
+		return found
+	}
+	return nil
 }
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -248,6 +248,9 @@
 			go b.Control.ReportCrash(s.incarnation, fingerprints)
 		}
 	case !errors.Is(err, context.Canceled): // the end of a canceled request does not count against the server
+		if errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.DialFailed(err) {
+			b.suspectRestart(now, s) // a machine that has lost power refuses nothing
+		}
 		s.unanswered++
 		s.probing = false
 	}
