--- a/internal/root/warmup/limiter.go
+++ b/internal/root/warmup/limiter.go
@@ -32,15 +32,14 @@
 	next      time.Time // no request starts before, while the server is cold
 	reported  time.Time // when the latest report arrived
 	suspected time.Time // when a restart was suspected, zero once a report has ended the suspicion
-	restored  time.Time // when the latest evacuation of the server's availability zone ended
 }
 
 // Report records that the server is cold for the given time, or warm if the time is zero. A report of the process that
-// was known before a suspected restart may have been sent before the restart, and any report before the end of an
-// evacuation; until maxReportDelay has passed it does not shorten the cold period.
+// was known before a suspected restart may have been sent before the restart; until maxReportDelay has passed
+// it does not shorten the cold period.
 func (l *Limiter) Report(now time.Time, coldFor time.Duration, newProcess bool) {
 	until := now.Add(min(max(coldFor, 0), MaxCold))
-	mayBeLate := now.Sub(l.restored) < maxReportDelay || !newProcess && now.Sub(l.suspected) < maxReportDelay
+	mayBeLate := !newProcess && !l.suspected.IsZero() && now.Sub(l.suspected) < maxReportDelay
 	if mayBeLate && until.Before(l.until) {
 		return
 	}
@@ -70,10 +69,9 @@
 
 // Restore records when the evacuation of the server's availability zone ended, by the clock of this daemon; the zero
 // time stands for never. The server counts as cold from then on for the cold period, or until a report that
-// was sent later.
+// arrived later.
 func (l *Limiter) Restore(now, ended time.Time) {
-	l.restored = later(l.restored, ended)
-	if ended.IsZero() || l.reported.Sub(ended) >= maxReportDelay {
+	if ended.IsZero() || !ended.After(l.reported) {
 		return
 	}
 	l.extend(now, ended.Add(min(l.Period, MaxCold)))
