--- a/internal/root/warmup/limiter.go
+++ b/internal/root/warmup/limiter.go
@@ -14,6 +14,9 @@
 	// 1 + rate × (1 s + timerLateness) requests, which is below the bound of the package.
 	timerLateness = 2 * time.Millisecond
 
+	// reportResolution is the unit in which servers report how long they stay cold.
+	reportResolution = time.Millisecond
+
 	// maxReportDelay bounds the time in which a report arrives; a control instance that forwards one gives up
 	// before.
 	maxReportDelay = time.Second
@@ -38,7 +41,7 @@
 // was known before a suspected restart may have been sent before the restart; until maxReportDelay has passed
 // it does not shorten the cold period.
 func (l *Limiter) Report(now time.Time, coldFor time.Duration, newProcess bool) {
-	until := now.Add(min(max(coldFor, 0), MaxCold))
+	until := l.reportedEnd(now, coldFor)
 	mayBeLate := !newProcess && !l.suspected.IsZero() && now.Sub(l.suspected) < maxReportDelay
 	if mayBeLate && until.Before(l.until) {
 		return
@@ -50,6 +53,16 @@
 	}
 }
 
+// reportedEnd returns when the server becomes warm according to a report that arrives now. Of an end just before the known
+// one, the difference is rounding: a server that reports 0 ms may be cold still.
+func (l *Limiter) reportedEnd(now time.Time, coldFor time.Duration) time.Time {
+	until := now.Add(min(max(coldFor, 0), MaxCold))
+	if early := l.until.Sub(until); early > 0 && early <= 2*reportResolution {
+		return l.until
+	}
+	return until
+}
+
 // SuspectRestart records that the server may have restarted. It counts as cold for the cold period or until its next
 // report. A process that has just started has received nothing, so that the first request need not wait. Each restart
 // thus adds one start, which the limit of 8 + 1.5 × rate allows for.
--- a/internal/root/warmup/limiter_test.go
+++ b/internal/root/warmup/limiter_test.go
@@ -106,6 +106,20 @@
 	assert.Assert(t, !l.Cold(ended.Add(2*time.Second)))
 }
 
+// Guards against a server that gets its whole queue while it is still cold: less than a millisecond before the end of the
+// cold time it reports 0 ms.
+func TestReportedColdTimeIsRounded(t *testing.T) {
+	l := &Limiter{Rate: 10, Period: 3 * time.Second}
+	end := t0.Add(3*time.Second + 900*time.Microsecond)
+	l.Report(t0, 3001*time.Millisecond, false)
+	for now := t0; now.Before(end); now = now.Add(300 * time.Microsecond) {
+		l.Report(now, end.Sub(now).Truncate(time.Millisecond), false)
+		assert.Assert(t, l.Cold(now), now)
+	}
+	l.Report(end.Add(2*time.Millisecond), 0, false)
+	assert.Assert(t, !l.Cold(end.Add(2*time.Millisecond)))
+}
+
 // Guards against a predicted wait beyond the end of the cold period, after which the queue drains at once.
 func TestWaitEndsWithTheColdPeriod(t *testing.T) {
 	l := &Limiter{Rate: 10, Period: 3 * time.Second}
