--- a/internal/root/warmup/limiter.go
+++ b/internal/root/warmup/limiter.go
@@ -34,6 +34,7 @@
 	until     time.Time // the server counts as cold until then
 	next      time.Time // no request starts before, while the server is cold
 	reported  time.Time // when the latest report arrived
+	ends      time.Time // when the server becomes warm according to it
 	suspected time.Time // when a restart was suspected, zero once a report has ended the suspicion
 }
 
@@ -47,18 +48,18 @@
 		return
 	}
 	l.delayFirstStart(now, until)
-	l.until, l.reported = until, now
+	l.until, l.reported, l.ends = until, now, until
 	if !mayBeLate {
 		l.suspected = time.Time{}
 	}
 }
 
-// reportedEnd returns when the server becomes warm according to a report that arrives now. Of an end just before the known
-// one, the difference is rounding: a server that reports 0 ms may be cold still.
+// reportedEnd returns when the server becomes warm according to a report that arrives now. If that is just before the end
+// according to the latest report, the difference is rounding: a server that reports 0 ms may be cold still.
 func (l *Limiter) reportedEnd(now time.Time, coldFor time.Duration) time.Time {
 	until := now.Add(min(max(coldFor, 0), MaxCold))
-	if early := l.until.Sub(until); early > 0 && early <= 2*reportResolution {
-		return l.until
+	if early := l.ends.Sub(until); early > 0 && early <= 2*reportResolution {
+		return l.ends
 	}
 	return until
 }
