--- a/internal/root/ctrl/localzones.go
+++ b/internal/root/ctrl/localzones.go
@@ -17,6 +17,7 @@
 	evacuated map[string]snap.Evacuation
 	restored  map[string]time.Time // local time at which the end of the latest evacuation was received
 	version   uint64
+	group     string        // consensus group of the list, empty if unknown
 	known     bool          // a leader has sent the list, or is of a version that has none
 	changed   chan struct{} // closed when a changed list is published
 	dirty     bool          // the list differs from the published one
@@ -34,10 +35,23 @@
 	return changed
 }
 
-// replace replaces the list unless it is older than the present one, and reports whether it did. A daemon that has just
-// started accepts any version.
+// outdated reports whether the list must not replace the present one. Versions are compared within one consensus group,
+// because the versions of a group that was founded anew may be lower. A group without any order does not end the
+// evacuations that were ordered in a lost one. A daemon that has just started accepts any list.
+func (z *localZones) outdated(list *EvacuationList) bool {
+	sameGroup := z.group == "" || list.Group == "" || list.Group == z.group
+	switch {
+	case !z.known:
+		return false
+	case sameGroup:
+		return list.Version < z.version
+	}
+	return list.Version == 0 && z.version > 0
+}
+
+// replace replaces the list unless the new one is outdated, and reports whether it did.
 func (z *localZones) replace(now time.Time, list *EvacuationList) bool {
-	if z.known && list.Version < z.version {
+	if z.outdated(list) {
 		return false
 	}
 	evacuated := evacuationsByZone(list.Zones)
@@ -53,6 +67,9 @@
 	}
 	z.dirty = z.dirty || !z.known || !maps.Equal(z.evacuated, evacuated)
 	z.evacuated, z.restored, z.version, z.known = evacuated, restored, list.Version, true
+	if list.Group != "" {
+		z.group = list.Group
+	}
 	return true
 }
 
@@ -61,7 +78,8 @@
 	zones := &l.daemon.zones
 	before := zones.version
 	if !zones.replace(now, list) {
-		l.log.Warn().Uint64("version", list.Version).Uint64("own", zones.version).Msg("evacuations-outdated")
+		l.log.Warn().Uint64("version", list.Version).Uint64("own", zones.version).
+			Str("group", list.Group).Str("own-group", zones.group).Msg("evacuations-outdated")
 		return
 	}
 	l.dirty = true
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -26,7 +26,7 @@
 
 // acceptsHeader reports whether a message is for this disk and group, and its sender's start is accepted.
 func (n *Node) acceptsHeader(h *Header) bool {
-	if h.To != n.self.Disk || (n.group() != "" && h.Group != "" && h.Group != n.group()) {
+	if h.To != n.self.Disk || (n.Group() != "" && h.Group != "" && h.Group != n.Group()) {
 		return false
 	}
 	if m := n.committedMembership(); m != nil && m.excludes(h.From) {
@@ -82,7 +82,7 @@
 
 func (n *Node) onHello(m *Hello) {
 	from := m.Header.From
-	if m.Header.Group != "" && n.group() != "" && m.Header.Group != n.group() {
+	if m.Header.Group != "" && n.Group() != "" && m.Header.Group != n.Group() {
 		return // the sender belongs to another group
 	}
 	if from.Name == n.self.Name || !n.addPeer(from.Name) {
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -362,7 +362,8 @@
 	return nil
 }
 
-func (n *Node) group() string {
+// Group identifies the group of this member, empty while it belongs to none.
+func (n *Node) Group() string {
 	if m := n.membership(); m != nil {
 		return m.Group
 	}
@@ -376,7 +377,7 @@
 }
 
 func (n *Node) newHeader(to Voter) Header {
-	return Header{From: n.self, Boot: n.boot, Start: n.start, To: to.Disk, Group: n.group(), Term: n.hardState.Term}
+	return Header{From: n.self, Boot: n.boot, Start: n.start, To: to.Disk, Group: n.Group(), Term: n.hardState.Term}
 }
 
 func (n *Node) send(to Voter, m Message) {
--- a/internal/root/ctrl/state/evacuation.go
+++ b/internal/root/ctrl/state/evacuation.go
@@ -65,7 +65,8 @@
 	case !c.Evacuate && found:
 		m.Evacuations = slices.Delete(slices.Clone(m.Evacuations), position, position+1)
 	}
-	// The machine time lets the versions of a group that was founded anew follow those of the lost one.
+	// The machine time lets the versions of a group that was started from a copy of a data folder follow those that
+	// daemons have.
 	m.EvacuationVersion = max(m.EvacuationVersion+1, uint64(m.Now))
 	return &ZoneOrdered{Order: c, Changed: c.Evacuate != found}
 }
--- a/internal/root/ctrl/zonemessage.go
+++ b/internal/root/ctrl/zonemessage.go
@@ -10,10 +10,12 @@
 
 type (
 	// EvacuationList is the complete list of availability zones under evacuation. The version increases with each
-	// accepted order.
+	// accepted order of the group; it is zero before the first.
 	EvacuationList struct {
 		Version uint64            `protobuf:"varint,1,opt,name=version"`
 		Zones   []snap.Evacuation `protobuf:"bytes,2,rep,name=zones"`
+		// Group identifies the consensus group, empty if the leader is of a version that does not report it.
+		Group string `protobuf:"bytes,3,opt,name=group"`
 	}
 
 	// OrderCall carries an operator's order for an availability zone; the reply has the same ID.
@@ -37,8 +39,11 @@
 func (*OrderCall) daemonMessage()      {}
 func (*OrderReply) leaderMessage()     {}
 
-// Check returns an error for too many zones and for an invalid one.
+// Check returns an error for an oversized group, for too many zones and for an invalid one.
 func (e *EvacuationList) Check() error {
+	if len(e.Group) > maxName {
+		return fmt.Errorf("group of %d bytes, limit %d", len(e.Group), maxName)
+	}
 	if len(e.Zones) > state.MaxEvacuations {
 		return fmt.Errorf("%d zones under evacuation, limit %d", len(e.Zones), state.MaxEvacuations)
 	}
--- a/internal/root/ctrl/zones.go
+++ b/internal/root/ctrl/zones.go
@@ -172,7 +172,9 @@
 func (ls *leaderState) sendEvacuations(l *Loop, s *session) {
 	if s.join.Evacuations {
 		machine := l.voter.machine
-		l.sendToDaemon(s, &EvacuationList{Version: machine.EvacuationVersion, Zones: machine.Evacuations})
+		l.sendToDaemon(s, &EvacuationList{
+			Version: machine.EvacuationVersion, Zones: machine.Evacuations, Group: l.voter.node.Group(),
+		})
 	}
 }
 
--- a/internal/root/ctrl/zones_test.go
+++ b/internal/root/ctrl/zones_test.go
@@ -390,3 +390,26 @@
 	f.loops["d1"].handle(f.clock.Now(), uplinkOpened{session: newSession(&link.Stream{Conn: near}, "c1")})
 	assert.DeepEqual(t, received(t, reply), OrderResult(OrderUnconfirmed{}))
 }
+
+// Guards against a list of a group that was founded anew after the loss of all disks and that daemons ignore because
+// the clock of the lost group was ahead, and against an evacuation that ends because the new group has no orders yet.
+func TestOrdersOfAGroupFoundedAnew(t *testing.T) {
+	f := newDynamicFleet(t, 3)
+	lost := f.loops[f.leader()]
+	ahead := lost.voter.machine.CommandTime(f.clock.Now().Add(time.Hour))
+	lost.propose(f.clock.Now(), &state.Tick{At: ahead}, leaderProposer{})
+	f.order("zone-a", true)
+	f.requireEvacuated(evacuateWithin, bothDaemons, "zone-a")
+	for _, name := range []string{"c1", "c2", "c3"} {
+		f.addDynamicControl(name, "-new", true)
+	}
+	f.waitUntil("a leader of the new group", func() bool { return f.leader() != "" })
+	f.runFor(evacuateUnstable)
+	for _, name := range bothDaemons {
+		assert.DeepEqual(t, f.evacuatedOn(name), []string{"zone-a"})
+	}
+	f.order("zone-b", true)
+	f.requireEvacuated(evacuateWithin, bothDaemons, "zone-b")
+	f.order("zone-b", false)
+	f.requireEvacuated(evacuateWithin, bothDaemons)
+}
