--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -63,7 +63,8 @@
 
 	queryWaiters map[uint64]chan<- reportResult
 	nextQuery    uint64
-	orderWaiters map[uint64]chan<- OrderResult
+	orderWaiters map[uint64]orderWaiter
+	orderSupport orderSupport // of the leader at the control stream
 
 	quarantine map[string]wire.Stamp
 	zones      localZones
@@ -91,7 +92,7 @@
 		subscriptions:        map[string]bool{},
 		onceQueue:            newOnceQueue(cfg),
 		queryWaiters:         map[uint64]chan<- reportResult{},
-		orderWaiters:         map[uint64]chan<- OrderResult{},
+		orderWaiters:         map[uint64]orderWaiter{},
 		zones:                newLocalZones(),
 		started:              now,
 	}
@@ -161,7 +162,7 @@
 		d.session.close()
 		l.closeUplink(d.session)
 	}
-	d.session, d.staleLeases = s, 0
+	d.session, d.staleLeases, d.orderSupport = s, 0, ordersUnknown
 	clear(d.unansweredHeartbeats)
 	l.sendToLeader(&Join{
 		Daemon: l.cfg.PeerAddress, Zone: l.cfg.Zone, Region: l.cfg.Region, Boot: l.boot,
@@ -187,10 +188,7 @@
 		reply <- reportResult{err: errNoLeader}
 		delete(d.queryWaiters, id)
 	}
-	for id, reply := range d.orderWaiters {
-		reply <- OrderUnconfirmed{}
-		delete(d.orderWaiters, id)
-	}
+	d.failOrders(OrderUnconfirmed{})
 }
 
 func (l *Loop) sendHeartbeat(now time.Time) {
@@ -226,6 +224,7 @@
 		l.dirty = true
 	case *EvacuationList:
 		l.applyEvacuations(now, message)
+		l.sendUnsentOrders()
 	case *OrderReply:
 		l.handleOrderReply(message)
 	case *ProposeReply:
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -19,7 +19,8 @@
 )
 
 var (
-	errNoLeader = errors.New("no leader is reachable")
+	errNoLeader      = errors.New("no leader is reachable")
+	errNoEvacuations = errors.New("the leader runs an earlier version, which has no evacuations")
 
 	// ErrNotFound reports a revision or rule that does not exist.
 	ErrNotFound = errors.New("not found")
--- a/internal/root/ctrl/zones.go
+++ b/internal/root/ctrl/zones.go
@@ -26,7 +26,7 @@
 
 	// OrderRefused means that the order is not accepted; Detail is the reason.
 	OrderRefused struct {
-		Invalid bool // a field of the order is invalid; otherwise too many zones are under evacuation
+		Invalid bool // a field of the order is invalid; otherwise the control group cannot accept it at present
 		Detail  string
 	}
 
@@ -35,8 +35,29 @@
 
 	// OrderUnconfirmed means that it is unknown whether the order is accepted.
 	OrderUnconfirmed struct{}
+
+	// orderSupport says whether the leader knows orders. A leader of an earlier version ignores an OrderCall, or closes
+	// the control stream.
+	orderSupport int
+
+	// orderWaiter is an order that has not been replied to. The call is nil once it has been sent; until then it is
+	// unknown whether the leader supports it.
+	orderWaiter struct {
+		reply chan<- OrderResult
+		call  *OrderCall
+	}
+)
+
+const (
+	ordersUnknown     orderSupport = iota // neither a list of evacuations nor a lease has arrived
+	ordersSupported                       // the leader has sent the list
+	ordersUnsupported                     // a lease has arrived without the list
 )
 
+var refusedByEarlierVersion = OrderRefused{
+	Detail: "the leader runs an earlier version, which has no evacuations; update all control instances and repeat the order",
+}
+
 func (OrderAccepted) orderResult()    {}
 func (OrderRefused) orderResult()     {}
 func (OrderNotLeader) orderResult()   {}
@@ -90,15 +111,42 @@
 
 func (l *Loop) sendOrder(event zoneOrdered) {
 	d := l.daemon
+	if d.orderSupport == ordersUnsupported {
+		event.reply <- refusedByEarlierVersion
+		return
+	}
 	d.nextQuery++
-	d.orderWaiters[d.nextQuery] = event.reply
-	l.sendToLeader(&OrderCall{ID: d.nextQuery, Order: event.order})
+	d.orderWaiters[d.nextQuery] = orderWaiter{reply: event.reply, call: &OrderCall{ID: d.nextQuery, Order: event.order}}
+	if d.orderSupport == ordersSupported {
+		l.sendUnsentOrders()
+	}
+}
+
+// sendUnsentOrders sends the orders that waited until the leader was known to support them, in the order of arrival.
+func (l *Loop) sendUnsentOrders() {
+	d := l.daemon
+	d.orderSupport = ordersSupported
+	for _, id := range slices.Sorted(maps.Keys(d.orderWaiters)) {
+		waiter := d.orderWaiters[id]
+		if waiter.call != nil {
+			l.sendToLeader(waiter.call)
+			d.orderWaiters[id] = orderWaiter{reply: waiter.reply}
+		}
+	}
+}
+
+// failOrders ends the waiting orders with a result.
+func (d *daemonState) failOrders(result OrderResult) {
+	for id, waiter := range d.orderWaiters {
+		waiter.reply <- result
+		delete(d.orderWaiters, id)
+	}
 }
 
 func (l *Loop) handleOrderReply(message *OrderReply) {
-	if reply, ok := l.daemon.orderWaiters[message.ID]; ok {
+	if waiter, ok := l.daemon.orderWaiters[message.ID]; ok {
 		delete(l.daemon.orderWaiters, message.ID)
-		reply <- message.result()
+		waiter.reply <- message.result()
 	}
 }
 
@@ -194,6 +242,10 @@
 			return
 		}
 	}
+	if l.daemon.orderSupport == ordersUnsupported {
+		reply <- reportResult{err: errNoEvacuations} // the leader would close the control stream
+		return
+	}
 	l.queryLeader(Query{Kind: QueryZones}, reply)
 }
 
--- a/internal/root/ctrl/zones_test.go
+++ b/internal/root/ctrl/zones_test.go
@@ -413,3 +413,22 @@
 	f.order("zone-b", false)
 	f.requireEvacuated(evacuateWithin, bothDaemons)
 }
+
+// Guards against an order that a leader of an earlier version ignores, or for which it closes the control stream,
+// instead of a refusal that names the reason.
+func TestOrderToALeaderOfAnEarlierVersion(t *testing.T) {
+	f := newTestFleet(t, 1, 1)
+	l := f.loops["d1"]
+	near, _ := net.Pipe()
+	s := newSession(&link.Stream{Conn: near}, "c1")
+	l.handle(f.clock.Now(), uplinkOpened{session: s})
+	early := f.startOrder("d1", "zone-a", true, true)
+	l.handle(f.clock.Now(), leaderMessageReceived{session: s, message: leaseMessage{leaseOf(l.daemon.heartbeatSeq, 1)}})
+	for _, reply := range []chan OrderResult{early, f.startOrder("d1", "zone-a", true, true)} {
+		refused, ok := received(t, reply).(OrderRefused)
+		assert.Assert(t, ok && !refused.Invalid && strings.Contains(refused.Detail, "earlier version"))
+	}
+	for _, frame := range s.takeQueue(nil) {
+		assert.Assert(t, frame.Kind != kindOrderCall)
+	}
+}
