--- a/internal/root/call/evacuation_test.go
+++ b/internal/root/call/evacuation_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -74,6 +75,7 @@
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.Header.Get(HeaderReason), "evacuated")
 		assert.Equal(t, got.Header.Get(HeaderOutcome), "not-run")
+		assert.Equal(t, got.Header.Get("Retry-After"), fmt.Sprint(retry.EvacuatedRetryAfter.Seconds()))
 	}
 	close(s.unblock)
 	assert.Equal(t, (<-running).StatusCode, http.StatusOK)
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -25,8 +25,15 @@
 	Always
 )
 
-// overloadPause is the delay in Retry-After, the shortest that the header can express.
-const overloadPause = time.Second
+const (
+	// overloadPause is the delay in Retry-After, the shortest that the header can express.
+	overloadPause = time.Second
+
+	// EvacuatedRetryAfter is the delay in Retry-After if all servers of a service are in zones under evacuation. The end
+	// of an evacuation is not known; an order takes effect within 5 s, so that an earlier return probably meets the same
+	// refusal. Callers whose deadline is earlier should not return.
+	EvacuatedRetryAfter = 5 * time.Second
+)
 
 // ErrUnknownReason is the error for a pair of reason and outcome that no failure has.
 var ErrUnknownReason = errors.New("unknown reason")
@@ -201,7 +208,7 @@
 		}
 		return Row{Reason: "region-not-allowed", Status: http.StatusServiceUnavailable, Outcome: NotRun, After: overloadPause, Text: text}
 	case Evacuated:
-		return Row{Reason: "evacuated", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: overloadPause}
+		return Row{Reason: "evacuated", Status: http.StatusServiceUnavailable, Outcome: NotRun, Resend: Always, After: EvacuatedRetryAfter}
 	case BodyTooLarge:
 		row := Row{Reason: "body-too-large", Status: http.StatusRequestEntityTooLarge, Outcome: NotRun}
 		if f.Dispatched {
@@ -273,8 +280,12 @@
 }
 
 // Merge returns the failure to report for a request that failed with earlier and, when retried, with
-// last: after a send with unknown outcome, a later refusal does not prove that the request has not run.
+// last: after a send with unknown outcome, a later refusal does not prove that the request has not run. An evacuation is
+// reported only if it is the only cause.
 func Merge(earlier, last Failure) Failure {
+	if _, evacuated := last.(Evacuated); evacuated && earlier != nil {
+		return earlier
+	}
 	if earlier != nil && Describe(earlier).Outcome != NotRun && Describe(last).Outcome == NotRun {
 		return earlier
 	}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -34,7 +34,8 @@
 		policy := f.reach(state)
 		endpoint, ok := f.choose(state, svc, policy)
 		if !ok && state.callerOutcome == nil {
-			return notRun{failure: policy.Refusal(list.Instances), retryAfter: noServerRetryAfter}
+			failure := policy.Refusal(list.Instances)
+			return notRun{failure: failure, retryAfter: noServerDelay(failure)}
 		}
 		if !ok {
 			return state.finalOutcome()
@@ -223,7 +224,8 @@
 			if previous.retryAfter == 0 || result.retryAfter > 0 && result.retryAfter < previous.retryAfter {
 				previous.retryAfter = result.retryAfter
 			}
-			if _, queueFull := result.failure.(retry.QueueFull); queueFull {
+			_, evacuated := previous.failure.(retry.Evacuated) // reported only if it is the only cause
+			if _, queueFull := result.failure.(retry.QueueFull); queueFull || evacuated {
 				previous.failure = result.failure
 			}
 			s.callerOutcome = previous
@@ -317,6 +319,14 @@
 
 func (s *forwardState) idempotent() bool { return s.route.Run == rules.RunIdempotent }
 
+// noServerDelay returns the advised retry delay for a request that no server could take.
+func noServerDelay(failure retry.Failure) time.Duration {
+	if _, evacuated := failure.(retry.Evacuated); evacuated {
+		return retry.EvacuatedRetryAfter
+	}
+	return noServerRetryAfter
+}
+
 // finalOutcome returns the outcome for the caller when no further send is made.
 func (s *forwardState) finalOutcome() outcome {
 	switch previous := s.callerOutcome.(type) {
@@ -324,7 +334,7 @@
 		return notRun{failure: retry.NoBackend{}, retryAfter: noServerRetryAfter}
 	case notRun:
 		if previous.retryAfter == 0 {
-			previous.retryAfter = noServerRetryAfter
+			previous.retryAfter = noServerDelay(previous.failure)
 		}
 		return previous
 	}
