--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -242,6 +242,35 @@
 	assert.Assert(t, send(context.Background(), "refused") > 0)
 }
 
+// Guards against a request that ends while it connects and thereby keeps others from the server for a while, or makes
+// the requests in progress suspects of a crash, and against one that does so as the single probe of a server that has not
+// responded and keeps all others from it for good.
+func TestDialThatItsRequestEndsLeavesTheServerReachable(t *testing.T) {
+	_, d, _ := newColdFleet(t)
+	backend := d.relay.LocalBackend
+	s := backend.current
+	backend.Suspects.Begin(s.incarnation, "in-progress")
+	expired, cancelExpired := context.WithTimeout(context.Background(), 0)
+	defer cancelExpired()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, ctx := range map[string]context.Context{"expired": expired, "canceled": canceled} {
+		backend.mu.Lock()
+		s.unanswered = maxUnanswered
+		backend.mu.Unlock()
+		_, _ = backend.tryServe(ctx, shopJob(name, "/open/x"))
+		backend.mu.Lock()
+		assert.Check(t, s.unreachableUntil.IsZero() && !s.probing, name)
+		backend.mu.Unlock()
+	}
+	assert.Equal(t, len(backend.Suspects.Died(time.Now(), s.incarnation)), 1)
+	assert.NilError(t, d.server.listener.Close())
+	_, _ = backend.tryServe(context.Background(), shopJob("refused", "/open/x"))
+	backend.mu.Lock()
+	defer backend.mu.Unlock()
+	assert.Assert(t, s.unreachableUntil.After(time.Now()))
+}
+
 // Guards against a deployment without cold rates that pays for them with the lock of the backend for each request, and
 // against a restart that is forgotten because the service has no cold rate yet.
 func TestConfirmTakesNoLockWithoutColdRate(t *testing.T) {
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -234,29 +234,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.controller.Done(now, t, gateResult)
-	var dialErr *net.OpError
+	s.probing = false
 	switch {
 	case err == nil:
-		s.unanswered, s.probing = 0, false
+		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed):
-		s.probing = false
-	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
+	case isServerUnreachable(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
-		if !errors.Is(err, errRequestEnded) {
-			b.suspectRestart(now, s)
-		}
-		s.probing = false
+		b.suspectRestart(now, s)
 		// Requests in flight when the server stopped accepting connections may have crashed it.
 		if fingerprints := b.Suspects.Died(now, s.incarnation); len(fingerprints) > 0 && !s.leaving {
 			go b.Control.ReportCrash(s.incarnation, fingerprints)
 		}
 	case !errors.Is(err, context.Canceled): // the end of a canceled request does not count against the server
 		s.unanswered++
-		s.probing = false
 	}
 	b.admitWaiting(now, s)
 }
 
+// isServerUnreachable reports whether the server has not accepted a connection. A dial that the deadline or the caller of
+// its request may have ended does not show that.
+func isServerUnreachable(err error) bool {
+	var dialErr *net.OpError
+	return errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial" && !errors.Is(err, errRequestEnded)
+}
+
 // reclaimLost frees the slots of runs whose response counts as lost. The responses are still awaited, because
 // some of these runs only take long; b.mu is held.
 func (b *LocalBackend) reclaimLost(now time.Time, s *serverProcess) {
