--- a/internal/root/ctrl/event.go
+++ b/internal/root/ctrl/event.go
@@ -119,8 +119,8 @@
 	// configReadRequested requests the accepted revision.
 	configReadRequested struct{ reply chan<- ReadResult }
 
-	// zoneOrdered requests an order for an availability zone; forward allows sending it to the leader.
-	zoneOrdered struct {
+	// zoneOrderRequested requests an order for an availability zone; forward allows sending it to the leader.
+	zoneOrderRequested struct {
 		order   *state.OrderZone
 		forward bool
 		reply   chan<- OrderResult
@@ -170,4 +170,4 @@
 func (storageReopened) event()       {}
 func (draftSubmitted) event()        {}
 func (configReadRequested) event()   {}
-func (zoneOrdered) event()           {}
+func (zoneOrderRequested) event()    {}
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -189,7 +189,7 @@
 		if event.session == l.daemon.session {
 			l.handleLeaderMessage(now, event.message)
 		}
-	case zoneOrdered:
+	case zoneOrderRequested:
 		l.orderZone(now, event)
 	case reportRequested:
 		l.report(now, event)
--- a/internal/root/ctrl/zones.go
+++ b/internal/root/ctrl/zones.go
@@ -76,7 +76,7 @@
 
 func (l *Loop) awaitOrder(ctx context.Context, order state.OrderZone, forward bool) OrderResult {
 	reply := make(chan OrderResult, 1)
-	result, err := await(ctx, l, zoneOrdered{order: &order, forward: forward, reply: reply}, reply)
+	result, err := await(ctx, l, zoneOrderRequested{order: &order, forward: forward, reply: reply}, reply)
 	if err != nil {
 		return OrderUnconfirmed{}
 	}
@@ -84,7 +84,7 @@
 }
 
 // orderZone checks an order and proposes it, or sends it to the leader.
-func (l *Loop) orderZone(now time.Time, event zoneOrdered) {
+func (l *Loop) orderZone(now time.Time, event zoneOrderRequested) {
 	event.order.At = wire.StampOf(now)
 	if err := event.order.Check(); err != nil {
 		event.reply <- OrderRefused{Invalid: true, Detail: err.Error()}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (l *Loop) sendOrder(event zoneOrdered) {
+func (l *Loop) sendOrder(event zoneOrderRequested) {
 	d := l.daemon
 	if d.orderSupport == ordersUnsupported {
 		event.reply <- refusedByEarlierVersion
