--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
@@ -19,14 +20,15 @@
 	mu       sync.Mutex
 	restarts int // suspected restarts that the limiter knows of
 	wake     *time.Timer
-	logged   bool // the log says that the server is cold
+	log      local.ColdLog
 	ended    bool // the backend has been replaced
 }
 
+// isLogged reports whether the log says that the server is cold.
 func (c *coldState) isLogged() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.logged
+	return c.log.Cold()
 }
 
 // assumeCold records that a new incarnation counts as cold for the cold period, until it reports otherwise.
@@ -78,7 +80,7 @@
 // confirm returns why an admitted request may not be sent to the server any more, nil if it may: the server may have
 // turned cold, may have been replaced, or its zone may have been evacuated since.
 func (b *backends) confirm(server *backend, t *admit.Ticket) retry.Failure {
-	if failure := b.closed(server); failure != nil {
+	if failure := b.zoneFailure(server); failure != nil {
 		return failure
 	}
 	if !server.cold.limited.Load() {
@@ -132,12 +134,14 @@
 	now := b.clock.Now()
 	load := server.limiter.Load(now)
 	next, waiting := server.limiter.NextStart(now)
-	cold := load.ColdFor > 0 && !c.ended
-	if logged := cold && b.control.Snapshot().Rules != nil; logged != c.logged {
-		c.logged = logged
-		b.logCold(server, logged, load)
+	if c.ended {
+		return
+	}
+	state := local.ColdState{
+		Instance: server.endpoint.ID, Service: server.endpoint.Service, Rate: load.ColdRate, For: load.ColdFor,
 	}
-	if !cold {
+	c.log.Record(state, b.control.Snapshot().Rules != nil, b.meter, b.log)
+	if load.ColdFor <= 0 {
 		return
 	}
 	wait := load.ColdFor
@@ -167,22 +171,7 @@
 	if c.wake != nil {
 		c.wake.Stop()
 	}
-	if c.logged {
-		c.logged = false
-		b.meter.ColdServers(-1)
-	}
-}
-
-// logCold logs and counts a change of the cold state.
-func (b *backends) logCold(server *backend, cold bool, load admit.Load) {
-	event := b.log.Info().Str("instance", server.endpoint.ID).Str("service", server.endpoint.Service)
-	if !cold {
-		b.meter.ColdServers(-1)
-		event.Msg("backend-server-warm")
-		return
-	}
-	b.meter.ColdServers(1)
-	event.Float64("rate", load.ColdRate).Dur("for", load.ColdFor).Msg("backend-server-cold")
+	c.log.Forget(b.meter)
 }
 
 // countColdStart counts a call that did not start at once because the server is cold.
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -184,9 +184,9 @@
 		return
 	}
 	failure := c.admit(ctx)
-	if closed := c.server.backends.closed(found); failure == nil && closed != nil {
+	if zoneFailure := c.server.backends.zoneFailure(found); failure == nil && zoneFailure != nil {
 		found.limiter.Cancel(c.server.Clock.Now(), c.ticket)
-		failure = closed
+		failure = zoneFailure
 	}
 	if failure != nil {
 		if failure == (retry.Evacuated{}) {
@@ -208,7 +208,7 @@
 
 // admit waits for a slot; it returns nil once the call has one.
 func (c *incomingCall) admit(ctx context.Context) retry.Failure {
-	if failure := c.server.backends.closed(c.backend); failure != nil {
+	if failure := c.server.backends.zoneFailure(c.backend); failure != nil {
 		return failure
 	}
 	now := c.server.Clock.Now()
--- a/internal/root/reach/zone.go
+++ b/internal/root/reach/zone.go
@@ -5,10 +5,10 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
-// LocalFailure returns the failure with which a daemon refuses requests for the backend servers beside it, nil if it
+// ZoneFailure returns the failure with which a daemon refuses requests for the backend servers beside it, nil if it
 // accepts them; zone is their availability zone. A daemon that has not received the list of evacuations yet returns
 // Unreached, which daemons of earlier versions know too.
-func LocalFailure(snapshot *snap.Snapshot, zone string) retry.Failure {
+func ZoneFailure(snapshot *snap.Snapshot, zone string) retry.Failure {
 	if snapshot.EvacuationsUnknown {
 		return retry.Unreached{}
 	}
--- a/internal/root/relay/evacuation.go
+++ b/internal/root/relay/evacuation.go
@@ -4,40 +4,33 @@
 	"context"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 )
 
-// closed returns why the server must not receive new requests because of its availability zone, nil if it may.
-func (b *LocalBackend) closed() retry.Failure {
-	return reach.LocalFailure(b.Control.Snapshot(), b.Zone)
+// zoneFailure returns why the server must not receive new requests because of its availability zone, nil if it may.
+func (b *LocalBackend) zoneFailure() retry.Failure {
+	return reach.ZoneFailure(b.Control.Snapshot(), b.Zone)
 }
 
-// refuseClosed refuses the waiting requests if the server must not receive them; b.mu is held.
-func (b *LocalBackend) refuseClosed(s *serverProcess) {
-	if failure := b.closed(); failure != nil {
-		b.refuseWaiting(s, notRun{failure: failure})
-	}
+// watchEvacuations refuses the waiting requests whenever the evacuation of this daemon's zone begins, until ctx ends.
+func (b *LocalBackend) watchEvacuations(ctx context.Context) error {
+	return local.WatchEvacuations(ctx, b.Control, b.refuseQueuedInZone)
 }
 
-// flushClosed refuses the waiting requests if the server must not receive them.
-func (b *LocalBackend) flushClosed() {
+// refuseQueuedInZone refuses the waiting requests if the server must not receive them because of its zone.
+func (b *LocalBackend) refuseQueuedInZone() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current != nil {
-		b.refuseClosed(b.current)
+		b.refuseQueuedInZoneLocked(b.current)
 	}
 }
 
-// watchEvacuations refuses the waiting requests whenever the evacuation of this daemon's zone begins, until ctx ends.
-func (b *LocalBackend) watchEvacuations(ctx context.Context) error {
-	for {
-		changed := b.Control.Snapshot().EvacuationsChanged
-		b.flushClosed()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
+// refuseQueuedInZoneLocked is refuseQueuedInZone for one process of the server; b.mu is held.
+func (b *LocalBackend) refuseQueuedInZoneLocked(s *serverProcess) {
+	if failure := b.zoneFailure(); failure != nil {
+		b.refuseWaiting(s, notRun{failure: failure})
 	}
 }
 
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
@@ -63,7 +64,7 @@
 
 		cold       warmup.Limiter
 		coldNotice Notice // latest notice of which the limiter knows
-		coldLogged bool   // the log says that the server is cold
+		coldLog    local.ColdLog
 
 		coldLimited atomic.Bool // the service has a cold rate; changes under mu
 	}
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
@@ -84,21 +85,12 @@
 	}
 }
 
-// logCold logs and counts a change of the cold state, once the rules are known; b.mu is held.
+// logCold logs and counts a change of the cold state; b.mu is held.
 func (b *LocalBackend) logCold(now time.Time) {
-	cold := b.cold.Cold(now) && b.Control.Snapshot().Rules != nil
-	if cold == b.coldLogged {
-		return
-	}
-	b.coldLogged = cold
-	event := b.Log.Info().Str("instance", b.coldNotice.Instance).Str("service", b.serviceName())
-	if !cold {
-		b.Meter.ColdServers(-1)
-		event.Msg("backend-server-warm")
-		return
+	state := local.ColdState{
+		Instance: b.coldNotice.Instance, Service: b.serviceName(), Rate: b.cold.Rate, For: b.cold.Remaining(now),
 	}
-	b.Meter.ColdServers(1)
-	event.Float64("rate", b.cold.Rate).Dur("for", b.cold.Remaining(now)).Msg("backend-server-cold")
+	b.coldLog.Record(state, b.Control.Snapshot().Rules != nil, b.Meter, b.Log)
 }
 
 // countColdStart counts a request that did not start at once because the server is cold.
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -165,7 +165,7 @@
 	case s.unanswered >= maxUnanswered && s.probing:
 		return notRun{failure: retry.Unreached{}}
 	}
-	if failure := b.closed(); failure != nil {
+	if failure := b.zoneFailure(); failure != nil {
 		return notRun{failure: failure}
 	}
 	return nil
@@ -272,7 +272,7 @@
 func (b *LocalBackend) admitWaiting(now time.Time, s *serverProcess) {
 	b.updateCold(now)
 	b.reclaimLost(now, s)
-	b.refuseClosed(s)
+	b.refuseQueuedInZoneLocked(s)
 	started, dropped := s.controller.Dispatch(now)
 	for _, t := range started {
 		b.notifyWaiting(s, t, admission{})
