--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -275,10 +275,9 @@
 			return admit.Canceled{}
 		}
 	}
-	incarnation := c.backend.endpoint.Incarnation
 	token := c.server.parents.add(c.parent)
 	defer c.server.parents.remove(token)
-	c.server.suspects.Begin(incarnation, c.head.Fingerprint)
+	c.server.suspects.Begin(c.backend.endpoint.Incarnation, c.head.Fingerprint)
 	attempt := newToken()
 	request, err := c.newBackendRequest(ctx, token, attempt)
 	if err != nil {
@@ -298,8 +297,12 @@
 	if response.Close || request.Close {
 		c.conns.markLastUse()
 	}
+	return c.respond(ctx, started, attempt, response)
+}
+
+// respond streams a response back, unless it cannot be known to be complete or to follow this attempt.
+func (c *incomingCall) respond(ctx context.Context, started time.Time, attempt string, response *http.Response) admit.Result {
 	now := c.server.Clock.Now()
-	backendLatency := now.Sub(started)
 	latency := c.parent.selfTime(now, now.Sub(started))
 	switch {
 	case c.backend.returnsAttempt && response.Header.Get(HeaderAttempt) != attempt:
@@ -315,15 +318,8 @@
 		return admit.Completed{Latency: latency}
 	}
 	c.backend.limiter.Responded(now, c.ticket, latency)
-	err = c.relay(response, backendLatency)
-	if errors.Is(err, head.ErrMalformed) {
-		return c.malformed(err, errors.Is(err, errNoBody))
-	}
-	if errors.Is(err, errNoBody) {
-		return c.roundTripFailed(ctx, started, err)
-	}
-	if err != nil {
-		return c.bodyFailed(ctx, err)
+	if err := c.relay(response, now.Sub(started)); err != nil {
+		return c.relayFailed(ctx, started, err)
 	}
 	c.endSuspect(true)
 	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
@@ -332,6 +328,18 @@
 	return admit.Completed{}
 }
 
+// relayFailed ends a call whose response was not streamed back in full.
+func (c *incomingCall) relayFailed(ctx context.Context, started time.Time, err error) admit.Result {
+	nothingSent := errors.Is(err, errNoBody)
+	switch {
+	case errors.Is(err, head.ErrMalformed):
+		return c.malformed(err, nothingSent)
+	case nothingSent:
+		return c.roundTripFailed(ctx, started, err)
+	}
+	return c.bodyFailed(ctx, err)
+}
+
 // refuseResponse refuses a call whose response cannot be passed on. The backend server may have run it.
 func (c *incomingCall) refuseResponse(cause error) {
 	c.server.Log.Warn().Str("service", c.backend.endpoint.Service).Str("route", c.head.Route).Err(cause).Msg("answer-refused")
