--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -5,17 +5,17 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
 
 const (
-	// unreachablePeriod is how long no request is sent to a server that has not accepted a connection.
+	// unreachablePeriod is how long no request is sent to a server that has refused a connection.
 	unreachablePeriod = 150 * time.Millisecond
 
 	// maxLinger bounds how long the rest of a run is awaited after its caller has gone. Callers and servers expect
@@ -239,7 +239,7 @@
 	case err == nil:
 		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed):
-	case isServerUnreachable(err):
+	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
 		b.suspectRestart(now, s)
 		// Requests in flight when the server stopped accepting connections may have crashed it.
@@ -252,13 +252,6 @@
 	b.admitWaiting(now, s)
 }
 
-// isServerUnreachable reports whether the server has not accepted a connection. A dial that the deadline or the caller of
-// its request may have ended does not show that.
-func isServerUnreachable(err error) bool {
-	var dialErr *net.OpError
-	return errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial" && !errors.Is(err, errRequestEnded)
-}
-
 // reclaimLost frees the slots of runs whose response counts as lost. The responses are still awaited, because
 // some of these runs only take long; b.mu is held.
 func (b *LocalBackend) reclaimLost(now time.Time, s *serverProcess) {
