--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -15,7 +15,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 )
 
@@ -42,7 +42,7 @@
 		leaving   atomic.Bool
 		died      atomic.Bool
 		replaced  atomic.Bool // a newer incarnation has registered
-		watch     probe.Watch
+		watch     epoch.Watch
 		cold      coldState
 
 		// returnsAttempt is set if each response names the attempt that it belongs to. Only then may a
@@ -181,7 +181,7 @@
 	if err == nil {
 		_ = conn.Close()
 	}
-	refused := err != nil && probe.Refused(err)
+	refused := err != nil && epoch.Refused(err)
 	if refused {
 		b.unreachable(server)
 	}
--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -17,11 +17,11 @@
 type coldState struct {
 	limited atomic.Bool // its service has a cold rate
 
-	mu       sync.Mutex
-	restarts int // suspected restarts that the limiter knows of
-	wake     *time.Timer
-	log      local.ColdLog
-	ended    bool // the backend has been replaced
+	mu    sync.Mutex
+	epoch int // latest epoch that the limiter knows of
+	wake  *time.Timer
+	log   local.ColdLog
+	ended bool // the backend has been replaced
 }
 
 // isLogged reports whether the log says that the server is cold.
@@ -59,15 +59,15 @@
 // connected records a new connection, which may show that the server has restarted. No request is sent on a
 // connection before this function has returned.
 func (b *backends) connected(server *backend, conn net.Conn) {
-	restarts := server.watch.Opened(conn)
+	current := server.watch.Opened(conn)
 	if !server.returnsAttempt {
 		return // the server closes each connection after one response, which shows no restart
 	}
 	c := &server.cold
 	c.mu.Lock()
-	suspected := restarts > c.restarts
+	suspected := current > c.epoch
 	if suspected {
-		c.restarts = restarts
+		c.epoch = current
 		b.configureColdLocked(server)
 		server.limiter.SuspectRestart(b.clock.Now())
 	}
--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 )
 
 // idleTimerSkew bounds how much later than the transport's idle timer the idle time of a connection starts.
@@ -30,7 +30,7 @@
 	countedConn struct {
 		net.Conn
 		written atomic.Int64
-		watch   *probe.Watch
+		watch   *epoch.Watch
 		lastUse atomic.Bool // the server closes the connection after the response
 
 		idleSince atomic.Pointer[time.Time] // nil while a request uses the connection
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -23,8 +23,8 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -460,7 +460,7 @@
 		return admit.Canceled{}
 	case !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
-		if probe.Refused(err) {
+		if epoch.Refused(err) {
 			c.server.backends.unreachable(c.backend)
 		}
 		c.refuse(retry.Unreached{})
--- a/internal/root/probe/watch.go
+++ b/internal/root/epoch/watch.go
@@ -1,4 +1,4 @@
-package probe
+package epoch
 
 import (
 	"errors"
@@ -8,13 +8,14 @@
 )
 
 type (
-	// Watch knows the connections to one process of a backend server. The end of the process closes them, and a new
-	// process at the same address has none of them. The zero value is ready for use; it is safe for concurrent use.
+	// Watch knows the connections to a backend server. The end of a process closes them, and a new process at the same
+	// address, with which an epoch begins, has none of them. The zero value is ready for use in epoch 0; it is safe for
+	// concurrent use.
 	Watch struct {
-		mu       sync.Mutex
-		conns    map[net.Conn]int // open connections, with the number of restarts before each was opened
-		ended    bool             // the server has closed its last open connection since the latest one was opened
-		restarts int              // suspected so far
+		mu    sync.Mutex
+		conns map[net.Conn]int // open connections, with the epoch in which each was opened
+		ended bool             // the server has closed its last open connection since the latest one was opened
+		epoch int              // number of restarts suspected so far
 	}
 
 	state uint8
@@ -26,31 +27,31 @@
 	unknown              // bytes wait to be read, or it is closed at this end
 )
 
-// Opened records a new connection and returns the number of restarts suspected so far. A restart is suspected if the
-// server has closed a connection and no earlier one is open: one that is open belongs to the process that has
-// accepted the new one.
+// Opened records a new connection and returns its epoch. A restart is suspected, so that an epoch begins, if the server
+// has closed a connection and no earlier one is open: one that is open belongs to the process that has accepted the
+// new one.
 func (w *Watch) Opened(conn net.Conn) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.mayHaveRestarted() {
-		w.restarts++
+		w.epoch++
 	}
 	w.ended = false
 	if w.conns == nil {
 		w.conns = map[net.Conn]int{}
 	}
-	w.conns[conn] = w.restarts
-	return w.restarts
+	w.conns[conn] = w.epoch
+	return w.epoch
 }
 
 func (w *Watch) mayHaveRestarted() bool {
 	someEnded := w.ended
-	for conn, restarts := range w.conns {
+	for conn, epoch := range w.conns {
 		switch stateOf(conn) {
 		case open:
 			return false
 		case ended:
-			someEnded = someEnded || restarts == w.restarts
+			someEnded = someEnded || epoch == w.epoch
 		}
 	}
 	return someEnded
@@ -61,9 +62,9 @@
 func (w *Watch) Closing(conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	restarts, found := w.conns[conn]
+	epoch, found := w.conns[conn]
 	delete(w.conns, conn)
-	if found && restarts == w.restarts && stateOf(conn) == ended && !w.someOpen() {
+	if found && epoch == w.epoch && stateOf(conn) == ended && !w.someOpen() {
 		w.ended = true
 	}
 }
@@ -76,8 +77,8 @@
 }
 
 func (w *Watch) someOpen() bool {
-	for conn, restarts := range w.conns {
-		if restarts == w.restarts && stateOf(conn) == open {
+	for conn, epoch := range w.conns {
+		if epoch == w.epoch && stateOf(conn) == open {
 			return true
 		}
 	}
--- a/internal/root/probe/watch_test.go
+++ b/internal/root/epoch/watch_test.go
@@ -1,4 +1,4 @@
-package probe
+package epoch
 
 import (
 	"net"
--- a/internal/root/probe/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package probe tells from the connections to a backend server whether the server may have restarted.
-package probe
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -88,7 +88,7 @@
 		unreachableUntil time.Time
 		unanswered       int // consecutive runs that ended without a response
 		probing          bool
-		restarts         atomic.Int64 // suspected restarts that the limiter knows of; changes under the lock of the backend
+		epoch            atomic.Int64 // latest epoch that the limiter knows of; changes under the lock of the backend
 	}
 )
 
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -35,21 +35,21 @@
 	b.applyCold(now)
 }
 
-func (c *startCheck) confirm(restarts int) error {
-	return c.backend.confirm(c.process, c.ticket, restarts)
+func (c *startCheck) confirm(epoch int) error {
+	return c.backend.confirm(c.process, c.ticket, epoch)
 }
 
-// confirm returns errNotConfirmed if a started request must not be sent on a connection that was opened after the given
-// number of suspected restarts. It takes no lock for a service without a cold rate, unless a restart is newly suspected.
-func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, restarts int) error {
-	if !b.coldLimited.Load() && int64(restarts) <= s.restarts.Load() {
+// confirm returns errNotConfirmed if a started request must not be sent on a connection that was opened in the given
+// epoch. It takes no lock for a service without a cold rate, unless a restart is newly suspected.
+func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, epoch int) error {
+	if !b.coldLimited.Load() && int64(epoch) <= s.epoch.Load() {
 		return nil
 	}
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if int64(restarts) > s.restarts.Load() {
-		s.restarts.Store(int64(restarts))
+	if int64(epoch) > s.epoch.Load() {
+		s.epoch.Store(int64(epoch))
 		b.suspectRestart(now, s)
 	}
 	if b.cold.Rate > 0 && b.current != s || !s.controller.Confirm(now, t) {
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -10,7 +10,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
 
@@ -239,7 +239,7 @@
 	case err == nil:
 		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed):
-	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.Refused(err):
+	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && epoch.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
 		b.suspectRestart(now, s)
 		// Requests in flight when the server stopped accepting connections may have crashed it.
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -19,7 +19,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
 
@@ -71,7 +71,7 @@
 		idle   []*backendConn // most recently used last
 		closed bool
 
-		watch probe.Watch
+		watch epoch.Watch
 	}
 
 	backendConn struct {
@@ -79,7 +79,7 @@
 		limit     *limitedReader // below reader
 		reader    *bufio.Reader
 		idleUntil time.Time // when an idle connection expires
-		restarts  int       // restarts of the server suspected before the connection was opened
+		epoch     int       // of the server when the connection was opened
 	}
 
 	// exchange is one request that is sent to the server.
@@ -115,7 +115,7 @@
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	if err := ex.start.confirm(conn.restarts); err != nil {
+	if err := ex.start.confirm(conn.epoch); err != nil {
 		p.put(conn)
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
@@ -359,7 +359,7 @@
 	limit := &limitedReader{reader: conn}
 	return &backendConn{
 		Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10), idleUntil: now.Add(defaultIdleTimeout),
-		restarts: p.watch.Opened(conn),
+		epoch: p.watch.Opened(conn),
 	}, nil
 }
 
