--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -38,7 +38,7 @@
 	backend struct {
 		endpoint  snap.Endpoint
 		limiter   *admit.Limiter
-		transport *http.Transport
+		transport *http.Transport // for connections with the usual idle timeout
 		leaving   atomic.Bool
 		died      atomic.Bool
 		replaced  atomic.Bool // a newer incarnation has registered
@@ -50,6 +50,9 @@
 		// otherwise be taken for the next response.
 		returnsAttempt bool
 
+		// shortIdle takes the place of transport once the server has announced a shorter idle timeout.
+		shortIdle atomic.Pointer[http.Transport]
+
 		// singleUse is set once a response has named another attempt. From then on each request gets its own
 		// connection, so that a server that repeats its responses loses no more of them.
 		singleUse atomic.Bool
@@ -85,7 +88,7 @@
 		return
 	}
 	next := &backend{endpoint: endpoint, returnsAttempt: returnsAttempt}
-	next.transport = b.newTransport(next)
+	next.transport = b.newTransport(next, idleConnTimeout)
 	next.leaving.Store(endpoint.Leaving)
 	if registered {
 		next.limiter = current.limiter
@@ -99,14 +102,15 @@
 	if current != nil {
 		current.replaced.Store(!registered)
 		b.forgetCold(current)
-		current.transport.CloseIdleConnections()
+		current.closeIdle()
 	}
 	b.byID[endpoint.ID] = next
 	b.configureCold(next)
 	b.updateCold(next)
 }
 
-func (b *backends) newTransport(server *backend) *http.Transport {
+// newTransport returns a transport that keeps idle connections for the given time, and none if that is zero.
+func (b *backends) newTransport(server *backend, idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: b.timeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -115,21 +119,59 @@
 				return nil, err
 			}
 			b.connected(server, conn)
-			return &countedConn{Conn: conn, watch: &server.watch}, nil
+			counted := &countedConn{Conn: conn, watch: &server.watch}
+			counted.limitIdle(idle)
+			return counted, nil
 		},
 		MaxConnsPerHost:        int(server.endpoint.Connections),
 		MaxIdleConnsPerHost:    int(server.endpoint.Connections),
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: maxResponseHeader,
 		DisableCompression:     true, // responses pass unchanged
-		DisableKeepAlives:      !server.returnsAttempt,
+		DisableKeepAlives:      !server.returnsAttempt || idle <= 0,
 	}
 }
 
 // stopReuse ends the reuse of connections after a response has named another attempt.
 func (b *backend) stopReuse() {
 	b.singleUse.Store(true)
+	b.closeIdle()
+}
+
+// reused returns the transport of the calls to the server.
+func (b *backend) reused() *http.Transport {
+	if short := b.shortIdle.Load(); short != nil {
+		return short
+	}
+	return b.transport
+}
+
+func (b *backend) closeIdle() {
 	b.transport.CloseIdleConnections()
+	b.reused().CloseIdleConnections()
+}
+
+// heedIdleTimeout applies the idle timeout that the server announces with a response. A call on a connection that the
+// server is about to close would have an unknown outcome, and the end of the connection would look like that of the
+// server. The shortest timeout that an incarnation has announced applies to later calls.
+func (b *backends) heedIdleTimeout(server *backend, header http.Header, conns *connTracker) {
+	idle := epoch.IdleTimeout(header, idleConnTimeout)
+	if idle >= idleConnTimeout || !server.returnsAttempt {
+		return
+	}
+	if conns.conn != nil {
+		conns.conn.limitIdle(idle)
+	}
+	short := server.shortIdle.Load()
+	if short != nil && idle >= short.IdleConnTimeout {
+		return
+	}
+	if server.shortIdle.CompareAndSwap(short, b.newTransport(server, idle)) {
+		server.transport.CloseIdleConnections()
+		if short != nil {
+			short.CloseIdleConnections()
+		}
+	}
 }
 
 // loads returns the state of each limiter. Services that are not in the rules are reported as "other",
@@ -174,7 +216,7 @@
 // connectionLost handles a connection that broke with a request in flight and reports whether the backend
 // server has died. A probe that is refused is taken as proof of it.
 func (b *backends) connectionLost(server *backend, fingerprint string) bool {
-	if !server.returnsAttempt && !server.watch.SomeOpen() {
+	if server.reused().DisableKeepAlives && !server.watch.SomeOpen() {
 		b.suspectRestart(server)
 	}
 	conn, err := net.DialTimeout("tcp", server.endpoint.Address, probeTimeout)
--- a/internal/root/call/backend_cold.go
+++ b/internal/root/call/backend_cold.go
@@ -59,9 +59,9 @@
 // connected records a new connection, which may show that the server has restarted. No request is sent on a
 // connection before this function has returned.
 func (b *backends) connected(server *backend, conn net.Conn) {
-	current := server.watch.Opened(conn)
-	if !server.returnsAttempt {
-		return // the server closes each connection after one response, which shows no restart
+	current := server.watch.Opened(time.Now(), conn)
+	if server.reused().DisableKeepAlives {
+		return // each connection is closed after one response, which shows no restart
 	}
 	c := &server.cold
 	c.mu.Lock()
--- a/internal/root/call/conntracker.go
+++ b/internal/root/call/conntracker.go
@@ -19,6 +19,7 @@
 	// calls RoundTrip uses its fields.
 	connTracker struct {
 		conn          *countedConn
+		use           int   // number of the use of conn
 		writtenBefore int64 // bytes written to conn before this request
 		resent        bool
 		confirm       func() retry.Failure // returns why the request may not be sent any more, nil if it may
@@ -32,15 +33,12 @@
 		written atomic.Int64
 		watch   *epoch.Watch
 		lastUse atomic.Bool // the server closes the connection after the response
-
-		idleSince atomic.Pointer[time.Time] // nil while a request uses the connection
 	}
 )
 
 // Write writes p and counts the bytes written, also those of a failed write. It counts them first, because the server
 // may respond before the write returns.
 func (c *countedConn) Write(p []byte) (int, error) {
-	c.idleSince.Store(nil)
 	c.written.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n - len(p)))
@@ -51,26 +49,23 @@
 func (c *countedConn) Close() error {
 	switch {
 	case c.watch == nil:
-	case c.lastUse.Load(), c.expired(time.Now()):
+	case c.lastUse.Load():
 		c.watch.Forget(c.Conn)
 	default:
-		c.watch.Closing(c.Conn)
+		c.watch.Closing(time.Now(), c.Conn)
 	}
 	return c.Conn.Close()
 }
 
-// expired reports whether the transport closes the connection after its idle timeout. The server may have closed it for
-// the same reason, so that its end does not show a restart.
-func (c *countedConn) expired(now time.Time) bool {
-	since := c.idleSince.Load()
-	return since != nil && now.Sub(*since) >= idleConnTimeout-idleTimerSkew
+// limitIdle records how long the connection is kept while it is idle.
+func (c *countedConn) limitIdle(timeout time.Duration) {
+	c.watch.LimitIdle(c.Conn, max(timeout-idleTimerSkew, 0))
 }
 
 // putIdleConn is called when the transport keeps the connection of the request for later ones.
 func (t *connTracker) putIdleConn(err error) {
-	if err == nil && t.conn != nil {
-		now := time.Now()
-		t.conn.idleSince.Store(&now)
+	if err == nil && t.conn != nil && t.conn.watch != nil {
+		t.conn.watch.Idle(time.Now(), t.conn.Conn, t.use)
 	}
 }
 
@@ -95,6 +90,9 @@
 	t.conn, _ = info.Conn.(*countedConn)
 	if t.conn != nil {
 		t.writtenBefore = t.conn.written.Load()
+		if t.conn.watch != nil {
+			t.use = t.conn.watch.Used(t.conn.Conn)
+		}
 	}
 }
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -286,7 +286,7 @@
 		return admit.Canceled{}
 	}
 	defer c.conns.cancel()
-	response, err := head.Transport{Base: c.backend.transport}.RoundTrip(request)
+	response, err := head.Transport{Base: c.backend.reused()}.RoundTrip(request)
 	if errors.Is(err, head.ErrMalformed) {
 		return c.malformed(err, true)
 	}
@@ -296,6 +296,8 @@
 	defer func() { _ = response.Body.Close() }()
 	if response.Close || request.Close {
 		c.conns.markLastUse()
+	} else {
+		c.server.backends.heedIdleTimeout(c.backend, response.Header, c.conns)
 	}
 	return c.respond(ctx, started, attempt, response)
 }
--- a/internal/root/epoch/watch.go
+++ b/internal/root/epoch/watch.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 type (
@@ -13,9 +14,17 @@
 	// concurrent use.
 	Watch struct {
 		mu    sync.Mutex
-		conns map[net.Conn]int // open connections, with the epoch in which each was opened
-		ended bool             // the server has closed its last open connection since the latest one was opened
-		epoch int              // number of restarts suspected so far
+		conns map[net.Conn]*watched
+		ended bool // the server has closed its last open connection since the latest one was opened
+		epoch int  // number of restarts suspected so far
+	}
+
+	// watched is an open connection.
+	watched struct {
+		epoch       int // in which it was opened
+		uses        int
+		idleSince   time.Time // zero while a request uses it, or if that is not recorded
+		idleTimeout time.Duration
 	}
 
 	state uint8
@@ -30,41 +39,42 @@
 // Opened records a new connection and returns its epoch. A restart is suspected, so that an epoch begins, if the server
 // has closed a connection and no earlier one is open: one that is open belongs to the process that has accepted the
 // new one.
-func (w *Watch) Opened(conn net.Conn) int {
+func (w *Watch) Opened(now time.Time, conn net.Conn) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.mayHaveRestarted() {
+	if w.mayHaveRestarted(now) {
 		w.epoch++
 	}
 	w.ended = false
 	if w.conns == nil {
-		w.conns = map[net.Conn]int{}
+		w.conns = map[net.Conn]*watched{}
 	}
-	w.conns[conn] = w.epoch
+	w.conns[conn] = &watched{epoch: w.epoch}
 	return w.epoch
 }
 
-func (w *Watch) mayHaveRestarted() bool {
+func (w *Watch) mayHaveRestarted(now time.Time) bool {
 	someEnded := w.ended
-	for conn, epoch := range w.conns {
+	for conn, c := range w.conns {
 		switch stateOf(conn) {
 		case open:
 			return false
 		case ended:
-			someEnded = someEnded || epoch == w.epoch
+			someEnded = someEnded || c.epoch == w.epoch && !c.expired(now)
 		}
 	}
 	return someEnded
 }
 
 // Closing records that this daemon is about to close a connection. A connection to an earlier process says nothing about
-// the present one, nor does one that has ended while the process keeps another open.
-func (w *Watch) Closing(conn net.Conn) {
+// the present one, nor does one that has ended while the process keeps another open, or after it had been idle for as long
+// as it is kept.
+func (w *Watch) Closing(now time.Time, conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	epoch, found := w.conns[conn]
+	c := w.conns[conn]
 	delete(w.conns, conn)
-	if found && epoch == w.epoch && stateOf(conn) == ended && !w.someOpen() {
+	if c != nil && c.epoch == w.epoch && !c.expired(now) && stateOf(conn) == ended && !w.someOpen() {
 		w.ended = true
 	}
 }
@@ -77,8 +87,8 @@
 }
 
 func (w *Watch) someOpen() bool {
-	for conn, epoch := range w.conns {
-		if epoch == w.epoch && stateOf(conn) == open {
+	for conn, c := range w.conns {
+		if c.epoch == w.epoch && stateOf(conn) == open {
 			return true
 		}
 	}
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -9,8 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -32,9 +30,6 @@
 	// servers close idle connections later.
 	defaultIdleTimeout = 8 * time.Second
 
-	// idleMargin is subtracted from the idle timeout that the server specifies.
-	idleMargin = time.Second
-
 	// maxSkippedResponses bounds the responses to other requests that are skipped on one connection.
 	maxSkippedResponses = 4
 
@@ -259,7 +254,7 @@
 		first.Status < http.StatusMultipleChoices && !got.metadata.Signed {
 		return got, errInvalidResponse
 	}
-	conn.idleUntil = time.Now().Add(idleTimeout(first.Header))
+	conn.idleUntil = time.Now().Add(epoch.IdleTimeout(first.Header, defaultIdleTimeout))
 	got.response = Response{Status: first.Status, Header: first.Header, Body: body}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
@@ -297,17 +292,6 @@
 	}
 }
 
-// idleTimeout returns how long the connection may stay idle according to the server's Keep-Alive field.
-func idleTimeout(header http.Header) time.Duration {
-	for _, word := range strings.Split(header.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(word), "timeout=")
-		if seconds, err := strconv.Atoi(value); found && err == nil {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
-		}
-	}
-	return defaultIdleTimeout
-}
-
 func encodeRequest(ex *exchange, dialect Dialect) []byte {
 	header := ex.request.Header.Clone()
 	if header == nil {
@@ -359,7 +343,7 @@
 	limit := &limitedReader{reader: conn}
 	return &backendConn{
 		Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10), idleUntil: now.Add(defaultIdleTimeout),
-		epoch: p.watch.Opened(conn),
+		epoch: p.watch.Opened(time.Now(), conn),
 	}, nil
 }
 
@@ -404,7 +388,7 @@
 
 // drop closes a connection that cannot be used again.
 func (p *pool) drop(conn *backendConn) {
-	p.watch.Closing(conn.Conn)
+	p.watch.Closing(time.Now(), conn.Conn)
 	_ = conn.Close()
 }
 
