--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -462,8 +462,11 @@
 		return admit.Canceled{}
 	case !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
-		if epoch.Refused(err) {
+		switch {
+		case epoch.Refused(err):
 			c.server.backends.unreachable(c.backend)
+		case epoch.DialFailed(err):
+			c.server.backends.suspectRestart(c.backend)
 		}
 		c.refuse(retry.Unreached{})
 		return admit.Lost{}
