--- a/internal/root/call/cold_test.go
+++ b/internal/root/call/cold_test.go
@@ -27,9 +27,10 @@
 // coldFleet is a daemon with a backend server that has a cold rate.
 type coldFleet struct {
 	*fleet
-	runs     atomic.Int64
-	listener *netest.Listener
-	backend  *backend
+	runs      atomic.Int64
+	listener  *netest.Listener
+	backend   *backend
+	keepAlive string // field of the responses
 }
 
 func newColdFleet(t *testing.T) *coldFleet {
@@ -39,6 +40,7 @@
 		time.Sleep(20 * time.Millisecond)
 		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 		w.Header().Set("Content-Length", "0")
+		w.Header().Set("Keep-Alive", c.keepAlive)
 	}))
 	c.serve(t, server)
 	t.Cleanup(server.Close)
