--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -279,9 +279,9 @@
 	return nil, fmt.Errorf("%w %q with outcome %q", ErrUnknownReason, reason, outcome)
 }
 
-// Merge returns the failure to report for a request that failed with earlier and, when retried, with
-// last: after a send with unknown outcome, a later refusal does not prove that the request has not run. An evacuation is
-// reported only if it is the only cause.
+// Merge returns the failure to report for a request that failed with earlier and, when retried, with last: after a
+// send with unknown outcome, a later refusal does not prove that the request has not run. An evacuation is reported
+// only if it is the only cause.
 func Merge(earlier, last Failure) Failure {
 	if _, evacuated := last.(Evacuated); evacuated && earlier != nil {
 		return earlier
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -303,7 +303,9 @@
 }
 
 // respond streams a response back, unless it cannot be known to be complete or to follow this attempt.
-func (c *incomingCall) respond(ctx context.Context, started time.Time, attempt string, response *http.Response) admit.Result {
+func (c *incomingCall) respond(
+	ctx context.Context, started time.Time, attempt string, response *http.Response,
+) admit.Result {
 	now := c.server.Clock.Now()
 	latency := c.parent.selfTime(now, now.Sub(started))
 	switch {
--- a/internal/root/ctrl/localzones.go
+++ b/internal/root/ctrl/localzones.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// assumeNoEvacuations is called for each lease. A leader that has sent none of its lists before is of a version that has
-// no evacuations: the daemon must not wait for a list, and refuses orders.
+// assumeNoEvacuations is called for each lease. A leader that has sent none of its lists before is of a version that
+// has no evacuations: the daemon must not wait for a list, and refuses orders.
 func (l *Loop) assumeNoEvacuations() {
 	if l.daemon.orderSupport == ordersUnknown {
 		l.daemon.orderSupport = ordersUnsupported
--- a/internal/root/ctrl/zones.go
+++ b/internal/root/ctrl/zones.go
@@ -55,7 +55,8 @@
 )
 
 var refusedByEarlierVersion = OrderRefused{
-	Detail: "the leader runs an earlier version, which has no evacuations; update all control instances and repeat the order",
+	Detail: "the leader runs an earlier version, which has no evacuations; " +
+		"update all control instances and repeat the order",
 }
 
 func (OrderAccepted) orderResult()    {}
--- a/internal/root/epoch/idle.go
+++ b/internal/root/epoch/idle.go
@@ -11,8 +11,8 @@
 // idleMargin is subtracted from the idle timeout that a server announces: it may already be closing the connection.
 const idleMargin = time.Second
 
-// IdleTimeout returns how long an idle connection is kept according to the Keep-Alive field of the server, and the usual
-// time if the server announces none.
+// IdleTimeout returns how long an idle connection is kept according to the Keep-Alive field of the server, and the
+// usual time if the server announces none.
 func IdleTimeout(header http.Header, usual time.Duration) time.Duration {
 	for _, word := range strings.Split(header.Get("Keep-Alive"), ",") {
 		value, found := strings.CutPrefix(strings.TrimSpace(word), "timeout=")
--- a/internal/root/epoch/watch.go
+++ b/internal/root/epoch/watch.go
@@ -66,9 +66,9 @@
 	return someEnded
 }
 
-// Closing records that this daemon is about to close a connection. A connection to an earlier process says nothing about
-// the present one, nor does one that has ended while the process keeps another open, or after it had been idle for as long
-// as it is kept.
+// Closing records that this daemon is about to close a connection. A connection to an earlier process says nothing
+// about the present one, nor does one that has ended while the process keeps another open, or after it had been idle
+// for as long as it is kept.
 func (w *Watch) Closing(now time.Time, conn net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/root/local/coldlog.go
+++ b/internal/root/local/coldlog.go
@@ -25,8 +25,8 @@
 // Cold reports whether the latest log line says that the server is cold.
 func (l *ColdLog) Cold() bool { return l.cold }
 
-// Record logs and counts a change of the state. Before the rules are known no server counts as cold, because its service
-// may have no cold rate.
+// Record logs and counts a change of the state. Before the rules are known no server counts as cold, because its
+// service may have no cold rate.
 func (l *ColdLog) Record(state ColdState, rulesKnown bool, m *meter.Meter, log zerolog.Logger) {
 	cold := state.For > 0 && rulesKnown
 	if cold == l.cold {
--- a/internal/root/relay/cold_test.go
+++ b/internal/root/relay/cold_test.go
@@ -256,8 +256,8 @@
 }
 
 // Guards against a request that ends while it connects and thereby keeps others from the server for a while, or makes
-// the requests in progress suspects of a crash, and against one that does so as the single probe of a server that has not
-// responded and keeps all others from it for good.
+// the requests in progress suspects of a crash, and against one that does so as the single probe of a server that has
+// not responded and keeps all others from it for good.
 func TestDialThatItsRequestEndsLeavesTheServerReachable(t *testing.T) {
 	_, d, _ := newColdFleet(t)
 	backend := d.relay.LocalBackend
