--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -23,8 +23,8 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -184,9 +184,9 @@
 		return
 	}
 	failure := c.admit(ctx)
-	if closed := c.server.backends.closed(found); failure == nil && closed != nil {
+	if zoneFailure := c.server.backends.zoneFailure(found); failure == nil && zoneFailure != nil {
 		found.limiter.Cancel(c.server.Clock.Now(), c.ticket)
-		failure = closed
+		failure = zoneFailure
 	}
 	if failure != nil {
 		if failure == (retry.Evacuated{}) {
@@ -208,7 +208,7 @@
 
 // admit waits for a slot; it returns nil once the call has one.
 func (c *incomingCall) admit(ctx context.Context) retry.Failure {
-	if failure := c.server.backends.closed(c.backend); failure != nil {
+	if failure := c.server.backends.zoneFailure(c.backend); failure != nil {
 		return failure
 	}
 	now := c.server.Clock.Now()
@@ -275,10 +275,9 @@
 			return admit.Canceled{}
 		}
 	}
-	incarnation := c.backend.endpoint.Incarnation
 	token := c.server.parents.add(c.parent)
 	defer c.server.parents.remove(token)
-	c.server.suspects.Begin(incarnation, c.head.Fingerprint)
+	c.server.suspects.Begin(c.backend.endpoint.Incarnation, c.head.Fingerprint)
 	attempt := newToken()
 	request, err := c.newBackendRequest(ctx, token, attempt)
 	if err != nil {
@@ -287,7 +286,7 @@
 		return admit.Canceled{}
 	}
 	defer c.conns.cancel()
-	response, err := head.Transport{Base: c.backend.transport}.RoundTrip(request)
+	response, err := head.Transport{Base: c.backend.reused()}.RoundTrip(request)
 	if errors.Is(err, head.ErrMalformed) {
 		return c.malformed(err, true)
 	}
@@ -297,9 +296,17 @@
 	defer func() { _ = response.Body.Close() }()
 	if response.Close || request.Close {
 		c.conns.markLastUse()
+	} else {
+		c.server.backends.heedIdleTimeout(c.backend, response.Header, c.conns)
 	}
+	return c.respond(ctx, started, attempt, response)
+}
+
+// respond streams a response back, unless it cannot be known to be complete or to follow this attempt.
+func (c *incomingCall) respond(
+	ctx context.Context, started time.Time, attempt string, response *http.Response,
+) admit.Result {
 	now := c.server.Clock.Now()
-	backendLatency := now.Sub(started)
 	latency := c.parent.selfTime(now, now.Sub(started))
 	switch {
 	case c.backend.returnsAttempt && response.Header.Get(HeaderAttempt) != attempt:
@@ -315,15 +322,8 @@
 		return admit.Completed{Latency: latency}
 	}
 	c.backend.limiter.Responded(now, c.ticket, latency)
-	err = c.relay(response, backendLatency)
-	if errors.Is(err, head.ErrMalformed) {
-		return c.malformed(err, errors.Is(err, errNoBody))
-	}
-	if errors.Is(err, errNoBody) {
-		return c.roundTripFailed(ctx, started, err)
-	}
-	if err != nil {
-		return c.bodyFailed(ctx, err)
+	if err := c.relay(response, now.Sub(started)); err != nil {
+		return c.relayFailed(ctx, started, err)
 	}
 	c.endSuspect(true)
 	if response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests {
@@ -332,6 +332,18 @@
 	return admit.Completed{}
 }
 
+// relayFailed ends a call whose response was not streamed back in full.
+func (c *incomingCall) relayFailed(ctx context.Context, started time.Time, err error) admit.Result {
+	nothingSent := errors.Is(err, errNoBody)
+	switch {
+	case errors.Is(err, head.ErrMalformed):
+		return c.malformed(err, nothingSent)
+	case nothingSent:
+		return c.roundTripFailed(ctx, started, err)
+	}
+	return c.bodyFailed(ctx, err)
+}
+
 // refuseResponse refuses a call whose response cannot be passed on. The backend server may have run it.
 func (c *incomingCall) refuseResponse(cause error) {
 	c.server.Log.Warn().Str("service", c.backend.endpoint.Service).Str("route", c.head.Route).Err(cause).Msg("answer-refused")
@@ -453,9 +465,9 @@
 	case !c.conns.mayHaveReached(ctx):
 		c.endSuspect(false)
 		switch {
-		case probe.Refused(err):
+		case epoch.Refused(err):
 			c.server.backends.unreachable(c.backend)
-		case probe.DialFailed(err):
+		case epoch.DialFailed(err):
 			c.server.backends.suspectRestart(c.backend)
 		}
 		c.refuse(retry.Unreached{})
--- a/internal/root/ctrl/zones.go
+++ b/internal/root/ctrl/zones.go
@@ -26,7 +26,7 @@
 
 	// OrderRefused means that the order is not accepted; Detail is the reason.
 	OrderRefused struct {
-		Invalid bool // a field of the order is invalid; otherwise too many zones are under evacuation
+		Invalid bool // a field of the order is invalid; otherwise the control group cannot accept it at present
 		Detail  string
 	}
 
@@ -35,8 +35,30 @@
 
 	// OrderUnconfirmed means that it is unknown whether the order is accepted.
 	OrderUnconfirmed struct{}
+
+	// orderSupport says whether the leader knows orders. A leader of an earlier version ignores an OrderCall, or closes
+	// the control stream.
+	orderSupport int
+
+	// orderWaiter is an order that has not been replied to. The call is nil once it has been sent; until then it is
+	// unknown whether the leader supports it.
+	orderWaiter struct {
+		reply chan<- OrderResult
+		call  *OrderCall
+	}
 )
 
+const (
+	ordersUnknown     orderSupport = iota // neither a list of evacuations nor a lease has arrived
+	ordersSupported                       // the leader has sent the list
+	ordersUnsupported                     // a lease has arrived without the list
+)
+
+var refusedByEarlierVersion = OrderRefused{
+	Detail: "the leader runs an earlier version, which has no evacuations; " +
+		"update all control instances and repeat the order",
+}
+
 func (OrderAccepted) orderResult()    {}
 func (OrderRefused) orderResult()     {}
 func (OrderNotLeader) orderResult()   {}
@@ -55,7 +77,7 @@
 
 func (l *Loop) awaitOrder(ctx context.Context, order state.OrderZone, forward bool) OrderResult {
 	reply := make(chan OrderResult, 1)
-	result, err := await(ctx, l, zoneOrdered{order: &order, forward: forward, reply: reply}, reply)
+	result, err := await(ctx, l, zoneOrderRequested{order: &order, forward: forward, reply: reply}, reply)
 	if err != nil {
 		return OrderUnconfirmed{}
 	}
@@ -63,7 +85,7 @@
 }
 
 // orderZone checks an order and proposes it, or sends it to the leader.
-func (l *Loop) orderZone(now time.Time, event zoneOrdered) {
+func (l *Loop) orderZone(now time.Time, event zoneOrderRequested) {
 	event.order.At = wire.StampOf(now)
 	if err := event.order.Check(); err != nil {
 		event.reply <- OrderRefused{Invalid: true, Detail: err.Error()}
@@ -88,17 +110,44 @@
 	}
 }
 
-func (l *Loop) sendOrder(event zoneOrdered) {
+func (l *Loop) sendOrder(event zoneOrderRequested) {
 	d := l.daemon
+	if d.orderSupport == ordersUnsupported {
+		event.reply <- refusedByEarlierVersion
+		return
+	}
 	d.nextQuery++
-	d.orderWaiters[d.nextQuery] = event.reply
-	l.sendToLeader(&OrderCall{ID: d.nextQuery, Order: event.order})
+	d.orderWaiters[d.nextQuery] = orderWaiter{reply: event.reply, call: &OrderCall{ID: d.nextQuery, Order: event.order}}
+	if d.orderSupport == ordersSupported {
+		l.sendUnsentOrders()
+	}
+}
+
+// sendUnsentOrders sends the orders that waited until the leader was known to support them, in the order of arrival.
+func (l *Loop) sendUnsentOrders() {
+	d := l.daemon
+	d.orderSupport = ordersSupported
+	for _, id := range slices.Sorted(maps.Keys(d.orderWaiters)) {
+		waiter := d.orderWaiters[id]
+		if waiter.call != nil {
+			l.sendToLeader(waiter.call)
+			d.orderWaiters[id] = orderWaiter{reply: waiter.reply}
+		}
+	}
+}
+
+// failOrders ends the waiting orders with a result.
+func (d *daemonState) failOrders(result OrderResult) {
+	for id, waiter := range d.orderWaiters {
+		waiter.reply <- result
+		delete(d.orderWaiters, id)
+	}
 }
 
 func (l *Loop) handleOrderReply(message *OrderReply) {
-	if reply, ok := l.daemon.orderWaiters[message.ID]; ok {
+	if waiter, ok := l.daemon.orderWaiters[message.ID]; ok {
 		delete(l.daemon.orderWaiters, message.ID)
-		reply <- message.result()
+		waiter.reply <- message.result()
 	}
 }
 
@@ -172,7 +221,9 @@
 func (ls *leaderState) sendEvacuations(l *Loop, s *session) {
 	if s.join.Evacuations {
 		machine := l.voter.machine
-		l.sendToDaemon(s, &EvacuationList{Version: machine.EvacuationVersion, Zones: machine.Evacuations})
+		l.sendToDaemon(s, &EvacuationList{
+			Version: machine.EvacuationVersion, Zones: machine.Evacuations, Group: l.voter.node.Group(),
+		})
 	}
 }
 
@@ -192,6 +243,10 @@
 			return
 		}
 	}
+	if l.daemon.orderSupport == ordersUnsupported {
+		reply <- reportResult{err: errNoEvacuations} // the leader would close the control stream
+		return
+	}
 	l.queryLeader(Query{Kind: QueryZones}, reply)
 }
 
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
@@ -63,7 +64,7 @@
 
 		cold       warmup.Limiter
 		coldNotice Notice // latest notice of which the limiter knows
-		coldLogged bool   // the log says that the server is cold
+		coldLog    local.ColdLog
 
 		coldLimited atomic.Bool // the service has a cold rate; changes under mu
 	}
@@ -87,7 +88,7 @@
 		unreachableUntil time.Time
 		unanswered       int // consecutive runs that ended without a response
 		probing          bool
-		restarts         atomic.Int64 // suspected restarts that the limiter knows of; changes under the lock of the backend
+		epoch            atomic.Int64 // latest epoch that the limiter knows of; changes under the lock of the backend
 	}
 )
 
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/local"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
@@ -34,21 +35,21 @@
 	b.applyCold(now)
 }
 
-func (c *startCheck) confirm(restarts int) error {
-	return c.backend.confirm(c.process, c.ticket, restarts)
+func (c *startCheck) confirm(epoch int) error {
+	return c.backend.confirm(c.process, c.ticket, epoch)
 }
 
-// confirm returns errNotConfirmed if a started request must not be sent on a connection that was opened after the given
-// number of suspected restarts. It takes no lock for a service without a cold rate, unless a restart is newly suspected.
-func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, restarts int) error {
-	if !b.coldLimited.Load() && int64(restarts) <= s.restarts.Load() {
+// confirm returns errNotConfirmed if a started request must not be sent on a connection that was opened in the given
+// epoch. It takes no lock for a service without a cold rate, unless a restart is newly suspected.
+func (b *LocalBackend) confirm(s *serverProcess, t *gate.Ticket, epoch int) error {
+	if !b.coldLimited.Load() && int64(epoch) <= s.epoch.Load() {
 		return nil
 	}
 	now := b.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if int64(restarts) > s.restarts.Load() {
-		s.restarts.Store(int64(restarts))
+	if int64(epoch) > s.epoch.Load() {
+		s.epoch.Store(int64(epoch))
 		b.suspectRestart(now, s)
 	}
 	if b.cold.Rate > 0 && b.current != s || !s.controller.Confirm(now, t) {
@@ -84,21 +85,12 @@
 	}
 }
 
-// logCold logs and counts a change of the cold state, once the rules are known; b.mu is held.
+// logCold logs and counts a change of the cold state; b.mu is held.
 func (b *LocalBackend) logCold(now time.Time) {
-	cold := b.cold.Cold(now) && b.Control.Snapshot().Rules != nil
-	if cold == b.coldLogged {
-		return
-	}
-	b.coldLogged = cold
-	event := b.Log.Info().Str("instance", b.coldNotice.Instance).Str("service", b.serviceName())
-	if !cold {
-		b.Meter.ColdServers(-1)
-		event.Msg("backend-server-warm")
-		return
+	state := local.ColdState{
+		Instance: b.coldNotice.Instance, Service: b.serviceName(), Rate: b.cold.Rate, For: b.cold.Remaining(now),
 	}
-	b.Meter.ColdServers(1)
-	event.Float64("rate", b.cold.Rate).Dur("for", b.cold.Remaining(now)).Msg("backend-server-cold")
+	b.coldLog.Record(state, b.Control.Snapshot().Rules != nil, b.Meter, b.Log)
 }
 
 // countColdStart counts a request that did not start at once because the server is cold.
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -10,7 +10,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
 )
 
@@ -165,7 +165,7 @@
 	case s.unanswered >= maxUnanswered && s.probing:
 		return notRun{failure: retry.Unreached{}}
 	}
-	if failure := b.closed(); failure != nil {
+	if failure := b.zoneFailure(); failure != nil {
 		return notRun{failure: failure}
 	}
 	return nil
@@ -234,25 +234,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.controller.Done(now, t, gateResult)
+	s.probing = false
 	switch {
 	case err == nil:
-		s.unanswered, s.probing = 0, false
+		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed):
-		s.probing = false
-	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.Refused(err):
+	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && epoch.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
 		b.suspectRestart(now, s)
-		s.probing = false
 		// Requests in flight when the server stopped accepting connections may have crashed it.
 		if fingerprints := b.Suspects.Died(now, s.incarnation); len(fingerprints) > 0 && !s.leaving {
 			go b.Control.ReportCrash(s.incarnation, fingerprints)
 		}
 	case !errors.Is(err, context.Canceled): // the end of a canceled request does not count against the server
-		if errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && probe.DialFailed(err) {
+		if errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && epoch.DialFailed(err) {
 			b.suspectRestart(now, s) // a machine that has lost power refuses nothing
 		}
 		s.unanswered++
-		s.probing = false
 	}
 	b.admitWaiting(now, s)
 }
@@ -270,7 +268,7 @@
 func (b *LocalBackend) admitWaiting(now time.Time, s *serverProcess) {
 	b.updateCold(now)
 	b.reclaimLost(now, s)
-	b.refuseClosed(s)
+	b.refuseQueuedInZoneLocked(s)
 	started, dropped := s.controller.Dispatch(now)
 	for _, t := range started {
 		b.notifyWaiting(s, t, admission{})
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -9,8 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -19,7 +17,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
-	"github.com/buckthornpitch/buckthornpitch/internal/root/probe"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
 
@@ -32,9 +30,6 @@
 	// servers close idle connections later.
 	defaultIdleTimeout = 8 * time.Second
 
-	// idleMargin is subtracted from the idle timeout that the server specifies.
-	idleMargin = time.Second
-
 	// maxSkippedResponses bounds the responses to other requests that are skipped on one connection.
 	maxSkippedResponses = 4
 
@@ -71,7 +66,7 @@
 		idle   []*backendConn // most recently used last
 		closed bool
 
-		watch probe.Watch
+		watch epoch.Watch
 	}
 
 	backendConn struct {
@@ -79,7 +74,7 @@
 		limit     *limitedReader // below reader
 		reader    *bufio.Reader
 		idleUntil time.Time // when an idle connection expires
-		restarts  int       // restarts of the server suspected before the connection was opened
+		epoch     int       // of the server when the connection was opened
 	}
 
 	// exchange is one request that is sent to the server.
@@ -115,7 +110,7 @@
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	if err := ex.start.confirm(conn.restarts); err != nil {
+	if err := ex.start.confirm(conn.epoch); err != nil {
 		p.put(conn)
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
@@ -259,7 +254,7 @@
 		first.Status < http.StatusMultipleChoices && !got.metadata.Signed {
 		return got, errInvalidResponse
 	}
-	conn.idleUntil = time.Now().Add(idleTimeout(first.Header))
+	conn.idleUntil = time.Now().Add(epoch.IdleTimeout(first.Header, defaultIdleTimeout))
 	got.response = Response{Status: first.Status, Header: first.Header, Body: body}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
@@ -297,17 +292,6 @@
 	}
 }
 
-// idleTimeout returns how long the connection may stay idle according to the server's Keep-Alive field.
-func idleTimeout(header http.Header) time.Duration {
-	for _, word := range strings.Split(header.Get("Keep-Alive"), ",") {
-		value, found := strings.CutPrefix(strings.TrimSpace(word), "timeout=")
-		if seconds, err := strconv.Atoi(value); found && err == nil {
-			return max(time.Duration(seconds)*time.Second-idleMargin, 0)
-		}
-	}
-	return defaultIdleTimeout
-}
-
 func encodeRequest(ex *exchange, dialect Dialect) []byte {
 	header := ex.request.Header.Clone()
 	if header == nil {
@@ -359,7 +343,7 @@
 	limit := &limitedReader{reader: conn}
 	return &backendConn{
 		Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10), idleUntil: now.Add(defaultIdleTimeout),
-		restarts: p.watch.Opened(conn),
+		epoch: p.watch.Opened(time.Now(), conn),
 	}, nil
 }
 
@@ -404,7 +388,7 @@
 
 // drop closes a connection that cannot be used again.
 func (p *pool) drop(conn *backendConn) {
-	p.watch.Closing(conn.Conn)
+	p.watch.Closing(time.Now(), conn.Conn)
 	_ = conn.Close()
 }
 
