--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -110,22 +110,22 @@
 		}
 		policy := f.reach(r)
 		r.restricted = r.restricted || policy.Restricted
-		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy})
+		choice, ok := f.pick(instances, now, r, tried, policy)
 		if !ok && previous != nil {
 			return failed{Failure: previous, Final: true} // more specific than NoBackend
 		}
 		if !ok {
 			return failed{Failure: f.refusal(r, &policy), Final: true}
 		}
-		firstOffer := !slices.Contains(tried, endpoint.ID)
-		tried = append(tried, endpoint.ID)
+		firstOffer := !slices.Contains(tried, choice.ID)
+		tried = append(tried, choice.ID)
 		loan := r.Budget.Lend()
-		attempt := f.send(ctx, r, &endpoint, policy.Regions, loan.Retries)
+		attempt := f.send(ctx, r, &choice, policy.Regions, loan.Retries)
 		r.Budget.ReturnLoan(loan, attempt.report.Unspent)
 		if attempt.failure == nil && !f.retryableStatus(r, attempt) {
-			return f.deliver(ctx, r, out, attempt, &endpoint, instances)
+			return f.deliver(ctx, r, out, attempt, &choice.Endpoint, instances)
 		}
-		instances.Done(f.Clock.Now(), endpoint.ID, attempt.feedback)
+		instances.Done(f.Clock.Now(), choice.ID, attempt.feedback)
 		verdict := f.decide(r, attempt, attempts, firstOffer)
 		retryVerdict, ok := verdict.(retry.Retry)
 		if !ok {
@@ -144,6 +144,11 @@
 	}
 }
 
+// pick chooses the instance for an attempt.
+func (f *Forwarder) pick(instances *picker.Picker, now time.Time, r *Request, tried []string, policy reach.Policy) (picker.Choice, bool) {
+	return instances.Pick(now, picker.Request{Tried: tried, Reach: policy, Nested: r.Nested})
+}
+
 // instances returns the picker of the service that r calls and subscribes to the service if its instances
 // are not in the snapshot yet.
 func (f *Forwarder) instances(ctx context.Context, r *Request) *picker.Picker {
@@ -221,12 +226,12 @@
 
 // send makes one attempt and returns when the head of the response or a failure has been received. Nested calls of the
 // attempt may be handled in the given regions, in all if the list is empty.
-func (f *Forwarder) send(ctx context.Context, r *Request, endpoint *snap.Endpoint, regions []string, retries uint32) attemptResult {
+func (f *Forwarder) send(ctx context.Context, r *Request, choice *picker.Choice, regions []string, retries uint32) attemptResult {
 	started := f.Clock.Now()
 	sendCtx, cancel := context.WithTimeout(ctx, r.Deadline.Sub(started)+f.DeadlineGrace)
-	head := f.head(r, endpoint, retries, started)
+	head := f.head(r, &choice.Endpoint, retries, started)
 	head.Regions = regions
-	call, err := f.Sender.open(sendCtx, endpoint, head, r.Prefix)
+	call, err := f.Sender.open(sendCtx, choice, head, r.Prefix)
 	if err != nil {
 		cancel()
 		attempt := attemptResult{failure: retry.BackendLost{}}
@@ -238,7 +243,7 @@
 		return attempt
 	}
 	call.cancel = cancel
-	attempt := f.receiveHead(sendCtx, r, call, endpoint)
+	attempt := f.receiveHead(sendCtx, r, call, &choice.Endpoint)
 	attempt.latency = f.Clock.Now().Sub(started)
 	attempt.feedback = pickerFeedback(ctx, r, attempt)
 	if attempt.failure != nil {
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -127,6 +127,7 @@
 	request.Deadline = earlier(parent.deadline, started.Add(match.Route.Deadline))
 	request.Budget = parent.budget
 	request.Chain = parent.chain
+	request.Nested = true
 	request.ParentRegions = parent.regions
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -9,9 +9,9 @@
 	"net"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
-	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -61,11 +61,12 @@
 
 // open opens a call stream and sends the head and, unless the head sets WaitAdmitted, the body, which is
 // the prefix. An error that wraps errNotSent means that no byte was sent.
-func (s *Sender) open(ctx context.Context, endpoint *snap.Endpoint, head *RequestHead, prefix []byte) (*outgoingCall, error) {
-	stream, err := s.connect(ctx, endpoint.Daemon)
+func (s *Sender) open(ctx context.Context, choice *picker.Choice, head *RequestHead, prefix []byte) (*outgoingCall, error) {
+	stream, err := s.connect(ctx, choice.Daemon)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	stream.Cause = choice.Cause
 	call := &outgoingCall{stream: stream, reader: readerPool.Get().(*bufio.Reader)}
 	call.reader.Reset(stream)
 	call.stop = context.AfterFunc(ctx, call.abort)
--- a/internal/root/call/picker/instance.go
+++ b/internal/root/call/picker/instance.go
@@ -65,6 +65,12 @@
 	return in.endpoint.Connections == 0 || in.inFlight < int(in.endpoint.Connections)
 }
 
+// hasRoom reports whether the instance may take a further call at once. Its reported load decays quickly, so that the load
+// above which other zones are used counts as full.
+func (in *instance) hasRoom(now time.Time) bool {
+	return in.available(now) && in.currentLoad(now) < maxLocalLoad && in.coldWait(now) == 0
+}
+
 // baseCost is the expected cost of a call to an instance without calls in flight.
 func (in *instance) baseCost(now time.Time, defaultLatency float64) float64 {
 	latency := in.latency
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
@@ -39,9 +40,19 @@
 
 	// Request describes the call to send to one of the instances.
 	Request struct {
-		// Tried lists the ids of instances that were already tried; they are chosen only if no other is available.
-		Tried []string
-		Reach reach.Policy
+		// Tried lists the ids of instances that were already tried, empty for the first attempt; they are chosen only if no
+		// other is available.
+		Tried  []string
+		Reach  reach.Policy
+		Nested bool // the call arrived from a backend server
+	}
+
+	// Choice is the instance that a call is sent to.
+	Choice struct {
+		snap.Endpoint
+		Cause cross.Cause // of the bytes, if the instance is in another availability zone
+		// Random is set if another instance had a lower expected cost: the choice evens out the load.
+		Random bool
 	}
 
 	// Result is Responded, Refused, Failed or Canceled.
@@ -102,7 +113,7 @@
 }
 
 // Pick chooses an instance and counts the call as in flight there until Done.
-func (p *Picker) Pick(now time.Time, request Request) (snap.Endpoint, bool) {
+func (p *Picker) Pick(now time.Time, request Request) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Each pass drops one condition: a call to an instance that is likely to fail is better than none, but an
@@ -128,12 +139,16 @@
 			}
 		}
 		if len(p.eligible) > 0 {
-			in := p.choose(now, localCount)
+			in, cheapest := p.choose(now, localCount)
+			placement := cross.Placement{Home: in.endpoint.Zone == p.zone, Again: len(request.Tried) > 0, Nested: request.Nested}
+			if !placement.Home {
+				placement.RoomAtHome = slices.ContainsFunc(p.eligible[:localCount], func(in *instance) bool { return in.hasRoom(now) })
+			}
 			in.inFlight++
-			return in.endpoint, true
+			return Choice{Endpoint: in.endpoint, Cause: placement.Cause(), Random: !cheapest}, true
 		}
 	}
-	return snap.Endpoint{}, false
+	return Choice{}, false
 }
 
 // Done counts the result of a call to the instance with that id.
@@ -151,8 +166,8 @@
 }
 
 // choose chooses among the eligible instances, of which the first localCount are in the local availability zone,
-// and prefers those.
-func (p *Picker) choose(now time.Time, localCount int) *instance {
+// and prefers those. It reports whether no other one was expected to cost less.
+func (p *Picker) choose(now time.Time, localCount int) (chosen *instance, cheapest bool) {
 	local, remote := p.eligible[:localCount], p.eligible[localCount:]
 	if localCount == 0 || len(remote) == 0 {
 		return p.evenly(now, p.eligible)
@@ -166,19 +181,19 @@
 	}
 	remotePick := remote[p.random.IntN(len(remote))]
 	if p.random.IntN(explorationPeriod) == 0 {
-		return remotePick
+		return remotePick, true
 	}
 	latency := p.defaultLatency()
-	cheapest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
-	if cheapest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < cheapest.cost(now, latency) {
-		return remotePick
+	nearest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
+	if nearest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < nearest.cost(now, latency) {
+		return remotePick, true
 	}
 	return p.evenly(now, local)
 }
 
 // evenly chooses among candidates that are equally near. Instances do not report the calls of other daemons; they are
 // estimated from the reported load.
-func (p *Picker) evenly(now time.Time, candidates []*instance) *instance {
+func (p *Picker) evenly(now time.Time, candidates []*instance) (chosen *instance, cheapest bool) {
 	latency := p.defaultLatency()
 	p.candidates = p.candidates[:0]
 	for _, in := range candidates {
@@ -188,7 +203,7 @@
 		})
 	}
 	choice, _ := spread.Choose(p.random, p.candidates)
-	return candidates[choice.Index]
+	return candidates[choice.Index], choice.Cheapest
 }
 
 // defaultLatency is the latency assumed for an instance without any response: the mean of the others.
--- a/internal/root/call/request.go
+++ b/internal/root/call/request.go
@@ -41,6 +41,7 @@
 	Budget        *retry.Budget
 	Chain         []string
 	Fingerprint   string
+	Nested        bool     // a call of the local backend server
 	ParentRegions []string // allowed regions of the parent request, empty if all are allowed or without one
 
 	body       io.Reader // as received
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -52,35 +52,35 @@
 		}
 		now := f.Clock.Now()
 		policy := f.reach(r)
-		endpoint, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy})
+		choice, ok := f.pick(instances, now, r, tried, policy)
 		if !ok {
 			return broken{}
 		}
-		tried = append(tried, endpoint.ID)
+		tried = append(tried, choice.ID)
 		f.Meter.Retry(r.Route.Service)
 		rangeRequest.Header.Set("Range", fmt.Sprintf("bytes=%d-", s.sent))
 		rangeRequest.Header.Set("If-Range", s.etag)
 		loan := r.Budget.Lend()
-		attempt := f.send(ctx, rangeRequest, &endpoint, policy.Regions, loan.Retries)
+		attempt := f.send(ctx, rangeRequest, &choice, policy.Regions, loan.Retries)
 		r.Budget.ReturnLoan(loan, attempt.report.Unspent)
 		if attempt.failure == nil && s.matches(attempt.response) {
 			f.Meter.Resume()
 			switch outcome := f.relayRange(out, attempt, s).(type) {
 			case delivered:
-				instances.Done(f.Clock.Now(), endpoint.ID, attempt.feedback)
+				instances.Done(f.Clock.Now(), choice.ID, attempt.feedback)
 				f.Planner.Success(f.Clock.Now(), r.Route.Service)
 				return outcome
 			case broken:
 				if outcome.callerGone || ctx.Err() != nil {
-					instances.Done(f.Clock.Now(), endpoint.ID, picker.Canceled{})
+					instances.Done(f.Clock.Now(), choice.ID, picker.Canceled{})
 					return outcome
 				}
 			}
-			instances.Done(f.Clock.Now(), endpoint.ID, picker.Failed{})
+			instances.Done(f.Clock.Now(), choice.ID, picker.Failed{})
 			continue
 		}
 		attempt.close()
-		instances.Done(f.Clock.Now(), endpoint.ID, attempt.feedback)
+		instances.Done(f.Clock.Now(), choice.ID, attempt.feedback)
 		if attempt.failure == nil {
 			return broken{} // the instance has another representation
 		}
@@ -94,7 +94,7 @@
 		ID: r.ID, Rules: r.Rules, Route: r.Route, Account: r.Account, Importance: r.Importance,
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header.Clone(), ContentLength: r.ContentLength,
 		Prefix: r.Prefix, Started: r.Started, Deadline: r.Deadline, Budget: r.Budget, Chain: r.Chain, Fingerprint: r.Fingerprint,
-		ParentRegions: r.ParentRegions, restricted: r.restricted,
+		Nested: r.Nested, ParentRegions: r.ParentRegions, restricted: r.restricted,
 	}
 }
 
--- a/internal/root/ctrl/transport.go
+++ b/internal/root/ctrl/transport.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/raft/codec"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -78,6 +79,7 @@
 	if err != nil {
 		return false, fmt.Errorf("open consensus stream: %w", err)
 	}
+	stream.Cause = cross.Control
 	defer func() { _ = stream.Close() }()
 	var decompresses atomic.Bool
 	go readRaftPeer(stream, &decompresses) // ends with the stream
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
@@ -59,6 +60,7 @@
 	if err != nil {
 		return false, err
 	}
+	stream.Cause = cross.Control
 	s := newSession(stream, address)
 	if !l.post(ctx, uplinkOpened{session: s}) {
 		s.close()
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/admin"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/disk"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -133,8 +134,10 @@
 	}
 	secret := []byte(settings.Secret)
 	timeout := settings.Limits.ConnectTimeout
-	b.trafficDialer = &link.Dialer{Name: settings.Name, Secret: secret, Timeout: timeout, KeepAlive: peerKeepAlive}
-	b.controlDialer = &link.Dialer{Name: settings.Name, Secret: secret, Timeout: timeout, KeepAlive: controlKeepAlive}
+	zone, zoneBytes := settings.AvailabilityZone, &cross.Bytes{}
+	b.meter.WatchZoneBytes(zoneBytes)
+	b.trafficDialer = &link.Dialer{Name: settings.Name, Zone: zone, Secret: secret, Timeout: timeout, KeepAlive: peerKeepAlive, Bytes: zoneBytes}
+	b.controlDialer = &link.Dialer{Name: settings.Name, Zone: zone, Secret: secret, Timeout: timeout, KeepAlive: controlKeepAlive, Bytes: zoneBytes}
 	b.loop, err = ctrl.New(ctrl.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, Region: settings.Region, PeerAddress: settings.PeerAdvertise.String(),
 		ControlAddresses: seedPeerAddresses(settings), Boot: b.boot, DynamicMembership: true, Bootstrap: bool(settings.Fleet.Bootstrap),
@@ -149,7 +152,7 @@
 		return err
 	}
 	b.peerServer = &link.Server{
-		Listener: listener, Name: settings.Name, Secret: secret, Log: b.log, MaxConnections: maxPeerConnections,
+		Listener: listener, Name: settings.Name, Zone: zone, Secret: secret, Log: b.log, MaxConnections: maxPeerConnections,
 		Handlers: map[link.StreamType]link.Handler{},
 	}
 	if storage != nil {
--- a/internal/root/link/dialer.go
+++ b/internal/root/link/dialer.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -24,11 +25,14 @@
 	// Dialer opens streams to other daemons. It keeps one session per peer address.
 	Dialer struct {
 		Name    string        // of the local daemon
+		Zone    string        // availability zone of the local daemon
 		Secret  []byte        // shared by all daemons
 		Timeout time.Duration // for connecting; zero selects defaultDialTimeout
 		// KeepAlive is the interval between keep-alive pings of a session, and the time after which a session
 		// without a response to a ping is closed. Zero selects keepAliveInterval and writeTimeout.
 		KeepAlive time.Duration
+		// Bytes counts the bytes of sessions to daemons of other availability zones, nil to count none.
+		Bytes *cross.Bytes
 
 		mu       sync.Mutex
 		sessions map[string]*session
@@ -41,6 +45,7 @@
 		cancel context.CancelFunc
 		yamux  *yamux.Session
 		peer   string
+		bytes  *cross.Bytes // nil if the peer is in the same zone, or does not say in which
 		err    error
 	}
 )
@@ -56,7 +61,7 @@
 		d.removeSession(address, sess)
 		return nil, fmt.Errorf("%w: open stream to %s: %w", ErrUnreachable, address, err)
 	}
-	stream := &Stream{Conn: yamuxStream, Peer: sess.peer}
+	stream := &Stream{Conn: yamuxStream, Peer: sess.peer, Bytes: sess.bytes, Cause: cross.KeepAlive}
 	if err := wire.WriteMessage(stream, kindOpen, &Open{Type: streamType}); err != nil {
 		_ = stream.Close()
 		d.removeSession(address, sess)
@@ -156,13 +161,20 @@
 		return
 	}
 	context.AfterFunc(ctx, func() { _ = conn.Close() })
-	sess.peer, err = authenticate(conn, d.Secret, d.Name, true)
+	handshake := &countedConn{Conn: conn}
+	hello, err := authenticate(handshake, d.Secret, d.Name, d.Zone, true)
 	if err != nil {
 		_ = conn.Close()
 		d.failDial(address, sess, err)
 		return
 	}
-	sess.yamux, err = yamux.Client(coalesce(conn), sessionConfig(d.KeepAlive))
+	sess.peer = hello.Name
+	if d.Zone != "" && hello.Zone != "" && hello.Zone != d.Zone {
+		sess.bytes = d.Bytes
+	}
+	sess.bytes.Add(cross.KeepAlive, cross.Sent, handshake.sent)
+	sess.bytes.Add(cross.KeepAlive, cross.Received, handshake.received)
+	sess.yamux, err = yamux.Client(coalesce(conn, sess.bytes), sessionConfig(d.KeepAlive))
 	if err != nil {
 		_ = conn.Close()
 		d.failDial(address, sess, err)
--- a/internal/root/link/server.go
+++ b/internal/root/link/server.go
@@ -22,6 +22,7 @@
 	Server struct {
 		Listener net.Listener
 		Name     string // of the local daemon
+		Zone     string // availability zone of the local daemon
 		Secret   []byte // shared by all daemons
 		Log      zerolog.Logger
 		// Handlers must not change after the call of Run.
@@ -70,14 +71,15 @@
 // streams and waits for the running ones.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	peer, err := authenticate(conn, s.Secret, s.Name, false)
+	hello, err := authenticate(conn, s.Secret, s.Name, s.Zone, false)
 	if err != nil {
 		s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("peer-refused")
 		return
 	}
+	peer := hello.Name
 	s.sessions.Add(1)
 	defer s.sessions.Add(-1)
-	session, err := yamux.Server(coalesce(conn), sessionConfig(0))
+	session, err := yamux.Server(coalesce(conn, nil), sessionConfig(0))
 	if err != nil {
 		s.Log.Error().Str("peer", peer).Err(err).Msg("peer-session-failed")
 		return
--- a/internal/root/link/stream.go
+++ b/internal/root/link/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -44,13 +45,30 @@
 		Type StreamType `protobuf:"varint,1,opt,name=type,proto3"`
 	}
 
-	// Stream is one bidirectional stream to the daemon named Peer.
+	// Stream is one bidirectional stream to the daemon named Peer. It counts its bytes by Cause, which is set before
+	// the stream is used; a protocol that carries messages of several causes sets Home and counts them itself.
 	Stream struct {
 		net.Conn
-		Peer string
+		Peer  string
+		Bytes *cross.Bytes // nil to count nothing
+		Cause cross.Cause
 	}
 )
 
+// Read reads from the stream.
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	s.Bytes.Add(s.Cause, cross.Received, n)
+	return n, err
+}
+
+// Write writes to the stream.
+func (s *Stream) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	s.Bytes.Add(s.Cause, cross.Sent, n)
+	return n, err
+}
+
 // Check returns an error if the stream type is unknown.
 func (o *Open) Check() error {
 	if o.Type < StreamRaft || o.Type > StreamRelay {
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -32,16 +32,17 @@
 	svc.mu.Unlock()
 	for {
 		policy := f.reach(state)
-		endpoint, ok := f.choose(state, svc, policy)
+		choice, ok := f.choose(state, svc, policy)
 		if !ok && state.callerOutcome == nil {
 			return notRun{failure: policy.Refusal(list.Instances), retryAfter: noServerRetryAfter}
 		}
 		if !ok {
 			return state.finalOutcome()
 		}
-		result, report := f.send(ctx, state, svc, &endpoint)
-		state.tried = append(state.tried, endpoint.ID)
-		f.reportResult(svc, state, endpoint.ID, result, report)
+		result, report := f.send(ctx, state, svc, &choice)
+		state.attempts++
+		state.tried = append(state.tried, choice.ID)
+		f.reportResult(svc, state, choice.ID, result, report)
 		state.recordOutcome(result)
 		f.countUneven(state, result)
 		if ctx.Err() != nil {
@@ -76,19 +77,18 @@
 	return list
 }
 
-func (f *Forwarder) choose(state *forwardState, svc *serviceState, policy reach.Policy) (snap.Endpoint, bool) {
+func (f *Forwarder) choose(state *forwardState, svc *serviceState, policy reach.Policy) (place.Choice, bool) {
 	now := f.Clock.Now()
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
-	randomChoices := svc.balancer.RandomChoices
-	endpoint, ok := svc.balancer.Choose(now, place.Request{
+	choice, ok := svc.balancer.Choose(now, place.Request{
 		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
-		Reach: policy,
+		Reach: policy, Again: state.attempts > 0, Nested: state.nested,
 	})
-	if svc.balancer.RandomChoices > randomChoices {
+	if choice.Random {
 		f.Meter.RandomChoice(state.service)
 	}
-	return endpoint, ok
+	return choice, ok
 }
 
 // countUneven counts a request that a full server refused and another server then served.
@@ -120,8 +120,8 @@
 	return policy.NarrowTo(latest, route, state.accountName())
 }
 
-// send sends the request once to the daemon of the endpoint.
-func (f *Forwarder) send(ctx context.Context, state *forwardState, svc *serviceState, endpoint *snap.Endpoint) (outcome, *Report) {
+// send sends the request once to the daemon of the chosen server.
+func (f *Forwarder) send(ctx context.Context, state *forwardState, svc *serviceState, choice *place.Choice) (outcome, *Report) {
 	now := f.Clock.Now()
 	left := state.deadline.Sub(now)
 	if left <= 0 {
@@ -132,15 +132,15 @@
 		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: left,
 		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
-	if endpoint.Daemon == f.PeerAddress {
+	if choice.Daemon == f.PeerAddress {
 		j := decodeJob(now, send)
 		j.request = state.request
 		result, report := f.LocalBackend.serve(ctx, j)
 		return result, &report
 	}
 	send.Header = field.FromHeader(state.request.Header)
-	abandon := func() bool { return f.abandon(state, svc, endpoint.ID) }
-	reply, sent, err := f.PeerStreams.Send(ctx, endpoint.Daemon, send, state.request.Body, abandon)
+	abandon := func() bool { return f.abandon(state, svc, choice.ID) }
+	reply, sent, err := f.PeerStreams.Send(ctx, choice.Daemon, choice.Cause, send, state.request.Body, abandon)
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && sent {
 			return unknown{failure: retry.DeadlineAfter{}}, nil
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -113,6 +113,7 @@
 		deadline      time.Time
 		service       string
 		tried         []string
+		attempts      int  // number of sends, also those that reached no server
 		sends         int  // number of sends that reached a server
 		retryAllowed  bool // the retry budget has allowed the next send
 		refusedFull   bool // a full server has refused the request
--- a/internal/root/relay/framewriter.go
+++ b/internal/root/relay/framewriter.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -26,22 +28,29 @@
 // frameWriter writes frames in order without blocking the senders.
 type frameWriter struct {
 	conn   net.Conn
+	bytes  *cross.Bytes  // nil to count nothing
 	wake   chan struct{} // holds a value while frames are queued
 	closed chan struct{}
 	once   sync.Once
 
 	mu     sync.Mutex
-	frames []wire.Frame
+	frames []queuedFrame
 	size   int
 }
 
-func newFrameWriter(conn net.Conn) *frameWriter {
-	return &frameWriter{conn: conn, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+// queuedFrame is a frame and the cause that its bytes are counted by.
+type queuedFrame struct {
+	wire.Frame
+	cause cross.Cause
+}
+
+func newFrameWriter(stream *link.Stream) *frameWriter {
+	return &frameWriter{conn: stream, bytes: stream.Bytes, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // enqueue queues all frames. It returns false if the peer stream is closed. If the queue exceeds
 // maxQueuedBytes, it closes the peer stream and returns false.
-func (w *frameWriter) enqueue(frames ...wire.Frame) bool {
+func (w *frameWriter) enqueue(cause cross.Cause, frames ...wire.Frame) bool {
 	select {
 	case <-w.closed:
 		return false
@@ -50,8 +59,8 @@
 	w.mu.Lock()
 	for _, frame := range frames {
 		w.size += len(frame.Body) + wire.HeaderSize
+		w.frames = append(w.frames, queuedFrame{Frame: frame, cause: cause})
 	}
-	w.frames = append(w.frames, frames...)
 	full := w.size > maxQueuedBytes
 	w.mu.Unlock()
 	if full {
@@ -93,7 +102,7 @@
 	}
 }
 
-func (w *frameWriter) write(buffered *bufio.Writer, frames []wire.Frame) error {
+func (w *frameWriter) write(buffered *bufio.Writer, frames []queuedFrame) error {
 	// Deadlines of real I/O use the system clock.
 	if err := w.conn.SetWriteDeadline(time.Now().Add(writeStallTimeout)); err != nil {
 		return fmt.Errorf("set write deadline: %w", err)
@@ -105,6 +114,7 @@
 		if _, err := buffered.Write(frame.Body); err != nil {
 			return fmt.Errorf("write to peer stream: %w", err)
 		}
+		w.bytes.Add(frame.cause, cross.Sent, wire.HeaderSize+len(frame.Body))
 	}
 	if err := buffered.Flush(); err != nil {
 		return fmt.Errorf("write to peer stream: %w", err)
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -175,7 +176,7 @@
 		p.writer.close()
 		return
 	}
-	p.writer.enqueue(frames...)
+	p.writer.enqueue(cross.Home, frames...)
 }
 
 func (p *peerStreamServer) handleNotice(ctx context.Context, request *NoticeRequest) {
@@ -186,11 +187,13 @@
 		noticeReply.Problem = err.Error()
 	}
 	if frame, err := encodeFrame(kindNoticeReply, noticeReply); err == nil {
-		p.writer.enqueue(frame)
+		p.writer.enqueue(cross.Home, frame)
 	}
 }
 
-func (p *peerStreamServer) write(kind wire.Kind) { p.writer.enqueue(wire.Frame{Kind: kind}) }
+func (p *peerStreamServer) write(kind wire.Kind) {
+	p.writer.enqueue(cross.Home, wire.Frame{Kind: kind})
+}
 
 // decodeJob decodes a request that was received at now.
 func decodeJob(now time.Time, send *SendRequest) *job {
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/spread"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
@@ -83,6 +84,16 @@
 		Reach     reach.Policy
 		// Urgent requests are not used to explore servers.
 		Urgent bool
+		Again  bool // not the first attempt
+		Nested bool // the call arrived from a backend server
+	}
+
+	// Choice is the server that a request is sent to.
+	Choice struct {
+		snap.Endpoint
+		Cause cross.Cause // of the bytes, if the server is in another availability zone
+		// Random is set if another server had a lower predicted cost: the choice evens out the load.
+		Random bool
 	}
 
 	// Report is the load of a server, which the daemon in front of it sends with each response.
@@ -118,10 +129,6 @@
 	// Balancer balances the requests of one daemon among the servers of one service. It is not safe for
 	// concurrent use.
 	Balancer struct {
-		// RandomChoices counts the requests that were sent to another server than the one with the lowest
-		// predicted cost, to even out the load.
-		RandomChoices uint64
-
 		random     *rand.Rand
 		version    uint64
 		servers    []*server
@@ -194,14 +201,11 @@
 // Choose returns a server of those with the lowest costs, as spread.Choose decides. The cost is the predicted time to
 // a response plus penalties for other availability zones and for recent failures. It counts the request as in flight
 // until Done.
-func (b *Balancer) Choose(now time.Time, request Request) (snap.Endpoint, bool) {
+func (b *Balancer) Choose(now time.Time, request Request) (Choice, bool) {
 	b.collect(now, request)
 	choice, ok := spread.Choose(b.random, b.candidates)
 	if !ok {
-		return snap.Endpoint{}, false
-	}
-	if !choice.Cheapest {
-		b.RandomChoices++
+		return Choice{}, false
 	}
 	best := b.eligible[choice.Index]
 	if other := b.explore(now, request, best); other != nil {
@@ -210,10 +214,31 @@
 	if best.inFlight == 0 {
 		best.lastProgress = now
 	}
+	placement := cross.Placement{
+		Home: best.endpoint.Zone == request.Zone, Again: request.Again, Nested: request.Nested,
+	}
+	if !placement.Home {
+		placement.RoomAtHome = b.roomAtHome(now, &request)
+	}
 	best.sentSinceReport++
 	best.inFlight++
 	best.lastUsed = now
-	return best.endpoint, true
+	return Choice{Endpoint: best.endpoint, Cause: placement.Cause(), Random: !choice.Cheapest}, true
+}
+
+// roomAtHome reports whether an eligible server of the request's availability zone has a free slot.
+func (b *Balancer) roomAtHome(now time.Time, request *Request) bool {
+	summary := b.summarizeRunTimes(request.Route)
+	return slices.ContainsFunc(b.eligible, func(s *server) bool {
+		return s.endpoint.Zone == request.Zone && !s.leaving && !now.Before(s.backoffUntil) && s.hasRoom(now, request.Route, summary)
+	})
+}
+
+// hasRoom reports whether a further request is expected to start without a wait.
+func (s *server) hasRoom(now time.Time, route string, summary runTimeSummary) bool {
+	run := max(s.expectedRunTime(now, route, summary), minRunTime)
+	estimate := s.estimate(now, s.meanRun(run))
+	return estimate.Known+estimate.Others < float64(s.slots()) && s.coldWait(now) == 0
 }
 
 // collect sets the eligible servers and their costs.
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -18,6 +18,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/admin"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
@@ -68,15 +69,17 @@
 	}
 	secret := []byte(settings.Secret)
 	limits := &settings.Limits
-	callDialer := &link.Dialer{Name: settings.Name, Secret: secret, Timeout: limits.ConnectTimeout}
+	zone, zoneBytes := settings.AvailabilityZone, &cross.Bytes{}
+	callDialer := &link.Dialer{Name: settings.Name, Zone: zone, Secret: secret, Timeout: limits.ConnectTimeout, Bytes: zoneBytes}
 	// Control streams have separate connections, because their failure must be detected sooner than that of
 	// connections that carry calls.
-	controlDialer := &link.Dialer{Name: settings.Name, Secret: secret, Timeout: limits.ConnectTimeout, KeepAlive: controlKeepAlive}
+	controlDialer := &link.Dialer{Name: settings.Name, Zone: zone, Secret: secret, Timeout: limits.ConnectTimeout, KeepAlive: controlKeepAlive, Bytes: zoneBytes}
 	loop, err := ctrl.New(controlOptions(settings, boot), clk, controlDialer, storage, log)
 	if err != nil {
 		return nil, err
 	}
 	metrics := meter.New()
+	metrics.WatchZoneBytes(zoneBytes)
 	metrics.WatchZones(func() int { return len(loop.Snapshot().Evacuated) })
 	traffic := call.New(call.Options{
 		Name: settings.Name, Zone: settings.AvailabilityZone, PeerAddress: settings.PeerAdvertise.String(),
@@ -87,7 +90,7 @@
 		IdleTimeout: limits.IdleTimeout, ConnectTimeout: limits.ConnectTimeout,
 	}, clk, loop, callDialer, metrics, log)
 	peerServer := &link.Server{
-		Listener: listeners.peer, Name: settings.Name, Secret: secret, Log: log, MaxConnections: maxPeerConnections,
+		Listener: listeners.peer, Name: settings.Name, Zone: zone, Secret: secret, Log: log, MaxConnections: maxPeerConnections,
 		Handlers: map[link.StreamType]link.Handler{link.StreamCall: traffic.ServeStream},
 	}
 	if storage != nil {
