--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -72,9 +72,9 @@
 			Help: "Time to the head of a call's answer that was not spent in the backend server.",
 		}, []string{"service"}),
 		randomChoices: newCounterVec("random_choices_total",
-			"Requests on the users' platform sent to another server than the one with the lowest predicted cost, to even out the load.", "service"),
+			"Requests sent to another server than the one with the lowest predicted cost, to even out the load.", "service"),
 		unevenRefusals: newCounterVec("uneven_refusals_total",
-			"Requests on the users' platform refused by a full server that another server of the service then answered.", "service"),
+			"Requests refused by a full server that another server of the service then answered.", "service"),
 		coldServers: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "cold_servers", Help: "Backend servers beside this daemon that are cold and have a cold rate.",
 		}),
--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -103,6 +103,7 @@
 	}
 	var tried []string
 	var previous retry.Failure // merged from the attempts before this one
+	refusedFull := false       // a full server has refused the request
 	for attempts := 1; ; attempts++ {
 		now := f.Clock.Now()
 		if !now.Before(r.Deadline) {
@@ -123,8 +124,12 @@
 		attempt := f.send(ctx, r, &choice, policy.Regions, loan.Retries)
 		r.Budget.ReturnLoan(loan, attempt.report.Unspent)
 		if attempt.failure == nil && !f.retryableStatus(r, attempt) {
+			if refusedFull {
+				f.Meter.UnevenRefusal(r.Route.Service)
+			}
 			return f.deliver(ctx, r, out, attempt, &choice.Endpoint, instances)
 		}
+		refusedFull = refusedFull || retry.ByFullServer(attempt.failure)
 		instances.Done(f.Clock.Now(), choice.ID, attempt.feedback)
 		verdict := f.decide(r, attempt, attempts, firstOffer)
 		retryVerdict, ok := verdict.(retry.Retry)
@@ -146,7 +151,11 @@
 
 // pick chooses the instance for an attempt.
 func (f *Forwarder) pick(instances *picker.Picker, now time.Time, r *Request, tried []string, policy reach.Policy) (picker.Choice, bool) {
-	return instances.Pick(now, picker.Request{Tried: tried, Reach: policy, Nested: r.Nested})
+	choice, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy, Nested: r.Nested})
+	if choice.Random {
+		f.Meter.RandomChoice(r.Route.Service)
+	}
+	return choice, ok
 }
 
 // instances returns the picker of the service that r calls and subscribes to the service if its instances
--- a/internal/root/call/retry/failure.go
+++ b/internal/root/call/retry/failure.go
@@ -272,6 +272,15 @@
 	return nil, fmt.Errorf("%w %q with outcome %q", ErrUnknownReason, reason, outcome)
 }
 
+// ByFullServer reports whether a server refused the request for want of room, before it ran.
+func ByFullServer(failure Failure) bool {
+	switch failure.(type) {
+	case QueueFull, QueueTimeout:
+		return true
+	}
+	return false
+}
+
 // Merge returns the failure to report for a request that failed with earlier and, when retried, with
 // last: after a send with unknown outcome, a later refusal does not prove that the request has not run.
 func Merge(earlier, last Failure) Failure {
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -95,10 +95,7 @@
 func (f *Forwarder) countUneven(state *forwardState, result outcome) {
 	switch result := result.(type) {
 	case notRun:
-		switch result.failure.(type) {
-		case retry.QueueFull, retry.QueueTimeout:
-			state.refusedFull = true
-		}
+		state.refusedFull = state.refusedFull || retry.ByFullServer(result.failure)
 	case completed:
 		if state.refusedFull {
 			f.Meter.UnevenRefusal(state.service)
@@ -298,8 +295,7 @@
 // maxServersTried returns how many servers a request is offered to that none has received. Those with the shortest
 // predicted wait come first, so that after a few refusals for want of room the others are hardly better.
 func maxServersTried(failure retry.Failure) int {
-	switch failure.(type) {
-	case retry.QueueFull, retry.QueueTimeout:
+	if retry.ByFullServer(failure) {
 		return maxFullServersTried
 	}
 	return math.MaxInt
