--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -151,7 +151,9 @@
 
 // pick chooses the instance for an attempt.
 func (f *Forwarder) pick(instances *picker.Picker, now time.Time, r *Request, tried []string, policy reach.Policy) (picker.Choice, bool) {
-	choice, ok := instances.Pick(now, picker.Request{Tried: tried, Reach: policy, Nested: r.Nested})
+	choice, ok := instances.Pick(now, picker.Request{
+		Tried: tried, Reach: policy, Nested: r.Nested, Route: r.Route.Name, Left: r.Deadline.Sub(now), LongStay: r.longAnswersStay(),
+	})
 	if choice.Random {
 		f.Meter.RandomChoice(r.Route.Service)
 	}
@@ -408,6 +410,11 @@
 	f.Meter.AddedLatency(r.Route.Service, f.Clock.Now().Sub(r.Started)-attempt.report.BackendLatency)
 	resume := newResumption(r, attempt.response)
 	outcome := f.relay(ctx, r, out, attempt, resume)
+	_, complete := outcome.(delivered)
+	if responded, ok := feedback.(picker.Responded); ok && complete {
+		responded.Route, responded.Size = r.Route.Name, attempt.call.bodySize
+		feedback = responded
+	}
 	if interrupted, ok := outcome.(broken); ok && !interrupted.callerGone && ctx.Err() == nil {
 		feedback = picker.Failed{}
 		if resume != nil {
@@ -416,7 +423,7 @@
 		}
 	}
 	instances.Done(f.Clock.Now(), endpoint.ID, feedback)
-	if _, complete := outcome.(delivered); complete {
+	if complete {
 		f.Planner.Success(f.Clock.Now(), r.Route.Service)
 	}
 	return outcome
--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -38,8 +38,10 @@
 		stream *link.Stream
 		reader *bufio.Reader
 		buffer []byte
-		stop   func() bool
-		cancel context.CancelFunc
+		// bodySize is the number of bytes of the body of the response that have been received.
+		bodySize int
+		stop     func() bool
+		cancel   context.CancelFunc
 	}
 
 	// responseMessage is a message from the serving daemon: admittedMessage, refusalMessage,
@@ -147,6 +149,7 @@
 	case kindAdmitted:
 		return admittedMessage{}, nil
 	case kindData:
+		c.bodySize += len(frame.Body)
 		return dataMessage{bytes: frame.Body}, nil
 	case kindRefusal:
 		return decodeMessage(frame.Body, func(m *Refusal) responseMessage { return refusalMessage{*m} })
--- a/internal/root/call/picker/instance.go
+++ b/internal/root/call/picker/instance.go
@@ -93,6 +93,11 @@
 	return float64(in.inFlight+1)*in.baseCost(now, defaultLatency) + float64(in.coldWait(now))
 }
 
+// predicted is the expected time to the response of a call, which counts errors.
+func (in *instance) predicted(now time.Time, defaultLatency float64) time.Duration {
+	return time.Duration(in.baseCost(now, defaultLatency)) + in.coldWait(now)
+}
+
 // coldWait returns the expected wait for a start at a cold instance, zero at a warm one.
 func (in *instance) coldWait(now time.Time) time.Duration {
 	return in.cold.ExpectedWait(now.Sub(in.coldAt), max(in.inFlight-in.coldInFlight, 0))
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -22,7 +22,8 @@
 	minSlowStartWeight = 0.1 // weight at the start of an incarnation
 	explorationPeriod  = 128 // one call in this many goes to another zone to sample its latency; fewer than 1 in 100 leave the 99th percentile unchanged
 	drainingPause      = 10 * time.Second
-	maxOthers          = 3 // calls of other daemons expected at an instance whose limit is fully used
+	remoteGain         = 40 * time.Millisecond // least gain of a call with a long answer, grows with the answer
+	maxOthers          = 3                     // calls of other daemons expected at an instance whose limit is fully used
 )
 
 type (
@@ -36,6 +37,7 @@
 		eligible  []*instance // scratch space of Pick
 
 		candidates []spread.Candidate // scratch space of choose
+		sizes      cross.Sizes
 	}
 
 	// Request describes the call to send to one of the instances.
@@ -45,6 +47,10 @@
 		Tried  []string
 		Reach  reach.Policy
 		Nested bool // the call arrived from a backend server
+		Route  string
+		Left   time.Duration // until the deadline
+		// LongStay lets a call with a long answer leave its zone less easily.
+		LongStay bool
 	}
 
 	// Choice is the instance that a call is sent to.
@@ -59,8 +65,11 @@
 	Result interface{ result() }
 
 	// Responded is a call with a response: the time to its first byte, and the used part of the instance's limit
-	// as reported by its daemon (1 for a full limit, 0 if unknown).
+	// as reported by its daemon (1 for a full limit, 0 if unknown). Size is that of the body, zero if it was not passed
+	// on as a whole.
 	Responded struct {
+		Route   string
+		Size    int
 		Latency time.Duration
 		Load    float64
 		Cold    warmup.Report
@@ -139,7 +148,7 @@
 			}
 		}
 		if len(p.eligible) > 0 {
-			in, cheapest := p.choose(now, localCount)
+			in, cheapest := p.choose(now, &request, localCount)
 			placement := cross.Placement{Home: in.endpoint.Zone == p.zone, Again: len(request.Tried) > 0, Nested: request.Nested}
 			if !placement.Home {
 				placement.RoomAtHome = slices.ContainsFunc(p.eligible[:localCount], func(in *instance) bool { return in.hasRoom(now) })
@@ -157,6 +166,9 @@
 	defer p.mu.Unlock()
 	for _, in := range p.instances {
 		if in.endpoint.ID == id {
+			if responded, ok := r.(Responded); ok && responded.Size > 0 {
+				p.sizes.Record(responded.Route, responded.Size)
+			}
 			if in.done(now, r) {
 				p.eject(now, in)
 			}
@@ -167,7 +179,7 @@
 
 // choose chooses among the eligible instances, of which the first localCount are in the local availability zone,
 // and prefers those. It reports whether no other one was expected to cost less.
-func (p *Picker) choose(now time.Time, localCount int) (chosen *instance, cheapest bool) {
+func (p *Picker) choose(now time.Time, request *Request, localCount int) (chosen *instance, cheapest bool) {
 	local, remote := p.eligible[:localCount], p.eligible[localCount:]
 	if localCount == 0 || len(remote) == 0 {
 		return p.evenly(now, p.eligible)
@@ -185,12 +197,23 @@
 	}
 	latency := p.defaultLatency()
 	nearest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
-	if nearest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < nearest.cost(now, latency) {
+	if nearest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < nearest.cost(now, latency) &&
+		p.gainsEnough(request, nearest.predicted(now, latency), remotePick.predicted(now, latency)) {
 		return remotePick, true
 	}
 	return p.evenly(now, local)
 }
 
+// gainsEnough reports whether a call may leave its zone for an instance that is predicted to be faster. Any call with a
+// short answer may.
+func (p *Picker) gainsEnough(request *Request, home, remote time.Duration) bool {
+	if !request.LongStay {
+		return true
+	}
+	answer := cross.Answer{Size: p.sizes.Expected(request.Route), Left: request.Left, AtHome: home}
+	return home-remote >= answer.ExtraGain(remoteGain)
+}
+
 // evenly chooses among candidates that are equally near. Instances do not report the calls of other daemons; they are
 // estimated from the reported load.
 func (p *Picker) evenly(now time.Time, candidates []*instance) (chosen *instance, cheapest bool) {
--- a/internal/root/call/request.go
+++ b/internal/root/call/request.go
@@ -53,6 +53,15 @@
 // idempotent reports whether the request may be executed more than once.
 func (r *Request) idempotent() bool { return r.Route.Run == rules.RunIdempotent }
 
+// longAnswersStay reports whether the rule of the service lets a request with a long answer leave its zone less easily.
+func (r *Request) longAnswersStay() bool {
+	if r.Rules == nil {
+		return false
+	}
+	service := r.Rules.Services[r.Route.Service]
+	return service != nil && service.LongAnswersStay
+}
+
 // readPrefix fills Prefix, Rest and Fingerprint from the body.
 func (r *Request) readPrefix(body io.Reader) error {
 	if r.ContentLength != 0 {
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -82,7 +82,7 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	choice, ok := svc.balancer.Choose(now, place.Request{
-		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
+		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Elapsed: now.Sub(state.started), LongStay: state.longStay, Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
 		Reach: policy, Again: state.attempts > 0, Nested: state.nested,
 	})
 	if choice.Random {
@@ -168,7 +168,7 @@
 	avoid := false
 	switch result := result.(type) {
 	case completed:
-		balancerResult = place.Served{}
+		balancerResult = place.Served{Size: len(result.response.Body)}
 		if result.response.failed() {
 			balancerResult = place.Failed{}
 		}
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -106,6 +106,7 @@
 		revision      uint64
 		fingerprint   string
 		nested        bool
+		longStay      bool // the rule of the service lets requests with long answers leave the zone less easily
 		tokenTaken    bool // a rate token was spent
 		rank          int
 		started       time.Time
@@ -187,6 +188,9 @@
 	if len(route.WeightedServices) > 0 {
 		state.service = f.chooseService(route)
 	}
+	if service := set.Services[state.service]; service != nil {
+		state.longStay = service.LongAnswersStay
+	}
 	return state, nil
 }
 
--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -79,6 +79,7 @@
 		Route     string
 		Objective time.Duration // zero for none
 		Remaining time.Duration // until the deadline, zero for none
+		Elapsed   time.Duration // since the arrival of the request
 		Zone      string        // availability zone of this daemon
 		Tried     []string      // ids of endpoints that must not be chosen
 		Reach     reach.Policy
@@ -86,6 +87,8 @@
 		Urgent bool
 		Again  bool // not the first attempt
 		Nested bool // the call arrived from a backend server
+		// LongStay lets a request with a long answer leave its zone less easily.
+		LongStay bool
 	}
 
 	// Choice is the server that a request is sent to.
@@ -113,8 +116,8 @@
 	// Result is Served, Refused, Failed or Unreached.
 	Result interface{ result() }
 
-	// Served is a request with a complete response.
-	Served struct{}
+	// Served is a request with a complete response, whose body has Size bytes.
+	Served struct{ Size int }
 
 	// Refused is a request that the daemon in front of the server refused.
 	Refused struct{ Leaving bool }
@@ -135,6 +138,7 @@
 		eligible   []*server          // scratch space of Choose
 		candidates []spread.Candidate // of the eligible servers
 		means      []time.Duration    // scratch space of summarizeRunTimes
+		sizes      cross.Sizes
 	}
 
 	server struct {
@@ -251,6 +255,9 @@
 			b.candidates = append(b.candidates, s.candidate(now, &request, summary))
 		}
 	}
+	if request.LongStay {
+		b.addExtraGain(now, &request)
+	}
 }
 
 // allows reports whether the request may be sent to the server.
@@ -298,6 +305,7 @@
 	case Served:
 		s.backoffs = 0
 		s.recordResult(now, 0)
+		b.sizes.Record(route, result.Size)
 	case Refused:
 		s.leaving = s.leaving || result.Leaving
 	case Failed:
@@ -460,7 +468,7 @@
 	}
 	cost += (waitFactor - 1) * wait
 	if s.endpoint.Zone != request.Zone {
-		cost += max(time.Duration(remoteZoneShare*float64(request.Objective)), minRemoteZoneCost)
+		cost += request.remoteZoneCost()
 	}
 	failure := failureCost
 	if request.Remaining > 0 {
--- a/pkg/rules/cold_test.go
+++ b/pkg/rules/cold_test.go
@@ -41,3 +41,14 @@
 		assert.ErrorContains(t, err, "is not a cold", words)
 	}
 }
+
+// Guards against a rule about long answers that is lost when a file is formatted, and against one for any value.
+func TestLongAnswersKeepTheirValue(t *testing.T) {
+	formatted, err := Format("rules", []byte(strings.Replace(coldFile, "%s", "long-answers=stay", 1)))
+	assert.NilError(t, err)
+	set, err := Parse("rules", formatted)
+	assert.NilError(t, err)
+	assert.Assert(t, set.Services["x"].LongAnswersStay)
+	_, err = Parse("rules", []byte(strings.Replace(coldFile, "%s", "long-answers=leave", 1)))
+	assert.ErrorContains(t, err, `"leave" is not a value`)
+}
--- a/pkg/rules/format.go
+++ b/pkg/rules/format.go
@@ -18,6 +18,9 @@
 	case *Service:
 		fmt.Fprintf(&text, "service %s slots=%d connections=%d retry-share=%s", r.Name, r.Slots, r.Connections, formatPercent(r.RetryShare))
 		formatCold(&text, r)
+		if r.LongAnswersStay {
+			text.WriteString(" long-answers=stay")
+		}
 	case *Account:
 		fmt.Fprintf(&text, "account %s rate=%s burst=%d", r.Name, r.Rate, r.Burst)
 		formatRegions(&text, r.Regions)
--- a/pkg/rules/statement.go
+++ b/pkg/rules/statement.go
@@ -31,6 +31,7 @@
 		{"retry-share", "retry-share=10%", false, func(p *parser, t *Service, v word) { t.RetryShare = p.percent(v) }},
 		{"cold-rate", "cold-rate=13/s", false, func(p *parser, t *Service, v word) { t.ColdRate = p.coldRate(v) }},
 		{"cold-period", "cold-period=3s", false, func(p *parser, t *Service, v word) { t.ColdPeriod = p.coldPeriod(v) }},
+		{"long-answers", "long-answers=stay", false, func(p *parser, t *Service, v word) { t.LongAnswersStay = p.fixedValue(v, "stay") }},
 	}
 	accountWords = []attribute[Account]{
 		{"rate", "rate=200/s", true, func(p *parser, t *Account, v word) { t.Rate = p.rate(v) }},
--- a/pkg/rules/types.go
+++ b/pkg/rules/types.go
@@ -90,6 +90,8 @@
 		ColdRate float64 `json:"cold-rate,omitempty"`
 		// ColdPeriod is how long an instance stays cold after its start.
 		ColdPeriod time.Duration `json:"cold-period,omitempty"`
+		// LongAnswersStay lets requests with long answers leave their availability zone less easily.
+		LongAnswersStay bool `json:"long-answers-stay,omitempty"`
 	}
 
 	// Account describes a client account and its request rate limit.
