--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -9,9 +9,9 @@
 	"net"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
-	"github.com/buckthornpitch/buckthornpitch/internal/snap"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -38,8 +38,10 @@
 		stream *link.Stream
 		reader *bufio.Reader
 		buffer []byte
-		stop   func() bool
-		cancel context.CancelFunc
+		// bodySize is the number of bytes of the body of the response that have been received.
+		bodySize int
+		stop     func() bool
+		cancel   context.CancelFunc
 	}
 
 	// responseMessage is a message from the serving daemon: admittedMessage, refusalMessage,
@@ -61,11 +63,12 @@
 
 // open opens a call stream and sends the head and, unless the head sets WaitAdmitted, the body, which is
 // the prefix. An error that wraps errNotSent means that no byte was sent.
-func (s *Sender) open(ctx context.Context, endpoint *snap.Endpoint, head *RequestHead, prefix []byte) (*outgoingCall, error) {
-	stream, err := s.connect(ctx, endpoint.Daemon)
+func (s *Sender) open(ctx context.Context, choice *picker.Choice, head *RequestHead, prefix []byte) (*outgoingCall, error) {
+	stream, err := s.connect(ctx, choice.Daemon)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	stream.Cause = choice.Cause
 	call := &outgoingCall{stream: stream, reader: readerPool.Get().(*bufio.Reader)}
 	call.reader.Reset(stream)
 	call.stop = context.AfterFunc(ctx, call.abort)
@@ -146,6 +149,7 @@
 	case kindAdmitted:
 		return admittedMessage{}, nil
 	case kindData:
+		c.bodySize += len(frame.Body)
 		return dataMessage{bytes: frame.Body}, nil
 	case kindRefusal:
 		return decodeMessage(frame.Body, func(m *Refusal) responseMessage { return refusalMessage{*m} })
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -106,6 +106,7 @@
 		revision      uint64
 		fingerprint   string
 		nested        bool
+		longStay      bool // the rule of the service lets requests with long answers leave the zone less easily
 		tokenTaken    bool // a rate token was spent
 		rank          int
 		started       time.Time
@@ -113,6 +114,7 @@
 		deadline      time.Time
 		service       string
 		tried         []string
+		attempts      int  // number of sends, also those that reached no server
 		sends         int  // number of sends that reached a server
 		retryAllowed  bool // the retry budget has allowed the next send
 		refusedFull   bool // a full server has refused the request
@@ -186,6 +188,9 @@
 	if len(route.WeightedServices) > 0 {
 		state.service = f.chooseService(route)
 	}
+	if service := set.Services[state.service]; service != nil {
+		state.longStay = service.LongAnswersStay
+	}
 	return state, nil
 }
 
