--- a/internal/root/relay/place/balancer.go
+++ b/internal/root/relay/place/balancer.go
@@ -33,6 +33,11 @@
 	// of the request, because a failure cannot cost more than that.
 	failureCost = 2 * time.Second
 
+	// leavingCost and backoffCost are the costs of a server that is leaving and of one that could not be reached. Such
+	// servers are chosen only if there is no other.
+	leavingCost = time.Minute
+	backoffCost = 30 * time.Second
+
 	// failureHalfLife is the time in which the results of a server lose half of their weight in its failure rate.
 	// successPrior is the number of successes that each server is credited with in addition, so that one lost
 	// response does not divert all requests from a server. At most maxResults results count, so that a server
@@ -44,6 +49,9 @@
 	// maxExploredFailureRate is the failure rate up to which a server is explored.
 	maxExploredFailureRate = 0.7
 
+	// exploreOneIn is the number of requests of which one explores a server that is due.
+	exploreOneIn = 4
+
 	// minRunTime is assumed for a server whose run time is not known.
 	minRunTime = time.Millisecond
 
@@ -130,6 +138,19 @@
 		means      []time.Duration    // scratch space of summarizeRunTimes
 	}
 
+	// Cost is the predicted cost of a server in its parts.
+	Cost struct {
+		Run         time.Duration // predicted run time
+		Wait        time.Duration // predicted wait for a slot
+		ColdWait    time.Duration // further wait for a start at a cold server
+		WaitPenalty time.Duration // weight of the waits beyond their time
+		Late        time.Duration // penalty of a response too close to the deadline
+		Zone        time.Duration // penalty of another availability zone
+		Failures    time.Duration
+		Leaving     time.Duration
+		Backoff     time.Duration
+	}
+
 	server struct {
 		endpoint        snap.Endpoint
 		report          Report
@@ -195,7 +216,7 @@
 // a response plus penalties for other availability zones and for recent failures. It counts the request as in flight
 // until Done.
 func (b *Balancer) Choose(now time.Time, request Request) (snap.Endpoint, bool) {
-	b.collect(now, request)
+	b.collect(now, &request)
 	choice, ok := spread.Choose(b.random, b.candidates)
 	if !ok {
 		return snap.Endpoint{}, false
@@ -204,7 +225,7 @@
 		b.RandomChoices++
 	}
 	best := b.eligible[choice.Index]
-	if other := b.explore(now, request, best); other != nil {
+	if other := b.explore(now, &request, best); other != nil {
 		best = other
 	}
 	if best.inFlight == 0 {
@@ -217,44 +238,55 @@
 }
 
 // collect sets the eligible servers and their costs.
-func (b *Balancer) collect(now time.Time, request Request) {
+func (b *Balancer) collect(now time.Time, request *Request) {
 	summary := b.summarizeRunTimes(request.Route)
 	b.eligible, b.candidates = b.eligible[:0], b.candidates[:0]
 	for _, s := range b.servers {
 		if request.allows(s) {
 			b.eligible = append(b.eligible, s)
-			b.candidates = append(b.candidates, s.candidate(now, &request, summary))
+			b.candidates = append(b.candidates, s.assess(now, request, summary, nil))
 		}
 	}
 }
 
 // allows reports whether the request may be sent to the server.
 func (r *Request) allows(s *server) bool {
-	return !slices.Contains(r.Tried, s.endpoint.ID) && r.Reach.Exclude(&s.endpoint) == nil
+	return !r.tried(s) && r.Reach.Exclude(&s.endpoint) == nil
 }
 
+// tried reports whether the request was sent to the server before.
+func (r *Request) tried(s *server) bool { return slices.Contains(r.Tried, s.endpoint.ID) }
+
 // explore returns, for some of the requests, a server that this daemon has not used for a while, and otherwise
 // nil.
-func (b *Balancer) explore(now time.Time, request Request, best *server) *server {
-	if request.Urgent || len(request.Tried) > 0 {
+func (b *Balancer) explore(now time.Time, request *Request, best *server) *server {
+	if !request.mayExplore() {
 		return nil
 	}
 	for _, s := range b.servers {
-		age, interval := now.Sub(s.added), exploreInterval
-		if age < newServerAge {
-			interval = exploreNewInterval
-		}
-		unused := now.Sub(s.lastUsed) >= interval && age >= exploreNewInterval/3
-		if age >= newServerAge && s.endpoint.Zone != request.Zone {
-			continue
-		}
-		if s != best && unused && request.allows(s) && !s.leaving && now.After(s.backoffUntil) && s.failureRate(now) < maxExploredFailureRate && b.random.IntN(4) == 0 {
+		if s != best && s.explorable(now, request) && b.random.IntN(exploreOneIn) == 0 {
 			return s
 		}
 	}
 	return nil
 }
 
+// mayExplore reports whether the request may be used to explore a server.
+func (r *Request) mayExplore() bool { return !r.Urgent && len(r.Tried) == 0 }
+
+// explorable reports whether the server is due for a request that explores it.
+func (s *server) explorable(now time.Time, request *Request) bool {
+	age, interval := now.Sub(s.added), exploreInterval
+	if age < newServerAge {
+		interval = exploreNewInterval
+	}
+	unused := now.Sub(s.lastUsed) >= interval && age >= exploreNewInterval/3
+	if age >= newServerAge && s.endpoint.Zone != request.Zone {
+		return false
+	}
+	return unused && request.allows(s) && !s.leaving && now.After(s.backoffUntil) && s.failureRate(now) < maxExploredFailureRate
+}
+
 // Done records the result of a request to the server with that endpoint id; report is nil without a response.
 func (b *Balancer) Done(now time.Time, id, route string, report *Report, result Result) {
 	at := slices.IndexFunc(b.servers, func(s *server) bool { return s.endpoint.ID == id })
@@ -360,27 +392,28 @@
 	return longest
 }
 
-// candidate returns the server as a candidate for spread.Choose. Cost includes the requests that others are expected to
-// have sent since the report; Base leaves them out and adds the cost of the known requests, so that a server with free
-// slots is preferred before any request has to wait.
-func (s *server) candidate(now time.Time, request *Request, summary runTimeSummary) spread.Candidate {
+// assess returns the server as a candidate for spread.Choose. Cost includes the requests
+// that others are expected to have sent since the report; Base leaves them out and adds the cost of the known requests, so
+// that a server with free slots is preferred before any request has to wait. The parts go to detail unless it is nil.
+func (s *server) assess(now time.Time, request *Request, summary runTimeSummary, detail *Assessment) spread.Candidate {
 	run := max(s.expectedRunTime(now, request.Route, summary), minRunTime)
 	slots, meanRun := s.slots(), s.meanRun(run)
 	estimate := s.estimate(now, meanRun)
 	perRequest := estimate.RequestCost(slots, run)
 	coldWait := s.coldWait(now)
-	c := spread.Candidate{
-		Near: s.endpoint.Zone == request.Zone, Others: estimate.Others, Slope: perRequest,
-		Cost: s.cost(now, request, run, max(waitFor(estimate.Known+estimate.Others, slots, meanRun), coldWait)),
-	}
+	cost := s.cost(now, request, run, waitFor(estimate.Known+estimate.Others, slots, meanRun), coldWait)
+	c := spread.Candidate{Near: s.endpoint.Zone == request.Zone, Others: estimate.Others, Slope: perRequest, Cost: cost.Total()}
 	c.Base = c.Cost
 	if estimate.Known+estimate.Others > float64(slots) && estimate.Others > 0 {
-		c.Base = s.cost(now, request, run, max(waitFor(estimate.Known, slots, meanRun), coldWait))
+		c.Base = s.cost(now, request, run, waitFor(estimate.Known, slots, meanRun), coldWait).Total()
 	}
 	c.Base += time.Duration(estimate.Known * float64(perRequest))
 	if estimate.Known >= float64(slots) {
 		c.Slope += waitFactor * meanRun / time.Duration(slots)
 	}
+	if detail != nil {
+		detail.Cost, detail.Estimate = cost, estimate
+	}
 	return c
 }
 
@@ -427,30 +460,36 @@
 	return time.Duration(max(requests-float64(slots), 0) / float64(slots) * float64(meanRun))
 }
 
-// cost returns the cost of a server at which a request waits and runs for the given times.
-func (s *server) cost(now time.Time, request *Request, run, wait time.Duration) time.Duration {
-	cost := run + wait
-	if safe := time.Duration(safeTimeShare * float64(request.Remaining)); request.Remaining > 0 && cost > safe {
-		cost += lateFactor * (cost - safe)
+// cost returns the cost of a server at which a request runs for the given time and waits for a slot and for a start at a
+// cold server, whichever takes longer.
+func (s *server) cost(now time.Time, request *Request, run, slotWait, coldWait time.Duration) Cost {
+	wait := max(slotWait, coldWait)
+	cost := Cost{Run: run, Wait: slotWait, ColdWait: wait - slotWait, WaitPenalty: (waitFactor - 1) * wait}
+	if safe := time.Duration(safeTimeShare * float64(request.Remaining)); request.Remaining > 0 && run+wait > safe {
+		cost.Late = lateFactor * (run + wait - safe)
 	}
-	cost += (waitFactor - 1) * wait
 	if s.endpoint.Zone != request.Zone {
-		cost += max(time.Duration(remoteZoneShare*float64(request.Objective)), minRemoteZoneCost)
+		cost.Zone = max(time.Duration(remoteZoneShare*float64(request.Objective)), minRemoteZoneCost)
 	}
 	failure := failureCost
 	if request.Remaining > 0 {
 		failure = min(failure, request.Remaining)
 	}
-	cost += time.Duration(s.failureRate(now) * float64(failure))
+	cost.Failures = time.Duration(s.failureRate(now) * float64(failure))
 	if s.leaving {
-		cost += time.Minute
+		cost.Leaving = leavingCost
 	}
 	if now.Before(s.backoffUntil) {
-		cost += 30 * time.Second
+		cost.Backoff = backoffCost
 	}
 	return cost
 }
 
+// Total returns the sum of the parts.
+func (c Cost) Total() time.Duration {
+	return c.Run + c.Wait + c.ColdWait + c.WaitPenalty + c.Late + c.Zone + c.Failures + c.Leaving + c.Backoff
+}
+
 // coldWait returns the expected wait for a start at a server that was cold at its latest report, zero once it is warm.
 // The report counts until then, however old it is.
 func (s *server) coldWait(now time.Time) time.Duration {
--- a/internal/root/spread/spread.go
+++ b/internal/root/spread/spread.go
@@ -59,6 +59,14 @@
 		Cheapest bool // no other candidate was expected to cost less
 	}
 
+	// Distribution is the pure part of a choice: which candidates may be chosen, and how likely each is.
+	Distribution struct {
+		Best  int // index of the candidate with the lowest expected cost
+		group group
+		level float64 // cost up to which the requests fill the servers
+		total float64 // of the weights
+	}
+
 	// group is the set of candidates among which the choice is random.
 	group struct {
 		near     bool
@@ -104,24 +112,43 @@
 //
 // A candidate that is not near is chosen only if it is expected to cost less than all near ones.
 func Choose(random *rand.Rand, candidates []Candidate) (Choice, bool) {
-	best := cheapest(candidates)
-	if best < 0 {
+	d, ok := Distribute(candidates)
+	if !ok {
 		return Choice{}, false
 	}
-	g := newGroup(candidates, best)
-	level := g.level(candidates)
-	total := 0.0
+	target := random.Float64() * d.total
 	for i := range candidates {
-		total += g.weight(&candidates[i], level)
-	}
-	target := random.Float64() * total
-	for i := range candidates {
-		target -= g.weight(&candidates[i], level)
+		target -= d.group.weight(&candidates[i], d.level)
 		if target < 0 {
-			return Choice{Index: i, Cheapest: candidates[i].Cost <= candidates[best].Cost}, true
+			return Choice{Index: i, Cheapest: candidates[i].Cost <= candidates[d.Best].Cost}, true
 		}
 	}
-	return Choice{Index: best, Cheapest: true}, true
+	return Choice{Index: d.Best, Cheapest: true}, true
+}
+
+// Distribute returns which of the candidates Choose may choose, and reports false without any.
+func Distribute(candidates []Candidate) (Distribution, bool) {
+	best := cheapest(candidates)
+	if best < 0 {
+		return Distribution{}, false
+	}
+	d := Distribution{Best: best, group: newGroup(candidates, best)}
+	d.level = d.group.level(candidates)
+	for i := range candidates {
+		d.total += d.group.weight(&candidates[i], d.level)
+	}
+	return d, true
+}
+
+// Chance returns the probability with which Choose chooses the candidate at the index.
+func (d *Distribution) Chance(candidates []Candidate, index int) float64 {
+	switch {
+	case d.total > 0:
+		return d.group.weight(&candidates[index], d.level) / d.total
+	case index == d.Best:
+		return 1
+	}
+	return 0
 }
 
 // cheapest returns the index of the lowest expected cost, -1 without candidates.
