--- a/internal/root/call/control.go
+++ b/internal/root/call/control.go
@@ -16,6 +16,8 @@
 		Snapshot() *snap.Snapshot
 		// TakeToken takes one rate token of the client account, waiting for a grant until ctx ends.
 		TakeToken(ctx context.Context, account string) TokenVerdict
+		// TokenState returns the state of the client account's rate tokens at this daemon, and takes none.
+		TokenState(account string) TokenState
 		// Subscribe subscribes to the instances of a service and waits for the first list until ctx ends.
 		Subscribe(ctx context.Context, service string) *snap.Endpoints
 		// Announce registers a local backend server.
@@ -37,6 +39,13 @@
 		StartDrain()
 	}
 
+	// TokenState is what a daemon knows of the rate tokens of a client account.
+	TokenState struct {
+		Limited    bool // the account has tokens; false before its limits have arrived
+		Unspent    int  // granted tokens that this daemon may spend now
+		RefusedFor time.Duration
+	}
+
 	// TokenVerdict is TokenTaken, TokenRefused or TokenUnavailable.
 	TokenVerdict interface{ tokenVerdict() }
 
--- a/internal/root/call/fleet_test.go
+++ b/internal/root/call/fleet_test.go
@@ -77,6 +77,8 @@
 	return c.token
 }
 
+func (c *fakeControl) TokenState(string) TokenState { return TokenState{Limited: true, Unspent: 7} }
+
 func (c *fakeControl) BeginOnce(context.Context, state.OnceScope, []byte) (state.Attempt, state.OnceVerdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -81,6 +81,16 @@
 	return verdict
 }
 
+// TokenState returns the state of the client account's rate tokens, and takes none.
+func (l *Loop) TokenState(account string) call.TokenState {
+	pool := (*l.tokenPools.Load())[account]
+	if pool == nil {
+		return call.TokenState{}
+	}
+	now := l.clock.Now()
+	return call.TokenState{Limited: true, Unspent: pool.Unspent(now), RefusedFor: pool.RetryAfter(now)}
+}
+
 // ReturnToken returns a token of the client account whose request was not sent to any backend server.
 func (l *Loop) ReturnToken(account string) {
 	if pool := (*l.tokenPools.Load())[account]; pool != nil {
--- a/internal/root/ctrl/limit/limit_test.go
+++ b/internal/root/ctrl/limit/limit_test.go
@@ -465,3 +465,21 @@
 	}
 	assert.Assert(t, taken <= 2, "%d taken of 2 granted", taken)
 }
+
+// Guards against a report of the tokens of a pool that spends one, or that counts expired ones.
+func TestUnspentTokens(t *testing.T) {
+	pool := &TokenPool{base: epoch}
+	assert.Equal(t, pool.Unspent(epoch), 0)
+	grant := &poolGrant{tokens: 3, until: int64(time.Second)}
+	pool.grants.Store(&[]*poolGrant{grant, {tokens: 5, from: int64(time.Second), until: int64(2 * time.Second)}})
+	now := epoch.Add(100 * time.Millisecond)
+	for want := 3; want > 0; want-- {
+		assert.Equal(t, pool.Unspent(now), want)
+		assert.Equal(t, pool.Unspent(now), want)
+		assert.Assert(t, pool.Take(now))
+	}
+	assert.Assert(t, !pool.Take(now))
+	assert.Equal(t, pool.Unspent(now), 0)
+	assert.Equal(t, pool.Unspent(epoch.Add(time.Second)), 5)
+	assert.Equal(t, pool.Unspent(epoch.Add(2*time.Second)), 0)
+}
--- a/internal/root/ctrl/limit/pool.go
+++ b/internal/root/ctrl/limit/pool.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// Unspent returns the number of tokens that Take may spend at now, and spends none.
+func (p *TokenPool) Unspent(now time.Time) int {
+	grants := p.grants.Load()
+	if grants == nil {
+		return 0
+	}
+	at, unspent := int64(now.Sub(p.base)), int64(0)
+	for _, g := range *grants {
+		if g.spendable(at, g.latest.Load()) {
+			unspent += g.tokens - g.used()
+		}
+	}
+	return int(unspent)
+}
+
 // RetryAfter returns how long requests without a token have to be refused locally; zero means that they may
 // wait for a token.
 func (p *TokenPool) RetryAfter(now time.Time) time.Duration {
@@ -90,7 +105,7 @@
 // valid reports whether the grant may be spent at a time, and records that time as the latest.
 func (g *poolGrant) valid(at int64) bool {
 	latest := g.latest.Load()
-	if at < g.from || at >= g.until || at < latest-int64(clockJitter) {
+	if !g.spendable(at, latest) {
 		return false
 	}
 	if at > latest+int64(latestStep) {
@@ -99,6 +114,11 @@
 	return true
 }
 
+// spendable reports whether the grant may be spent at a time; latest is the latest time at which it was used.
+func (g *poolGrant) spendable(at, latest int64) bool {
+	return at >= g.from && at < g.until && at >= latest-int64(clockJitter)
+}
+
 // used returns the number of tokens spent so far.
 func (g *poolGrant) used() int64 { return min(g.spent.Load(), g.tokens) }
 
--- a/internal/root/relay/gate/cold.go
+++ b/internal/root/relay/gate/cold.go
@@ -5,13 +5,20 @@
 // mayStart reports whether the server can take the request now. If so, the request counts against the rate of a cold
 // server, and the caller has to start it.
 func (g *Controller) mayStart(now time.Time, t *Ticket, r *route) bool {
-	if g.running >= g.slots || !r.hasCapacity(t) || !g.Cold.Take(now) {
+	if !g.canStart(now, t, r) {
 		return false
 	}
+	g.Cold.Take(now)
 	t.paced = g.Cold.Cold(now)
 	return true
 }
 
+// canStart is mayStart without counting a start.
+func (g *Controller) canStart(now time.Time, t *Ticket, r *route) bool {
+	_, delayed := g.Cold.NextStart(now)
+	return g.running < g.slots && r.hasCapacity(t) && !delayed
+}
+
 // Confirm reports whether a request that has started may still be sent to the server. A server that has turned cold
 // since the start gets the request only within its rate; otherwise the caller must call Done and offer the
 // request again.
@@ -37,7 +44,7 @@
 func (g *Controller) urgentArrivals(now time.Time, target *class) float64 {
 	sum := 0.0
 	for _, c := range g.classes {
-		if c == target {
+		if !c.before(target) {
 			break
 		}
 		sum += c.arrivals.current(now)
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -185,13 +185,34 @@
 // Offer decides about a request that has just arrived. A request that cannot be served in time is refused at
 // once, so that its caller can retry elsewhere or later without having lost time in the queue.
 func (g *Controller) Offer(now time.Time, t *Ticket) Decision {
-	c := g.class(t)
+	c, r := g.class(t), g.route(t.Route)
 	c.arrivals.add(now)
-	r := g.route(t.Route)
-	ahead := g.queuedAhead(c)
-	if ahead == 0 && g.mayStart(now, t, r) {
+	decision := g.decide(now, t, c, r)
+	switch decision.(type) {
+	case Admitted:
+		g.mayStart(now, t, r) // counts the start at a cold server
 		g.accepted.add(now)
 		g.start(now, t, r)
+	case Queued:
+		g.accepted.add(now)
+		t.state = queued
+		c.queue = append(c.queue, t)
+		g.waiting++
+	case Refused:
+	}
+	return decision
+}
+
+// Preview returns the decision that Offer would make, and changes nothing.
+func (g *Controller) Preview(now time.Time, t *Ticket) Decision {
+	c, r := g.peek(t)
+	return g.decide(now, t, c, r)
+}
+
+// decide makes the decision of Offer. It does not depend on earlier arrivals of the same class.
+func (g *Controller) decide(now time.Time, t *Ticket, c *class, r *route) Decision {
+	ahead := g.queuedAhead(c)
+	if ahead == 0 && g.canStart(now, t, r) {
 		return Admitted{}
 	}
 	wait := g.predictWait(now, c, r, ahead)
@@ -203,10 +224,6 @@
 	if late > 0 || g.waiting >= maxQueued {
 		return Refused{RetryAfter: min(max(late, minRetryAfter), maxRetryAfter), Wait: wait, Cold: cold}
 	}
-	g.accepted.add(now)
-	t.state = queued
-	c.queue = append(c.queue, t)
-	g.waiting++
 	return Queued{Wait: wait, Cold: cold}
 }
 
@@ -349,9 +366,9 @@
 	return next, !next.IsZero()
 }
 
-// Load returns the load that another request like t would meet.
+// Load returns the load that another request like t would meet. It changes nothing.
 func (g *Controller) Load(now time.Time, t *Ticket) Load {
-	c, r := g.class(t), g.route(t.Route)
+	c, r := g.peek(t)
 	ahead := g.queuedAhead(c)
 	load := Load{
 		Wait: max(g.predictWait(now, c, r, ahead), g.coldWait(now, c, ahead)), Run: r.meanRunTime,
@@ -399,14 +416,14 @@
 func (g *Controller) queuedAhead(target *class) int {
 	n := 0
 	for _, c := range g.classes {
+		if target.before(c) {
+			break
+		}
 		for _, t := range c.queue {
 			if t.state == queued {
 				n++
 			}
 		}
-		if c == target {
-			break
-		}
 	}
 	return n
 }
@@ -434,21 +451,44 @@
 }
 
 func (g *Controller) class(t *Ticket) *class {
-	at, found := slices.BinarySearchFunc(g.classes, t, func(c *class, t *Ticket) int {
-		switch {
-		case c.nested != t.Nested && c.nested:
-			return -1
-		case c.nested != t.Nested:
-			return 1
-		}
-		return c.rank - t.Rank
-	})
+	at, found := g.findClass(t)
 	if !found {
 		g.classes = slices.Insert(g.classes, at, &class{nested: t.Nested, rank: t.Rank})
 	}
 	return g.classes[at]
 }
 
+// findClass returns the index of the class of a request, or where it belongs.
+func (g *Controller) findClass(t *Ticket) (index int, found bool) {
+	target := class{nested: t.Nested, rank: t.Rank}
+	return slices.BinarySearchFunc(g.classes, &target, (*class).compare)
+}
+
+// compare orders classes: the most urgent first, nested calls before all others.
+func (c *class) compare(other *class) int {
+	switch {
+	case c.nested != other.nested && c.nested:
+		return -1
+	case c.nested != other.nested:
+		return 1
+	}
+	return c.rank - other.rank
+}
+
+func (c *class) before(other *class) bool { return c.compare(other) < 0 }
+
+// peek returns the class and the route of a request; those that do not exist yet are returned without being added.
+func (g *Controller) peek(t *Ticket) (*class, *route) {
+	c, r := &class{nested: t.Nested, rank: t.Rank}, g.routes[t.Route]
+	if at, found := g.findClass(t); found {
+		c = g.classes[at]
+	}
+	if r == nil {
+		r = newRoute(t.Route, g.slots)
+	}
+	return c, r
+}
+
 func (g *Controller) route(name string) *route {
 	r := g.routes[name]
 	if r == nil {
--- a/internal/root/relay/share/fallback.go
+++ b/internal/root/relay/share/fallback.go
@@ -22,6 +22,13 @@
 	maxCredit = 3
 )
 
+// Credit is what a FallbackLimiter allows at a time.
+type Credit struct {
+	Rate   float64 // requests per second, zero before the first grant
+	Amount float64 // requests that may pass at once, valid if Known is set
+	Known  bool    // false until the first request without a grant, whose credit is random
+}
+
 // FallbackLimiter limits the requests of a client account to their recent rate on this daemon while no control
 // instance grants tokens. Without it, every request of a keyed route would be refused while the control
 // instances restart.
@@ -50,16 +57,12 @@
 	if l.lastGrant.IsZero() {
 		return false
 	}
-	// Corrects the average for the time before the first grant, in which nothing was counted.
-	coverage := 1 - decay(max(l.lastGrant.Sub(l.firstGrant), minGrantWindow))
-	allowedRate := min(fallbackShare*l.grantsPerSecond/coverage, rate)
 	if !l.inFallback {
 		// A random initial credit spreads the first requests of many daemons with low rates over time, so that
 		// together they keep their total rate.
 		l.inFallback, l.credit = true, rand.Float64()
 	}
-	elapsed := max(now.Sub(l.creditedAt), 0)
-	l.credit = min(l.credit+allowedRate*elapsed.Seconds(), maxCredit)
+	l.credit = l.Credit(now, rate).Amount
 	l.creditedAt = now
 	if l.credit < 1 {
 		return false
@@ -68,6 +71,18 @@
 	return true
 }
 
+// Credit returns what Allow would allow, and changes nothing.
+func (l *FallbackLimiter) Credit(now time.Time, rate float64) Credit {
+	if l.lastGrant.IsZero() {
+		return Credit{}
+	}
+	// Corrects the average for the time before the first grant, in which nothing was counted.
+	coverage := 1 - decay(max(l.lastGrant.Sub(l.firstGrant), minGrantWindow))
+	allowedRate := min(fallbackShare*l.grantsPerSecond/coverage, rate)
+	elapsed := max(now.Sub(l.creditedAt), 0)
+	return Credit{Rate: allowedRate, Amount: min(l.credit+allowedRate*elapsed.Seconds(), maxCredit), Known: l.inFallback}
+}
+
 func decay(elapsed time.Duration) float64 {
 	return math.Exp(-max(elapsed, 0).Seconds() / grantWindow.Seconds())
 }
--- a/internal/root/relay/share/retrybudget.go
+++ b/internal/root/relay/share/retrybudget.go
@@ -48,6 +48,13 @@
 	// Cause is the reason why a request is retried.
 	Cause uint8
 
+	// Usage is the use of the budget for one cause in the window.
+	Usage struct {
+		Requests int
+		Retries  int
+		Limit    float64 // of the retries
+	}
+
 	bucket struct {
 		requests int
 		retries  [3]int // by cause
@@ -63,19 +70,34 @@
 // AllowRetry reports whether a request may be retried, and counts the retry if so.
 func (r *RetryBudget) AllowRetry(now time.Time, cause Cause) bool {
 	r.advance(now)
-	requests, retries := 0, 0
-	for i := range int64(bucketsPerWindow) {
-		b := r.bucket(r.epoch - i)
-		requests += b.requests
-		retries += b.retries[cause]
-	}
-	if float64(retries+1) > max(shares[cause]*r.Ratio*float64(requests), 1) {
+	usage := r.usage(cause)
+	if !usage.Allows() {
 		return false
 	}
 	r.bucket(r.epoch).retries[cause]++
 	return true
 }
 
+// Usage returns the use of the budget at now without changing it.
+func (r RetryBudget) Usage(now time.Time, cause Cause) Usage {
+	r.advance(now) // of the copy
+	return r.usage(cause)
+}
+
+// Allows reports whether another retry is within the limit.
+func (u Usage) Allows() bool { return float64(u.Retries+1) <= u.Limit }
+
+func (r *RetryBudget) usage(cause Cause) Usage {
+	u := Usage{}
+	for i := range int64(bucketsPerWindow) {
+		b := r.bucket(r.epoch - i)
+		u.Requests += b.requests
+		u.Retries += b.retries[cause]
+	}
+	u.Limit = max(shares[cause]*r.Ratio*float64(u.Requests), 1)
+	return u
+}
+
 // advance moves to the bucket of the current time and clears the buckets that it reuses. It clears all buckets after
 // two windows without a call, and when the clock was set back by more than one window.
 func (r *RetryBudget) advance(now time.Time) {
--- a/internal/root/relay/share/share_test.go
+++ b/internal/root/relay/share/share_test.go
@@ -114,3 +114,36 @@
 	}
 	assert.Assert(t, allowed >= 250 && allowed <= 400, "%d of 400 requests at their usual rate", allowed)
 }
+
+// Guards against a report of a budget, a split or a fallback limiter that differs from the decision or changes it.
+func TestReportsChangeNothing(t *testing.T) {
+	budget := RetryBudget{Ratio: 0.2, Window: 10 * time.Second}
+	limiter, split := FallbackLimiter{}, Split{}
+	parts := []rules.WeightedService{{Service: "a", Weight: 3}, {Service: "b", Weight: 2}}
+	assert.Equal(t, limiter.Credit(t0, 1000), Credit{})
+	for i := range 2000 {
+		now := t0.Add(time.Duration(i) * 37 * time.Millisecond)
+		if i%7 > 0 {
+			budget.RecordRequest(now)
+		}
+		copied := budget
+		usage := budget.Usage(now, Lost)
+		assert.Equal(t, budget, copied)
+		assert.Equal(t, budget.AllowRetry(now, Lost), usage.Allows())
+
+		assert.Equal(t, split.Peek(parts), split.Peek(parts))
+		next := split.Peek(parts)
+		assert.Equal(t, split.Next(parts), next)
+
+		if i%50 < 20 {
+			limiter.RecordGrant(now)
+		}
+		credit := limiter.Credit(now, 1000)
+		before := limiter
+		assert.Equal(t, limiter.Credit(now, 1000), credit)
+		assert.Equal(t, limiter, before)
+		if allowed := limiter.Allow(now, 1000); credit.Known {
+			assert.Equal(t, allowed, credit.Amount >= 1)
+		}
+	}
+}
--- a/internal/root/relay/share/split.go
+++ b/internal/root/relay/share/split.go
@@ -1,6 +1,10 @@
 package share
 
-import "github.com/buckthornpitch/buckthornpitch/pkg/rules"
+import (
+	"slices"
+
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
+)
 
 // Split divides the requests of a route among its parts in proportion to their weights. It is a smooth weighted
 // round robin, which keeps the proportion over any sequence of requests.
@@ -28,6 +32,12 @@
 	return parts[best].Service
 }
 
+// Peek returns the service that Next would return, and leaves the split unchanged.
+func (s *Split) Peek(parts []rules.WeightedService) string {
+	next := Split{credit: slices.Clone(s.credit)}
+	return next.Next(parts)
+}
+
 // Skip advances the split by n requests, so that daemons do not all start with the same part.
 func (s *Split) Skip(parts []rules.WeightedService, n int) {
 	for range n {
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -176,6 +176,13 @@
 	return call.TokenTaken{}
 }
 
+func (f *fakeControl) TokenState(account string) call.TokenState {
+	if account == "poor" {
+		return call.TokenState{Limited: true, RefusedFor: time.Second}
+	}
+	return call.TokenState{Limited: true, Unspent: 7}
+}
+
 func (f *fakeControl) ReturnToken(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -77,6 +77,7 @@
 		Snapshot() *snap.Snapshot
 		AwaitConfig(ctx context.Context) *snap.Snapshot
 		TakeToken(ctx context.Context, account string) call.TokenVerdict
+		TokenState(account string) call.TokenState
 		ReturnToken(account string)
 		Subscribe(ctx context.Context, service string) *snap.Endpoints
 		Announce(ctx context.Context, a member.Announcement) (snap.Endpoint, error)
