--- a/internal/root/call/admit/throttle.go
+++ b/internal/root/call/admit/throttle.go
@@ -58,8 +58,7 @@
 	if c == nil {
 		return true
 	}
-	refuseProbability := min(maxRefuseProbability, (c.requests-callsPerAccepted*c.accepted-throttleTolerance)/(c.requests+1))
-	if refuseProbability <= 0 || now.Sub(c.lastSent) >= probeInterval || t.random.Float64() >= refuseProbability {
+	if chance := c.refuseChance(now); chance <= 0 || t.random.Float64() >= chance {
 		c.lastSent = now
 		return true // counted by Report, because the result of a call in flight is still unknown
 	}
@@ -67,6 +66,30 @@
 	return false
 }
 
+// RefuseChance returns the probability with which Allow would refuse a call, and counts nothing.
+func (t *Throttle) RefuseChance(now time.Time, route string, importance Importance) float64 {
+	if importance == Critical {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.counts[throttleKey{route: route, importance: importance}]
+	if c == nil {
+		return 0
+	}
+	copied := *c
+	copied.decay(now)
+	return copied.refuseChance(now)
+}
+
+// refuseChance returns the probability with which a call is refused; the count has been decayed.
+func (c *throttleCount) refuseChance(now time.Time) float64 {
+	if now.Sub(c.lastSent) >= probeInterval {
+		return 0
+	}
+	return max(0, min(maxRefuseProbability, (c.requests-callsPerAccepted*c.accepted-throttleTolerance)/(c.requests+1)))
+}
+
 // Report counts the result of an allowed call; accepted is false if the call or one of its nested calls was
 // refused because of overload.
 func (t *Throttle) Report(now time.Time, route string, importance Importance, accepted bool) {
@@ -101,11 +124,15 @@
 		c = &throttleCount{updated: now}
 		t.counts[key] = c
 	}
+	c.decay(now)
+	return c
+}
+
+func (c *throttleCount) decay(now time.Time) {
 	if elapsed := now.Sub(c.updated); elapsed > 0 {
 		decay := math.Exp(-float64(elapsed) / float64(throttleWindow))
 		c.requests *= decay
 		c.accepted *= decay
 		c.updated = now
 	}
-	return c
 }
--- a/internal/root/call/picker/instance.go
+++ b/internal/root/call/picker/instance.go
@@ -67,21 +67,33 @@
 
 // baseCost is the expected cost of a call to an instance without calls in flight.
 func (in *instance) baseCost(now time.Time, defaultLatency float64) float64 {
-	latency := in.latency
-	if latency == 0 {
-		latency = defaultLatency
+	return in.expectedLatency(defaultLatency) * (1 + errorWeight*in.errorRate(now)) / in.slowStartWeight(now)
+}
+
+// expectedLatency returns the average latency, or the given one before the first response.
+func (in *instance) expectedLatency(defaultLatency float64) float64 {
+	if in.latency == 0 {
+		return defaultLatency
 	}
-	weight := 1.0
-	if !in.started.IsZero() {
-		if age := now.Sub(in.started); age < slowStart {
-			weight = max(minSlowStartWeight, float64(age)/float64(slowStart))
-		} else {
-			in.started = time.Time{}
-		}
+	return in.latency
+}
+
+// slowStartWeight returns the share of its calls that an instance gets since its start, 1 after the slow start.
+func (in *instance) slowStartWeight(now time.Time) float64 {
+	if in.started.IsZero() {
+		return 1
 	}
-	return latency * (1 + errorWeight*in.errorRate(now)) / weight
+	age := now.Sub(in.started)
+	if age >= slowStart {
+		in.started = time.Time{}
+		return 1
+	}
+	return max(minSlowStartWeight, float64(age)/float64(slowStart))
 }
 
+// othersExpected returns the calls of other daemons that are expected there.
+func (in *instance) othersExpected(now time.Time) float64 { return maxOthers * in.currentLoad(now) }
+
 // cost is the expected cost of a call in addition to those in flight; the lowest cost is the best.
 func (in *instance) cost(now time.Time, defaultLatency float64) float64 {
 	return float64(in.inFlight+1)*in.baseCost(now, defaultLatency) + float64(in.coldWait(now))
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -105,6 +105,17 @@
 func (p *Picker) Pick(now time.Time, request Request) (snap.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	localCount := p.collect(now, &request)
+	if len(p.eligible) == 0 {
+		return snap.Endpoint{}, false
+	}
+	in := p.choose(now, localCount)
+	in.inFlight++
+	return in.endpoint, true
+}
+
+// collect sets the eligible instances; those of the local availability zone come first, and their number is returned.
+func (p *Picker) collect(now time.Time, request *Request) (localCount int) {
 	// Each pass drops one condition: a call to an instance that is likely to fail is better than none, but an
 	// instance that is leaving is never chosen.
 	passes := [...]func(*instance) bool{
@@ -115,7 +126,7 @@
 	}
 	for _, pass := range passes {
 		p.eligible = p.eligible[:0]
-		localCount := 0 // the instances of the local availability zone come first
+		localCount = 0
 		for _, in := range p.instances {
 			if in.leaving(now) || request.Reach.Exclude(&in.endpoint) != nil || !pass(in) {
 				continue
@@ -128,12 +139,10 @@
 			}
 		}
 		if len(p.eligible) > 0 {
-			in := p.choose(now, localCount)
-			in.inFlight++
-			return in.endpoint, true
+			break
 		}
 	}
-	return snap.Endpoint{}, false
+	return localCount
 }
 
 // Done counts the result of a call to the instance with that id.
@@ -153,42 +162,55 @@
 // choose chooses among the eligible instances, of which the first localCount are in the local availability zone,
 // and prefers those.
 func (p *Picker) choose(now time.Time, localCount int) *instance {
-	local, remote := p.eligible[:localCount], p.eligible[localCount:]
-	if localCount == 0 || len(remote) == 0 {
-		return p.evenly(now, p.eligible)
-	}
-	load := 0.0
-	for _, in := range local {
-		load += in.currentLoad(now)
-	}
-	if load/float64(localCount) >= maxLocalLoad {
+	if !p.prefersLocal(now, localCount) {
 		return p.evenly(now, p.eligible)
 	}
+	local, remote := p.eligible[:localCount], p.eligible[localCount:]
 	remotePick := remote[p.random.IntN(len(remote))]
-	if p.random.IntN(explorationPeriod) == 0 {
+	if p.random.IntN(explorationPeriod) == 0 || p.replacesLocal(now, local, remotePick) {
 		return remotePick
 	}
+	return p.evenly(now, local)
+}
+
+// prefersLocal reports whether the instances of the local availability zone are preferred to those of others: there are
+// both, and the local ones are not too loaded.
+func (p *Picker) prefersLocal(now time.Time, localCount int) bool {
+	if localCount == 0 || localCount == len(p.eligible) {
+		return false
+	}
+	load := 0.0
+	for _, in := range p.eligible[:localCount] {
+		load += in.currentLoad(now)
+	}
+	return load/float64(localCount) < maxLocalLoad
+}
+
+// replacesLocal reports whether a call goes to an instance of another zone because all local ones are much slower.
+func (p *Picker) replacesLocal(now time.Time, local []*instance, remote *instance) bool {
 	latency := p.defaultLatency()
 	cheapest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
-	if cheapest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < cheapest.cost(now, latency) {
-		return remotePick
-	}
-	return p.evenly(now, local)
+	return cheapest.baseCost(now, latency) > maxLocalCostRatio*remote.baseCost(now, latency) && remote.cost(now, latency) < cheapest.cost(now, latency)
+}
+
+// evenly chooses among candidates that are equally near.
+func (p *Picker) evenly(now time.Time, instances []*instance) *instance {
+	p.setCandidates(now, instances)
+	choice, _ := spread.Choose(p.random, p.candidates)
+	return instances[choice.Index]
 }
 
-// evenly chooses among candidates that are equally near. Instances do not report the calls of other daemons; they are
-// estimated from the reported load.
-func (p *Picker) evenly(now time.Time, candidates []*instance) *instance {
+// setCandidates sets the candidates for a choice among instances that are equally near. Instances do not report the calls
+// of other daemons; they are estimated from the reported load.
+func (p *Picker) setCandidates(now time.Time, instances []*instance) {
 	latency := p.defaultLatency()
 	p.candidates = p.candidates[:0]
-	for _, in := range candidates {
+	for _, in := range instances {
 		cost := time.Duration(in.cost(now, latency))
 		p.candidates = append(p.candidates, spread.Candidate{
-			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(in.baseCost(now, latency), 1)), Others: maxOthers * in.currentLoad(now),
+			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(in.baseCost(now, latency), 1)), Others: in.othersExpected(now),
 		})
 	}
-	choice, _ := spread.Choose(p.random, p.candidates)
-	return candidates[choice.Index]
 }
 
 // defaultLatency is the latency assumed for an instance without any response: the mean of the others.
--- a/internal/root/call/retry/planner.go
+++ b/internal/root/call/retry/planner.go
@@ -64,6 +64,13 @@
 		services map[string]*share
 	}
 
+	// ShareUsage is the use of the retry share of a service.
+	ShareUsage struct {
+		Successes float64 // recent, decayed
+		Retries   float64
+		Limit     float64 // of the retries
+	}
+
 	// share is the retry share of one service. The counts decay exponentially.
 	share struct {
 		ratio     float64
@@ -97,6 +104,19 @@
 	s.successes++
 }
 
+// Usage returns the use of the retry share of a service under the given ratio, and counts nothing.
+func (p *Planner) Usage(now time.Time, service string, ratio float64) ShareUsage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := share{}
+	if known := p.services[service]; known != nil {
+		s = *known
+	}
+	s.ratio = ratio
+	s.decay(now)
+	return ShareUsage{Successes: s.successes, Retries: s.retries, Limit: s.limit()}
+}
+
 // Decide decides whether a failed call is retried, and if so takes the retry from the budget.
 func (p *Planner) Decide(now time.Time, budget *Budget, a Attempt) Verdict {
 	switch {
@@ -117,7 +137,7 @@
 	}
 	s := p.shareOf(a.Service)
 	s.decay(now)
-	if s.retries+1 > s.ratio*s.successes+minShareRetries {
+	if s.retries+1 > s.limit() {
 		return GiveUp{Cause: NoShare, Final: true}
 	}
 	if !budget.Take() {
@@ -145,6 +165,9 @@
 	return step/2 + time.Duration(p.random.Int64N(int64(step/2)+1))
 }
 
+// limit returns the largest number of retries.
+func (s *share) limit() float64 { return s.ratio*s.successes + minShareRetries }
+
 // decay decays the counts exponentially with the window as time constant.
 func (s *share) decay(now time.Time) {
 	elapsed := now.Sub(s.decayedAt)
--- a/internal/root/call/retry/retry_test.go
+++ b/internal/root/call/retry/retry_test.go
@@ -203,3 +203,22 @@
 		assert.Assert(t, tr.retries <= 3 && tr.sends <= 13, "%d retries and %d sends with seed %d", tr.retries, tr.sends, seed)
 	}
 }
+
+// Guards against a report of the retry share that counts a retry or differs from the limit that applies.
+func TestShareUsage(t *testing.T) {
+	p, now := NewPlanner(1), time.Unix(1_000_000, 0)
+	p.SetShare("s", 0.5)
+	for range 4 {
+		p.Success(now, "s")
+	}
+	budget := NewBudget(100)
+	attempt := Attempt{Service: "s", Failure: BackendLost{}, Idempotent: true, Sent: 1, Deadline: now.Add(time.Minute)}
+	for sent := range 10 {
+		usage := p.Usage(now, "s", 0.5)
+		assert.Equal(t, usage, p.Usage(now, "s", 0.5))
+		assert.Equal(t, usage, ShareUsage{Successes: 4, Retries: float64(min(sent, 4)), Limit: 4})
+		_, retried := p.Decide(now, budget, attempt).(Retry)
+		assert.Equal(t, retried, usage.Retries+1 <= usage.Limit)
+	}
+	assert.Equal(t, p.Usage(now, "unknown", 0.5), ShareUsage{Limit: minShareRetries})
+}
