--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -69,6 +69,7 @@
 		Trace     *traceCommand     `arg:"subcommand:trace" help:"show what daemons logged about a request"`
 		Format    *formatCommand    `arg:"subcommand:format" help:"print a rules file in its canonical form"`
 
+		ExplainRoute *explainRouteCommand `arg:"subcommand:explain-route" help:"show where a request would go now, and why, without sending it"`
 		EvacuateZone *evacuateZoneCommand `arg:"subcommand:evacuate-zone" help:"send no more requests to the backend servers of an availability zone"`
 		RestoreZone  *restoreZoneCommand  `arg:"subcommand:restore-zone" help:"end the evacuation of an availability zone"`
 		Zones        *zonesCommand        `arg:"subcommand:zones" help:"list the availability zones under evacuation"`
@@ -169,6 +170,8 @@
 		return c.run(s)
 	case *traceCommand:
 		return c.run(s)
+	case *explainRouteCommand:
+		return c.run(ctx, s)
 	case *evacuateZoneCommand:
 		return c.run(ctx, s)
 	case *restoreZoneCommand:
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -48,6 +48,9 @@
 		// Counts returns the current numbers of running requests, queued requests, caller connections and
 		// backend servers. The other fields are zero.
 		Counts() admin.Counts
+		// ExplainRoute returns where a request would be sent, and changes nothing. The error is an
+		// *admin.MissingPart or wraps admin.ErrQuery.
+		ExplainRoute(query *admin.RouteQuery) (*admin.RouteExplain, error)
 	}
 
 	// Server is the operators' endpoint of one daemon.
@@ -83,6 +86,7 @@
 	server.HandleFunc(admin.PathHistory, s.handle(s.history))
 	server.HandlePrefix(admin.PathRevision, s.handle(s.revision))
 	server.HandleFunc(admin.PathExplain, s.handle(s.explain))
+	server.HandleFunc(admin.PathExplainRoute, s.handle(s.explainRoute))
 	server.HandleFunc(admin.PathDump, s.handle(s.dump))
 	server.HandleFunc(admin.PathZones, s.handle(s.zones))
 	server.HandleFunc(admin.PathEvacuateZone, s.handleOrder(true))
@@ -109,8 +113,11 @@
 			return
 		}
 		body, err := report(r)
+		var missing *admin.MissingPart
 		switch {
-		case errors.Is(err, errInvalidParameter):
+		case errors.As(err, &missing):
+			writeError(w, http.StatusNotFound, admin.ReasonNotFound, err.Error())
+		case errors.Is(err, errInvalidParameter), errors.Is(err, admin.ErrQuery):
 			writeError(w, http.StatusBadRequest, admin.ReasonBadRequest, err.Error())
 		case errors.Is(err, ctrl.ErrNotFound):
 			writeError(w, http.StatusNotFound, admin.ReasonNotFound, err.Error())
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -85,7 +85,7 @@
 		return
 	}
 	route := match.Route
-	if !snapshot.LeaseValid(started) && !route.Offline {
+	if isStale(snapshot, route, started) {
 		h.refuse(w, id, "", retry.StaleConfig{}, &route.Rule)
 		return
 	}
@@ -112,6 +112,25 @@
 	h.run(r.Context(), w, request, started)
 }
 
+// isStale reports whether the lease of the daemon is too old for a request of a caller on the route.
+func isStale(snapshot *snap.Snapshot, route *rules.Route, now time.Time) bool {
+	return !snapshot.LeaseValid(now) && !route.Offline
+}
+
+// accessFailure returns why the access rule of the route refuses a request of the client account, whose name is empty for
+// a request without a key.
+func accessFailure(route *rules.Route, account string) retry.Failure {
+	switch {
+	case route.Access == rules.AccessOpen:
+		return nil
+	case account == "":
+		return retry.KeyMissing{}
+	case !route.AllowsAccount(account):
+		return retry.AccountNotAllowed{}
+	}
+	return nil
+}
+
 // identify returns the client account of the request's key.
 func identify(set *rules.Set, route *rules.Route, r *http.Request) caller {
 	key := requestKey(r.Header)
@@ -123,7 +142,7 @@
 		return caller{key: key}
 	}
 	if key == "" {
-		return caller{failure: retry.KeyMissing{}, rule: &route.Rule}
+		return caller{failure: accessFailure(route, ""), rule: &route.Rule}
 	}
 	found, active := set.KeyFor(key)
 	switch {
@@ -131,8 +150,9 @@
 		return caller{failure: retry.KeyUnknown{}, rule: &route.Rule}
 	case !active:
 		return caller{account: found.Account, failure: retry.KeyWithdrawn{}, rule: &found.Rule}
-	case !route.AllowsAccount(found.Account):
-		return caller{account: found.Account, failure: retry.AccountNotAllowed{}, rule: &route.Rule}
+	}
+	if failure := accessFailure(route, found.Account); failure != nil {
+		return caller{account: found.Account, failure: failure, rule: &route.Rule}
 	}
 	return caller{account: found.Account, key: key}
 }
--- a/internal/root/call/local.go
+++ b/internal/root/call/local.go
@@ -13,7 +13,6 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
-	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 const (
@@ -114,7 +113,7 @@
 	case len(parent.chain) >= maxCallDepth:
 		writeRefusal(w, id, retry.BadRequest{}, &match.Route.Rule)
 		return
-	case match.Route.Access == rules.AccessKeyed && (parent.account == "" || !match.Route.AllowsAccount(parent.account)):
+	case accessFailure(match.Route, parent.account) != nil:
 		writeRefusal(w, id, retry.AccountNotAllowed{}, &match.Route.Rule)
 		return
 	}
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -212,14 +212,8 @@
 		return failure
 	}
 	now := c.server.Clock.Now()
-	c.ticket = &admit.Ticket{
-		Account:    c.head.Account,
-		Weight:     c.server.weight(c.head.Account),
-		Route:      c.head.Route,
-		Importance: c.parent.importance,
-		HeldSlots:  slotsHeld(c.head.Chain, c.backend.endpoint.Service),
-		Deadline:   c.parent.deadline,
-	}
+	c.ticket = c.server.newTicket(c.head.Account, c.head.Route, c.parent.importance, c.parent.deadline)
+	c.ticket.HeldSlots = slotsHeld(c.head.Chain, c.backend.endpoint.Service)
 	limiter := c.backend.limiter
 	c.server.backends.refreshCold(c.backend)
 	switch decision := limiter.Offer(now, c.ticket).(type) {
@@ -248,6 +242,10 @@
 	return nil
 }
 
+func (s *Server) newTicket(account, route string, importance admit.Importance, deadline time.Time) *admit.Ticket {
+	return &admit.Ticket{Account: account, Weight: s.weight(account), Route: route, Importance: importance, Deadline: deadline}
+}
+
 // weight returns the weight of a client account in the fair queue, which is its rate.
 func (s *Server) weight(account string) float64 {
 	set := s.backends.control.Snapshot().Rules
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -57,6 +57,11 @@
 // Sections returns no tables.
 func (noTraffic) Sections(time.Time) []pkgadmin.Section { return nil }
 
+// ExplainRoute reports that this daemon sends no requests.
+func (noTraffic) ExplainRoute(*pkgadmin.RouteQuery) (*pkgadmin.RouteExplain, error) {
+	return nil, &pkgadmin.MissingPart{Part: "traffic", Detail: "this instance sends no requests; ask a daemon beside a backend server"}
+}
+
 // fleetBuilder builds the parts of a daemon on the users' platform.
 type fleetBuilder struct {
 	settings      *config.Settings
--- a/internal/root/reach/reach.go
+++ b/internal/root/reach/reach.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -36,6 +37,20 @@
 func (EvacuatedZone) exclusion() {}
 func (ForeignRegion) exclusion() {}
 
+// Describe returns an exclusion as text, empty for none.
+func Describe(e Exclusion) string {
+	switch e := e.(type) {
+	case EvacuatedZone:
+		return fmt.Sprintf("the availability zone %s is under evacuation", e.Zone)
+	case ForeignRegion:
+		if e.Region == "" {
+			return "its region is not known"
+		}
+		return fmt.Sprintf("the region %s is not allowed", e.Region)
+	}
+	return ""
+}
+
 // For returns the policy of a request. Each list of regions that is not empty applies, so that only the regions that
 // are in all of them are allowed.
 func For(evacuated map[string]snap.Evacuation, lists ...[]string) Policy {
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -81,16 +81,21 @@
 	svc.mu.Lock()
 	defer svc.mu.Unlock()
 	randomChoices := svc.balancer.RandomChoices
-	endpoint, ok := svc.balancer.Choose(now, place.Request{
-		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
-		Reach: policy,
-	})
+	endpoint, ok := svc.balancer.Choose(now, f.placeRequest(now, state, policy))
 	if svc.balancer.RandomChoices > randomChoices {
 		f.Meter.RandomChoice(state.service)
 	}
 	return endpoint, ok
 }
 
+// placeRequest returns the request as the balancer sees it.
+func (f *Forwarder) placeRequest(now time.Time, state *forwardState, policy reach.Policy) place.Request {
+	return place.Request{
+		Route: state.route.Name, Objective: state.route.Objective, Remaining: state.deadline.Sub(now), Zone: f.Zone, Tried: state.tried, Urgent: state.nested || state.rank == 0,
+		Reach: policy,
+	}
+}
+
 // countUneven counts a request that a full server refused and another server then served.
 func (f *Forwarder) countUneven(state *forwardState, result outcome) {
 	switch result := result.(type) {
@@ -123,15 +128,10 @@
 // send sends the request once to the daemon of the endpoint.
 func (f *Forwarder) send(ctx context.Context, state *forwardState, svc *serviceState, endpoint *snap.Endpoint) (outcome, *Report) {
 	now := f.Clock.Now()
-	left := state.deadline.Sub(now)
-	if left <= 0 {
+	if !now.Before(state.deadline) {
 		return notRun{failure: retry.DeadlineBefore{}}, nil
 	}
-	send := &SendRequest{
-		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
-		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: left,
-		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
-	}
+	send := f.sendRequest(now, state)
 	if endpoint.Daemon == f.PeerAddress {
 		j := decodeJob(now, send)
 		j.request = state.request
@@ -150,6 +150,15 @@
 	return reply.decodeOutcome(), &reply.Report
 }
 
+// sendRequest returns the message for the daemon of a server, without the header.
+func (f *Forwarder) sendRequest(now time.Time, state *forwardState) *SendRequest {
+	return &SendRequest{
+		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
+		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: state.deadline.Sub(now),
+		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
+	}
+}
+
 // abandon decides whether a request gives up on the daemon that it was sent to, which has fallen silent, because
 // it may be sent to another server. Otherwise it goes on waiting: the daemon may only be paused, and the request
 // may be running. In both cases later requests avoid the server.
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -175,7 +175,7 @@
 	if snapshot.Quarantined(state.fingerprint, now) {
 		return state, &notRun{failure: retry.Quarantined{}, retryAfter: rateRetryAfter}
 	}
-	state.deadline = now.Add(min(r.timeout(), route.Deadline))
+	state.deadline = state.latestResponse()
 	if f.endsTooLate(state) {
 		return state, &notRun{failure: retry.Draining{}, retryAfter: noServerRetryAfter}
 	}
@@ -212,9 +212,6 @@
 		return refused
 	}
 	state.tokenTaken = tokenTaken
-	if state.account.Rank != nil {
-		state.rank = *state.account.Rank
-	}
 	return nil
 }
 
@@ -261,12 +258,8 @@
 // authenticate finds the client account of the API key. Calls of backend servers carry no key; the routes that
 // they use are open.
 func (s *forwardState) authenticate(set *rules.Set, presented string) retry.Failure {
-	if s.route.Access == rules.AccessOpen {
-		s.nested = presented == ""
-		return nil
-	}
-	if presented == "" {
-		return retry.KeyMissing{}
+	if open, failure := s.checkAccess(presented != ""); open || failure != nil {
+		return failure
 	}
 	key, active := set.KeyFor(presented)
 	switch {
@@ -275,10 +268,36 @@
 	case !active:
 		return retry.KeyWithdrawn{}
 	}
-	s.account = set.Accounts[key.Account]
+	s.setAccount(set.Accounts[key.Account])
 	return nil
 }
 
+// checkAccess applies the access rule of the route to a request with or without a key; open reports that no key is
+// needed.
+func (s *forwardState) checkAccess(hasKey bool) (open bool, failure retry.Failure) {
+	switch {
+	case s.route.Access == rules.AccessOpen:
+		s.nested = !hasKey
+		return true, nil
+	case !hasKey:
+		return false, retry.KeyMissing{}
+	}
+	return false, nil
+}
+
+// setAccount sets the client account, whose rank takes precedence over that of the route.
+func (s *forwardState) setAccount(account *rules.Account) {
+	s.account = account
+	if account != nil && account.Rank != nil {
+		s.rank = *account.Rank
+	}
+}
+
+// latestResponse returns the deadline of the request.
+func (s *forwardState) latestResponse() time.Time {
+	return s.started.Add(min(s.request.timeout(), s.route.Deadline))
+}
+
 func (s *forwardState) accountName() string {
 	if s.account == nil {
 		return ""
@@ -318,12 +337,15 @@
 	case call.TokenRefused:
 		return false, &notRun{failure: retry.Rate{}, retryAfter: cmp.Or(verdict.RetryAfter, rateRetryAfter)}
 	}
-	if f.sinceLeaderContact() > localRateAfter && fallback.Allow(now, account.Rate.PerSecond()) {
+	if f.usesFallback() && fallback.Allow(now, account.Rate.PerSecond()) {
 		return false, nil
 	}
 	return false, &notRun{failure: retry.RateUnavailable{}, retryAfter: noServerRetryAfter}
 }
 
+// usesFallback reports whether the fallback limiters admit requests without a token.
+func (f *Forwarder) usesFallback() bool { return f.sinceLeaderContact() > localRateAfter }
+
 // sinceLeaderContact returns the time since the last contact with the leader.
 func (f *Forwarder) sinceLeaderContact() time.Duration {
 	return f.Clock.Now().Sub(f.Control.Snapshot().LastContact)
--- a/internal/root/relay/localbackend_cold.go
+++ b/internal/root/relay/localbackend_cold.go
@@ -69,13 +69,19 @@
 
 // updateCold applies the configuration and the end of an evacuation to the limiter; b.mu is held.
 func (b *LocalBackend) updateCold(now time.Time) {
-	snapshot := b.Control.Snapshot()
-	b.cold.Rate, b.cold.Period = warmup.Limits(snapshot.Rules, b.serviceName())
+	b.cold = b.configuredCold(now)
 	b.coldLimited.Store(b.cold.Rate > 0)
-	b.cold.Restore(now, snapshot.Restored[b.Zone])
 	b.logCold(now)
 }
 
+// configuredCold returns the limiter with the configuration and the end of an evacuation applied; b.mu is held.
+func (b *LocalBackend) configuredCold(now time.Time) warmup.Limiter {
+	snapshot, cold := b.Control.Snapshot(), b.cold
+	cold.Rate, cold.Period = warmup.Limits(snapshot.Rules, b.serviceName())
+	cold.Restore(now, snapshot.Restored[b.Zone])
+	return cold
+}
+
 // applyCold starts what may start after a change of the cold state and sets the timer; b.mu is held.
 func (b *LocalBackend) applyCold(now time.Time) {
 	b.logCold(now)
--- a/internal/root/relay/share/retrybudget.go
+++ b/internal/root/relay/share/retrybudget.go
@@ -61,6 +61,9 @@
 	}
 )
 
+// String returns the name of the cause.
+func (c Cause) String() string { return [...]string{Shed: "shed", Lost: "lost", Failed: "failed"}[c] }
+
 // RecordRequest counts the first send of a request.
 func (r *RetryBudget) RecordRequest(now time.Time) {
 	r.advance(now)
