--- a/internal/opctl/explainroute.go
+++ b/internal/opctl/explainroute.go
@@ -79,6 +79,9 @@
 		if a.Fallback > 0 {
 			state += fmt.Sprintf(", %.1f requests/s", a.Fallback)
 		}
+		if a.Rule != "" {
+			state += " (" + a.Rule + ")"
+		}
 		rows = append(rows, []string{"account", state})
 	}
 	return rows
--- a/internal/root/call/explain.go
+++ b/internal/root/call/explain.go
@@ -57,6 +57,9 @@
 	if !snapshot.LastContact.IsZero() {
 		e.report.ContactAge = admin.Duration(now.Sub(snapshot.LastContact))
 	}
+	if !query.Nested && t.handler.active.Load() >= t.handler.MaxCalls {
+		e.refuse(retry.Overload{})
+	}
 	e.explainAccount(set.Accounts[query.Account])
 	if err := e.explainServers(); err != nil {
 		return nil, err
--- a/internal/root/relay/explain.go
+++ b/internal/root/relay/explain.go
@@ -27,7 +27,11 @@
 
 // ExplainRoute returns where the forwarder would send a request, and changes nothing.
 func (r *Relay) ExplainRoute(query *admin.RouteQuery) (*admin.RouteExplain, error) {
-	return r.Frontend.Forwarder.explainRoute(query)
+	explain, err := r.Frontend.Forwarder.explainRoute(query)
+	if err == nil && r.Frontend.refusing.Load() { // before anything else
+		explain.Refused = string(retry.Describe(retry.Draining{}).Reason)
+	}
+	return explain, err
 }
 
 func (f *Forwarder) explainRoute(query *admin.RouteQuery) (*admin.RouteExplain, error) {
--- a/internal/root/relay/gate/cold.go
+++ b/internal/root/relay/gate/cold.go
@@ -8,12 +8,17 @@
 	if !g.canStart(now, t, r) {
 		return false
 	}
+	g.pace(now, t)
+	return true
+}
+
+// pace counts the start of a request that canStart allows against the rate of a cold server.
+func (g *Controller) pace(now time.Time, t *Ticket) {
 	g.Cold.Take(now)
 	t.paced = g.Cold.Cold(now)
-	return true
 }
 
-// canStart is mayStart without counting a start.
+// canStart is mayStart without the counting.
 func (g *Controller) canStart(now time.Time, t *Ticket, r *route) bool {
 	_, delayed := g.Cold.NextStart(now)
 	return g.running < g.slots && r.hasCapacity(t) && !delayed
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -190,7 +190,7 @@
 	decision := g.decide(now, t, c, r)
 	switch decision.(type) {
 	case Admitted:
-		g.mayStart(now, t, r) // counts the start at a cold server
+		g.pace(now, t)
 		g.accepted.add(now)
 		g.start(now, t, r)
 	case Queued:
@@ -479,14 +479,14 @@
 
 // peek returns the class and the route of a request; those that do not exist yet are returned without being added.
 func (g *Controller) peek(t *Ticket) (*class, *route) {
-	c, r := &class{nested: t.Nested, rank: t.Rank}, g.routes[t.Route]
-	if at, found := g.findClass(t); found {
-		c = g.classes[at]
-	}
+	r := g.routes[t.Route]
 	if r == nil {
 		r = newRoute(t.Route, g.slots)
 	}
-	return c, r
+	if at, found := g.findClass(t); found {
+		return g.classes[at], r
+	}
+	return &class{nested: t.Nested, rank: t.Rank}, r
 }
 
 func (g *Controller) route(name string) *route {
