--- a/internal/root/call/explain_test.go
+++ b/internal/root/call/explain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,6 +70,12 @@
 	for range 5 {
 		assert.Equal(t, f.request(0, "GET", "/open", "").body, "served")
 	}
+	f.publish(func(s *snap.Snapshot) { // a list that the daemon has not used yet
+		list := *s.Endpoints["reader"]
+		list.Version, list.Instances = list.Version+1, slices.Clone(list.Instances)
+		list.Instances[2].Slots = 3
+		s.Endpoints["reader"] = &list
+	})
 	n := f.nodes[0]
 	now := time.Now()
 	before := n.observe(now)
