--- a/internal/opctl/explainroute.go
+++ b/internal/opctl/explainroute.go
@@ -66,7 +66,8 @@
 		{"route", fmt.Sprintf("%s to %s: %s, %s, deadline %s", route.Name, e.Service, route.Access, route.Urgency, route.Deadline)},
 	}
 	if route.Rule != "" {
-		rows = append(rows, []string{"rule", route.Rule}, []string{"requested by", route.Requester}, []string{"text", route.Text})
+		rows = append(rows, []string{"rule", route.Rule})
+		rows = append(rows, []string{"requested by", route.Requester}, []string{"text", route.Text})
 	}
 	for _, part := range route.Parts {
 		rows = append(rows, []string{"split", fmt.Sprintf("%s, weight %d", part.Service, part.Weight)})
@@ -106,7 +107,8 @@
 	}
 	own := "none of this service"
 	if a := e.Admission; a.Server != "" {
-		own = fmt.Sprintf("%s: %s, %d running, %d waiting, limit %d, wait %s", a.Server, strings.TrimSpace(a.Decision+" "+a.Reason), a.Running, a.Waiting, a.Limit, rounded(a.Wait))
+		own = fmt.Sprintf("%s: %s, %d running, %d waiting, limit %d, wait %s",
+			a.Server, strings.TrimSpace(a.Decision+" "+a.Reason), a.Running, a.Waiting, a.Limit, rounded(a.Wait))
 	}
 	rows = append(rows, []string{"regions", regions}, []string{"evacuated", evacuated}, []string{"own server", own})
 	if e.Refused != "" {
@@ -129,7 +131,8 @@
 			chance += " (explored)"
 		}
 		rows = append(rows, []string{
-			s.ID, s.Zone, s.Region, rounded(s.Cost), chance, age, strconv.Itoa(s.Unreported), fmt.Sprintf("%.1f", s.Others), s.Excluded,
+			s.ID, s.Zone, s.Region, rounded(s.Cost), chance, age,
+			strconv.Itoa(s.Unreported), fmt.Sprintf("%.1f", s.Others), s.Excluded,
 		})
 	}
 	return rows
--- a/internal/root/admin/route.go
+++ b/internal/root/admin/route.go
@@ -14,7 +14,7 @@
 // routeParams are the parameters of a request for an explanation.
 var routeParams = []string{admin.ParamMethod, admin.ParamHost, admin.ParamPath, admin.ParamAccount, admin.ParamNested}
 
-// explainRoute returns where a request would go. It reads the published control state and copies of the state of traffic.
+// explainRoute returns where a request would go.
 func (s *Server) explainRoute(r *http.Request) ([]byte, error) {
 	query, err := routeQuery(r.URL.RawQuery)
 	if err != nil {
@@ -39,7 +39,8 @@
 		}
 	}
 	query := &admin.RouteQuery{
-		Method: values.Get(admin.ParamMethod), Host: values.Get(admin.ParamHost), Path: values.Get(admin.ParamPath), Account: values.Get(admin.ParamAccount),
+		Method: values.Get(admin.ParamMethod), Host: values.Get(admin.ParamHost), Path: values.Get(admin.ParamPath),
+		Account: values.Get(admin.ParamAccount),
 	}
 	if nested := values.Get(admin.ParamNested); nested != "" {
 		if query.Nested, err = strconv.ParseBool(nested); err != nil {
--- a/internal/root/call/explain.go
+++ b/internal/root/call/explain.go
@@ -29,17 +29,17 @@
 func (t *Traffic) ExplainRoute(query *admin.RouteQuery) (*admin.RouteExplain, error) {
 	now, snapshot := t.Clock.Now(), t.Control.Snapshot()
 	if snapshot.Rules == nil {
-		return nil, &admin.MissingPart{Part: "configuration", Detail: "none has arrived at this daemon yet"}
+		return nil, admin.MissingConfiguration()
 	}
 	set := snapshot.Rules
 	match, ok := set.Match(query.Method, query.Path)
 	switch {
 	case !ok:
-		return nil, &admin.MissingPart{Part: "route", Detail: fmt.Sprintf("none for %s %q in revision %d", query.Method, query.Path, set.Revision)}
+		return nil, admin.MissingRoute("none for %s %q in revision %d", query.Method, query.Path, set.Revision)
 	case match.Route.Nested && !query.Nested:
-		return nil, &admin.MissingPart{Part: "route", Detail: fmt.Sprintf("%s is for nested calls only", match.Route.Identity())}
+		return nil, admin.MissingRoute("%s is for nested calls only", match.Route.Identity())
 	case query.Account != "" && set.Accounts[query.Account] == nil:
-		return nil, &admin.MissingPart{Part: "account", Detail: fmt.Sprintf("there is no client account %q in revision %d", query.Account, set.Revision)}
+		return nil, admin.MissingAccount(query.Account, set.Revision)
 	}
 	route := match.Route
 	e := &explanation{
@@ -129,11 +129,8 @@
 	f, route := e.traffic.forwarder, e.request.Route
 	e.report.Throttle = f.Throttle.RefuseChance(e.now, route.Name, e.request.Importance)
 	list := e.snapshot.Endpoints[route.Service]
-	switch {
-	case list == nil:
-		return &admin.MissingPart{Part: "servers", Detail: fmt.Sprintf("this daemon has no list of the servers of %q; it asks for one with its first request", route.Service)}
-	case len(list.Instances) == 0:
-		return &admin.MissingPart{Part: "servers", Detail: fmt.Sprintf("no server of %q is known", route.Service)}
+	if list == nil || len(list.Instances) == 0 {
+		return admin.MissingServers(route.Service, list != nil)
 	}
 	policy := f.reach(e.request)
 	e.report.Restricted, e.report.Regions = policy.Restricted, policy.Regions
@@ -149,7 +146,8 @@
 	e.report.Retries = []admin.RouteRetries{{Cause: "request", Limit: float64(route.Retries)}}
 	if service := e.request.Rules.Services[route.Service]; service != nil {
 		usage := f.Planner.Usage(e.now, route.Service, service.RetryShare)
-		e.report.Retries = append(e.report.Retries, admin.RouteRetries{Cause: "service", Used: usage.Retries, Limit: usage.Limit})
+		retries := admin.RouteRetries{Cause: "service", Used: usage.Retries, Limit: usage.Limit}
+		e.report.Retries = append(e.report.Retries, retries)
 	}
 	return nil
 }
@@ -176,8 +174,10 @@
 
 func describeServer(a *picker.Assessment) admin.RouteServer {
 	server := admin.RouteServer{
-		ID: a.Endpoint.ID, Daemon: a.Endpoint.Daemon, Zone: a.Endpoint.Zone, Region: a.Endpoint.Region, Excluded: reach.Describe(a.Exclusion),
-		Cost: admin.Duration(a.Cost.Total()), Reported: a.Reported, ReportAge: admin.Duration(a.Age), Unreported: a.InFlight, InFlight: a.InFlight,
+		ID: a.Endpoint.ID, Daemon: a.Endpoint.Daemon, Zone: a.Endpoint.Zone, Region: a.Endpoint.Region,
+		Excluded: reach.Describe(a.Exclusion),
+		Cost:     admin.Duration(a.Cost.Total()), Reported: a.Reported, ReportAge: admin.Duration(a.Age),
+		Unreported: a.InFlight, InFlight: a.InFlight,
 		Others: a.Others, Chance: a.Chance,
 	}
 	if server.Excluded == "" && !a.Eligible {
@@ -218,7 +218,8 @@
 	ticket := t.server.newTicket(request.Account, request.Route.Name, request.Importance, request.Deadline)
 	preview := server.limiter.Preview(now, ticket, rate, period, snapshot.Restored[servers.zone])
 	described := admin.RouteAdmission{
-		Server: server.endpoint.ID, Running: preview.Load.InFlight, Waiting: preview.Load.Waiting, Limit: preview.Load.Limit, Wait: admin.Duration(preview.Wait),
+		Server: server.endpoint.ID, Running: preview.Load.InFlight, Waiting: preview.Load.Waiting, Limit: preview.Load.Limit,
+		Wait: admin.Duration(preview.Wait),
 	}
 	failure := servers.closed(server)
 	if server.leaving.Load() || t.server.leaving.Load() {
--- a/internal/root/relay/explain.go
+++ b/internal/root/relay/explain.go
@@ -42,15 +42,15 @@
 	case query.Nested && query.Account != "":
 		return nil, fmt.Errorf("%w: a nested call has no client account on this platform", admin.ErrQuery)
 	case snapshot.Rules == nil:
-		return nil, &admin.MissingPart{Part: "configuration", Detail: "none has arrived at this daemon yet"}
+		return nil, admin.MissingConfiguration()
 	}
 	set := snapshot.Rules
 	route, ok := set.MatchHost(query.Host, query.Path)
 	if !ok {
-		return nil, &admin.MissingPart{Part: "route", Detail: fmt.Sprintf("none for host %q and path %q in revision %d", query.Host, query.Path, set.Revision)}
+		return nil, admin.MissingRoute("none for host %q and path %q in revision %d", query.Host, query.Path, set.Revision)
 	}
 	if query.Account != "" && set.Accounts[query.Account] == nil {
-		return nil, &admin.MissingPart{Part: "account", Detail: fmt.Sprintf("there is no client account %q in revision %d", query.Account, set.Revision)}
+		return nil, admin.MissingAccount(query.Account, set.Revision)
 	}
 	request := &Request{Method: query.Method, Target: query.Path, Path: query.Path, Host: query.Host}
 	e := &explanation{
@@ -105,7 +105,8 @@
 	f := e.forwarder
 	tokens := f.Control.TokenState(account.Name)
 	described := &admin.RouteAccount{
-		Name: account.Name, Rate: account.Rate.String(), Burst: account.Burst, Tokens: tokens.Unspent, RefusedFor: admin.Duration(tokens.RefusedFor),
+		Name: account.Name, Rate: account.Rate.String(), Burst: account.Burst, Tokens: tokens.Unspent,
+		RefusedFor: admin.Duration(tokens.RefusedFor),
 	}
 	e.report.Account = described
 	switch {
@@ -151,14 +152,14 @@
 	if len(route.WeightedServices) > 0 {
 		known := false
 		if e.state.service, known = e.forwarder.peekService(route); !known {
-			e.report.Note("the daemon has not split this route yet and starts at a random service; %s has the largest weight", e.state.service)
+			e.report.Note("this route has not been split yet and starts at a random service; %s has the largest weight", e.state.service)
 		}
 	}
 	e.report.Service = e.state.service
 }
 
-// peekService returns the service of the next request of a route that is split. It is the one with the largest weight, and
-// known is false, if the daemon has not split the route yet.
+// peekService returns the service of the next request of a route that is split. It is the one with the largest weight,
+// and known is false, if the daemon has not split the route yet.
 func (f *Forwarder) peekService(route *rules.Route) (service string, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -172,11 +173,8 @@
 func (e *explanation) explainServers() error {
 	f, service := e.forwarder, e.state.service
 	list := e.snapshot.Endpoints[service]
-	switch {
-	case list == nil:
-		return &admin.MissingPart{Part: "servers", Detail: fmt.Sprintf("this daemon has no list of the servers of %q; it asks for one with its first request", service)}
-	case len(list.Instances) == 0:
-		return &admin.MissingPart{Part: "servers", Detail: fmt.Sprintf("no server of %q is known", service)}
+	if list == nil || len(list.Instances) == 0 {
+		return admin.MissingServers(service, list != nil)
 	}
 	balancer, budget := f.copyService(service)
 	balancer.Update(e.now, list)
@@ -193,7 +191,8 @@
 	e.report.Rank()
 	for _, cause := range []share.Cause{share.Shed, share.Lost, share.Failed} {
 		usage := budget.Usage(e.now, cause)
-		e.report.Retries = append(e.report.Retries, admin.RouteRetries{Cause: cause.String(), Used: float64(usage.Retries), Limit: usage.Limit})
+		retries := admin.RouteRetries{Cause: cause.String(), Used: float64(usage.Retries), Limit: usage.Limit}
+		e.report.Retries = append(e.report.Retries, retries)
 	}
 	return nil
 }
@@ -217,8 +216,10 @@
 
 func describeServer(a *place.Assessment) admin.RouteServer {
 	server := admin.RouteServer{
-		ID: a.Endpoint.ID, Daemon: a.Endpoint.Daemon, Zone: a.Endpoint.Zone, Region: a.Endpoint.Region, Excluded: reach.Describe(a.Exclusion),
-		Cost: admin.Duration(a.Cost.Total()), Reported: a.Reported, ReportAge: admin.Duration(a.Age), Unreported: a.Sent, InFlight: a.InFlight,
+		ID: a.Endpoint.ID, Daemon: a.Endpoint.Daemon, Zone: a.Endpoint.Zone, Region: a.Endpoint.Region,
+		Excluded: reach.Describe(a.Exclusion),
+		Cost:     admin.Duration(a.Cost.Total()), Reported: a.Reported, ReportAge: admin.Duration(a.Age),
+		Unreported: a.Sent, InFlight: a.InFlight,
 		Others: a.Estimate.Others, Explored: a.Explored, Chance: a.Chance,
 	}
 	for _, part := range []struct {
@@ -252,7 +253,8 @@
 	controller.Cold = &cold
 	load := controller.Load(now, j.ticket())
 	described := admin.RouteAdmission{
-		Server: s.notice.Address, Running: controller.Running(), Waiting: load.Waiting, Limit: load.Slots, Wait: admin.Duration(load.Wait),
+		Server: s.notice.Address, Running: controller.Running(), Waiting: load.Waiting, Limit: load.Slots,
+		Wait: admin.Duration(load.Wait),
 	}
 	var failure retry.Failure
 	if refused, ok := b.unavailable(now, s, j).(notRun); ok {
--- a/pkg/admin/route.go
+++ b/pkg/admin/route.go
@@ -46,7 +46,7 @@
 	RateRequested = "token-requested"   // the request waits for a token of the owner
 	RateRefused   = "refused"           // the account is above its rate
 	RateFallback  = "allowed-by-daemon" // no token is granted, and the daemon allows the request by itself
-	RateRandom    = "random"            // no token is granted, and a random number decides whether the daemon allows the request
+	RateRandom    = "random"            // no token is granted, and a random number decides
 	RateNoGrant   = "not-granted"       // no token is granted, and the daemon does not allow the request
 )
 
@@ -167,10 +167,34 @@
 // Error names the missing part.
 func (e *MissingPart) Error() string { return e.Part + ": " + e.Detail }
 
+// MissingConfiguration returns the error of a daemon without rules.
+func MissingConfiguration() error {
+	return &MissingPart{Part: "configuration", Detail: "none has arrived at this daemon yet"}
+}
+
+// MissingRoute returns the error for a request without a route.
+func MissingRoute(format string, args ...any) error {
+	return &MissingPart{Part: "route", Detail: fmt.Sprintf(format, args...)}
+}
+
+// MissingAccount returns the error for a client account that is not in the rules.
+func MissingAccount(name string, revision uint64) error {
+	return &MissingPart{Part: "account", Detail: fmt.Sprintf("there is no client account %q in revision %d", name, revision)}
+}
+
+// MissingServers returns the error for a service without a list of servers, or with an empty one if listed is set.
+func MissingServers(service string, listed bool) error {
+	detail := "this daemon has no list of the servers of %q; it asks for one with its first request"
+	if listed {
+		detail = "no server of %q is known"
+	}
+	return &MissingPart{Part: "servers", Detail: fmt.Sprintf(detail, service)}
+}
+
 // Check returns an error that wraps ErrQuery and names the first invalid field.
 func (q *RouteQuery) Check() error {
 	switch {
-	case q.Method == "" || len(q.Method) > maxMethod || strings.ContainsFunc(q.Method, func(r rune) bool { return r < 'A' || r > 'Z' }):
+	case q.Method == "" || len(q.Method) > maxMethod || strings.ContainsFunc(q.Method, notInMethod):
 		return fmt.Errorf("%w: the method is %q, want capital letters such as GET", ErrQuery, q.Method)
 	case !strings.HasPrefix(q.Path, "/") || len(q.Path) > maxPath || strings.ContainsFunc(q.Path, notInPath):
 		return fmt.Errorf("%w: the path is %q, want one that begins with a slash, percent-encoded, without a query", ErrQuery, q.Path)
@@ -182,6 +206,8 @@
 	return nil
 }
 
+func notInMethod(r rune) bool { return r < 'A' || r > 'Z' }
+
 func notInPath(r rune) bool { return r <= ' ' || r >= 0x7f || r == '?' || r == '#' }
 
 // Check returns an error that names the first invalid field.
@@ -222,7 +248,8 @@
 // runner-up.
 func (e *RouteExplain) Rank() {
 	slices.SortStableFunc(e.Servers, func(a, b RouteServer) int {
-		return cmp.Or(cmp.Compare(b.Chance, a.Chance), cmp.Compare(min(len(a.Excluded), 1), min(len(b.Excluded), 1)), cmp.Compare(a.Cost, b.Cost))
+		excluded := cmp.Compare(min(len(a.Excluded), 1), min(len(b.Excluded), 1))
+		return cmp.Or(cmp.Compare(b.Chance, a.Chance), excluded, cmp.Compare(a.Cost, b.Cost))
 	})
 	e.Choice, e.RunnerUp = "", ""
 	if len(e.Servers) > 0 && e.Servers[0].Chance > 0 {
