--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -149,11 +149,16 @@
 	}
 }
 
+// pickRequest returns the request as the picker sees it.
+func pickRequest(now time.Time, r *Request, tried []string, policy reach.Policy) picker.Request {
+	return picker.Request{
+		Tried: tried, Reach: policy, Nested: r.Nested, Route: r.Route.Name, Left: r.Deadline.Sub(now), LongStay: r.longAnswersStay(),
+	}
+}
+
 // pick chooses the instance for an attempt.
 func (f *Forwarder) pick(instances *picker.Picker, now time.Time, r *Request, tried []string, policy reach.Policy) (picker.Choice, bool) {
-	choice, ok := instances.Pick(now, picker.Request{
-		Tried: tried, Reach: policy, Nested: r.Nested, Route: r.Route.Name, Left: r.Deadline.Sub(now), LongStay: r.longAnswersStay(),
-	})
+	choice, ok := instances.Pick(now, pickRequest(now, r, tried, policy))
 	if choice.Random {
 		f.Meter.RandomChoice(r.Route.Service)
 	}
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -125,6 +125,21 @@
 func (p *Picker) Pick(now time.Time, request Request) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	localCount := p.collect(now, &request)
+	if len(p.eligible) == 0 {
+		return Choice{}, false
+	}
+	in, cheapest := p.choose(now, &request, localCount)
+	placement := cross.Placement{Home: in.endpoint.Zone == p.zone, Again: len(request.Tried) > 0, Nested: request.Nested}
+	if !placement.Home {
+		placement.RoomAtHome = slices.ContainsFunc(p.eligible[:localCount], func(in *instance) bool { return in.hasRoom(now) })
+	}
+	in.inFlight++
+	return Choice{Endpoint: in.endpoint, Cause: placement.Cause(), Random: !cheapest}, true
+}
+
+// collect sets the eligible instances; those of the local availability zone come first, and their number is returned.
+func (p *Picker) collect(now time.Time, request *Request) (localCount int) {
 	// Each pass drops one condition: a call to an instance that is likely to fail is better than none, but an
 	// instance that is leaving is never chosen.
 	passes := [...]func(*instance) bool{
@@ -135,7 +150,7 @@
 	}
 	for _, pass := range passes {
 		p.eligible = p.eligible[:0]
-		localCount := 0 // the instances of the local availability zone come first
+		localCount = 0
 		for _, in := range p.instances {
 			if in.leaving(now) || request.Reach.Exclude(&in.endpoint) != nil || !pass(in) {
 				continue
@@ -148,16 +163,10 @@
 			}
 		}
 		if len(p.eligible) > 0 {
-			in, cheapest := p.choose(now, &request, localCount)
-			placement := cross.Placement{Home: in.endpoint.Zone == p.zone, Again: len(request.Tried) > 0, Nested: request.Nested}
-			if !placement.Home {
-				placement.RoomAtHome = slices.ContainsFunc(p.eligible[:localCount], func(in *instance) bool { return in.hasRoom(now) })
-			}
-			in.inFlight++
-			return Choice{Endpoint: in.endpoint, Cause: placement.Cause(), Random: !cheapest}, true
+			break
 		}
 	}
-	return Choice{}, false
+	return localCount
 }
 
 // Done counts the result of a call to the instance with that id.
@@ -180,25 +189,12 @@
 // choose chooses among the eligible instances, of which the first localCount are in the local availability zone,
 // and prefers those. It reports whether no other one was expected to cost less.
 func (p *Picker) choose(now time.Time, request *Request, localCount int) (chosen *instance, cheapest bool) {
-	local, remote := p.eligible[:localCount], p.eligible[localCount:]
-	if localCount == 0 || len(remote) == 0 {
-		return p.evenly(now, p.eligible)
-	}
-	load := 0.0
-	for _, in := range local {
-		load += in.currentLoad(now)
-	}
-	if load/float64(localCount) >= maxLocalLoad {
+	if !p.prefersLocal(now, localCount) {
 		return p.evenly(now, p.eligible)
 	}
+	local, remote := p.eligible[:localCount], p.eligible[localCount:]
 	remotePick := remote[p.random.IntN(len(remote))]
-	if p.random.IntN(explorationPeriod) == 0 {
-		return remotePick, true
-	}
-	latency := p.defaultLatency()
-	nearest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
-	if nearest.baseCost(now, latency) > maxLocalCostRatio*remotePick.baseCost(now, latency) && remotePick.cost(now, latency) < nearest.cost(now, latency) &&
-		p.gainsEnough(request, nearest.predicted(now, latency), remotePick.predicted(now, latency)) {
+	if p.random.IntN(explorationPeriod) == 0 || p.replacesLocal(now, request, local, remotePick) {
 		return remotePick, true
 	}
 	return p.evenly(now, local)
@@ -214,19 +210,46 @@
 	return home-remote >= answer.ExtraGain(remoteGain)
 }
 
-// evenly chooses among candidates that are equally near. Instances do not report the calls of other daemons; they are
-// estimated from the reported load.
-func (p *Picker) evenly(now time.Time, candidates []*instance) (chosen *instance, cheapest bool) {
+// prefersLocal reports whether the instances of the local availability zone are preferred to those of others: there are
+// both, and the local ones are not too loaded.
+func (p *Picker) prefersLocal(now time.Time, localCount int) bool {
+	if localCount == 0 || localCount == len(p.eligible) {
+		return false
+	}
+	load := 0.0
+	for _, in := range p.eligible[:localCount] {
+		load += in.currentLoad(now)
+	}
+	return load/float64(localCount) < maxLocalLoad
+}
+
+// replacesLocal reports whether a call goes to an instance of another zone because all local ones are much slower.
+func (p *Picker) replacesLocal(now time.Time, request *Request, local []*instance, remote *instance) bool {
+	latency := p.defaultLatency()
+	nearest := slices.MinFunc(local, func(a, b *instance) int { return cmp.Compare(a.cost(now, latency), b.cost(now, latency)) })
+	return nearest.baseCost(now, latency) > maxLocalCostRatio*remote.baseCost(now, latency) &&
+		remote.cost(now, latency) < nearest.cost(now, latency) &&
+		p.gainsEnough(request, nearest.predicted(now, latency), remote.predicted(now, latency))
+}
+
+// evenly chooses among instances that are equally near. It reports whether no other one was expected to cost less.
+func (p *Picker) evenly(now time.Time, instances []*instance) (chosen *instance, cheapest bool) {
+	p.setCandidates(now, instances)
+	choice, _ := spread.Choose(p.random, p.candidates)
+	return instances[choice.Index], choice.Cheapest
+}
+
+// setCandidates sets the candidates for a choice among instances that are equally near. Instances do not report the calls
+// of other daemons; they are estimated from the reported load.
+func (p *Picker) setCandidates(now time.Time, instances []*instance) {
 	latency := p.defaultLatency()
 	p.candidates = p.candidates[:0]
-	for _, in := range candidates {
+	for _, in := range instances {
 		cost := time.Duration(in.cost(now, latency))
 		p.candidates = append(p.candidates, spread.Candidate{
-			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(in.baseCost(now, latency), 1)), Others: maxOthers * in.currentLoad(now),
+			Near: true, Cost: cost, Base: cost, Slope: time.Duration(max(in.baseCost(now, latency), 1)), Others: in.othersExpected(now),
 		})
 	}
-	choice, _ := spread.Choose(p.random, p.candidates)
-	return candidates[choice.Index], choice.Cheapest
 }
 
 // defaultLatency is the latency assumed for an instance without any response: the mean of the others.
--- a/internal/root/cross/answer.go
+++ b/internal/root/cross/answer.go
@@ -1,6 +1,9 @@
 package cross
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// shortAnswer is the size in bytes up to which an answer crosses zones as easily as one without a body: with the heads
@@ -73,6 +76,9 @@
 // Expected returns the average size in bytes of the answers of a route, zero if it is not known.
 func (s *Sizes) Expected(route string) int { return int(s.routes[route].mean) }
 
+// Clone returns a copy.
+func (s *Sizes) Clone() Sizes { return Sizes{routes: maps.Clone(s.routes), answers: s.answers} }
+
 // evict removes the route that got no answer for the longest time.
 func (s *Sizes) evict() {
 	oldest, last := "", s.answers+1
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -177,7 +177,7 @@
 	if snapshot.Quarantined(state.fingerprint, now) {
 		return state, &notRun{failure: retry.Quarantined{}, retryAfter: rateRetryAfter}
 	}
-	state.deadline = now.Add(min(r.timeout(), route.Deadline))
+	state.deadline = state.latestResponse()
 	if f.endsTooLate(state) {
 		return state, &notRun{failure: retry.Draining{}, retryAfter: noServerRetryAfter}
 	}
@@ -188,12 +188,16 @@
 	if len(route.WeightedServices) > 0 {
 		state.service = f.chooseService(route)
 	}
-	if service := set.Services[state.service]; service != nil {
-		state.longStay = service.LongAnswersStay
-	}
+	state.longStay = longAnswersStay(set, state.service)
 	return state, nil
 }
 
+// longAnswersStay reports whether the rule of the service lets requests with long answers leave the zone less easily.
+func longAnswersStay(set *rules.Set, service string) bool {
+	found := set.Services[service]
+	return found != nil && found.LongAnswersStay
+}
+
 // StartDraining makes the forwarder refuse requests that must not be repeated and may take longer than until the daemon
 // stops: they would be cut off with an unknown outcome.
 func (f *Forwarder) StartDraining(stop time.Time) { f.stop.Store(&stop) }
@@ -217,9 +221,6 @@
 		return refused
 	}
 	state.tokenTaken = tokenTaken
-	if state.account.Rank != nil {
-		state.rank = *state.account.Rank
-	}
 	return nil
 }
 
@@ -266,12 +267,8 @@
 // authenticate finds the client account of the API key. Calls of backend servers carry no key; the routes that
 // they use are open.
 func (s *forwardState) authenticate(set *rules.Set, presented string) retry.Failure {
-	if s.route.Access == rules.AccessOpen {
-		s.nested = presented == ""
-		return nil
-	}
-	if presented == "" {
-		return retry.KeyMissing{}
+	if open, failure := s.checkAccess(presented != ""); open || failure != nil {
+		return failure
 	}
 	key, active := set.KeyFor(presented)
 	switch {
@@ -280,10 +277,36 @@
 	case !active:
 		return retry.KeyWithdrawn{}
 	}
-	s.account = set.Accounts[key.Account]
+	s.setAccount(set.Accounts[key.Account])
 	return nil
 }
 
+// checkAccess applies the access rule of the route to a request with or without a key; open reports that no key is
+// needed.
+func (s *forwardState) checkAccess(hasKey bool) (open bool, failure retry.Failure) {
+	switch {
+	case s.route.Access == rules.AccessOpen:
+		s.nested = !hasKey
+		return true, nil
+	case !hasKey:
+		return false, retry.KeyMissing{}
+	}
+	return false, nil
+}
+
+// setAccount sets the client account, whose rank takes precedence over that of the route.
+func (s *forwardState) setAccount(account *rules.Account) {
+	s.account = account
+	if account != nil && account.Rank != nil {
+		s.rank = *account.Rank
+	}
+}
+
+// latestResponse returns the deadline of the request.
+func (s *forwardState) latestResponse() time.Time {
+	return s.started.Add(min(s.request.timeout(), s.route.Deadline))
+}
+
 func (s *forwardState) accountName() string {
 	if s.account == nil {
 		return ""
@@ -323,12 +346,15 @@
 	case call.TokenRefused:
 		return false, &notRun{failure: retry.Rate{}, retryAfter: cmp.Or(verdict.RetryAfter, rateRetryAfter)}
 	}
-	if f.sinceLeaderContact() > localRateAfter && fallback.Allow(now, account.Rate.PerSecond()) {
+	if f.usesFallback() && fallback.Allow(now, account.Rate.PerSecond()) {
 		return false, nil
 	}
 	return false, &notRun{failure: retry.RateUnavailable{}, retryAfter: noServerRetryAfter}
 }
 
+// usesFallback reports whether the fallback limiters admit requests without a token.
+func (f *Forwarder) usesFallback() bool { return f.sinceLeaderContact() > localRateAfter }
+
 // sinceLeaderContact returns the time since the last contact with the leader.
 func (f *Forwarder) sinceLeaderContact() time.Duration {
 	return f.Clock.Now().Sub(f.Control.Snapshot().LastContact)
--- a/internal/root/relay/place/answer.go
+++ b/internal/root/relay/place/answer.go
@@ -12,8 +12,8 @@
 const maxStayFailureRate = 0.05
 
 // addExtraGain raises the costs by which servers of other zones are compared with the best one at home, if the answer is
-// expected to be long. The order of the servers within a zone stays the same.
-func (b *Balancer) addExtraGain(now time.Time, request *Request) {
+// expected to be long, and returns by how much. The order of the servers within a zone stays the same.
+func (b *Balancer) addExtraGain(now time.Time, request *Request) time.Duration {
 	home := -1
 	for i := range b.candidates {
 		if b.candidates[i].Near && (home < 0 || b.candidates[i].Cost < b.candidates[home].Cost) {
@@ -21,7 +21,7 @@
 		}
 	}
 	if home < 0 || b.eligible[home].failureRate(now) > maxStayFailureRate {
-		return
+		return 0
 	}
 	answer := cross.Answer{Size: b.sizes.Expected(request.Route), Left: request.left(), AtHome: b.candidates[home].Cost}
 	extra := answer.ExtraGain(request.remoteZoneCost())
@@ -30,6 +30,7 @@
 			b.candidates[i].Cost += extra
 		}
 	}
+	return extra
 }
 
 // remoteZoneCost returns what a request with a short answer must gain in another availability zone.
