--- a/internal/root/relay/bodybudget.go
+++ b/internal/root/relay/bodybudget.go
@@ -53,6 +53,9 @@
 	return true
 }
 
+// release ends the counting of n bytes.
+func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
+
 // read reads the next part of the body; the error is io.EOF at its end.
 func (b *bodyBuffer) read(r io.Reader) error {
 	if len(b.data) == cap(b.data) {
@@ -70,7 +73,7 @@
 
 // grow doubles the buffer. Both buffers are counted while the bytes are copied.
 func (b *bodyBuffer) grow() error {
-	size := max(2*cap(b.data), firstBodySize)
+	size := min(max(2*cap(b.data), firstBodySize), b.limit+1) // one byte more shows that the body is too long
 	counted := int64(0)
 	if size > freeBodySize {
 		counted = int64(size)
@@ -85,6 +88,15 @@
 	return nil
 }
 
+// reserve counts n bytes in addition to the buffer, until release.
+func (b *bodyBuffer) reserve(n int64) bool {
+	if !b.budget.take(n) {
+		return false
+	}
+	b.counted += n
+	return true
+}
+
 // release ends the counting of the buffer.
 func (b *bodyBuffer) release() {
 	b.budget.used.Add(-b.counted)
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -140,7 +140,10 @@
 	}
 	send.Header = field.FromHeader(state.request.Header)
 	abandon := func() bool { return f.abandon(state, svc, endpoint.ID) }
-	reply, sent, err := f.PeerStreams.Send(ctx, endpoint.Daemon, send, state.request.Body, abandon)
+	reply, sent, err := f.PeerStreams.Send(ctx, endpoint.Daemon, send, state.request, abandon)
+	if errors.Is(err, errNoLongBodies) {
+		return notRun{failure: retry.Overload{}}, nil
+	}
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && sent {
 			return unknown{failure: retry.DeadlineAfter{}}, nil
@@ -250,6 +253,9 @@
 		f.logRetry(state, result, now)
 		return true
 	}
+	if state.request.Rest != nil && state.request.Rest.taken.Load() {
+		return false
+	}
 	cause := share.Lost
 	defer func() {
 		if retrying {
@@ -315,7 +321,10 @@
 	return s.deadline.Sub(now) < s.deadline.Sub(s.started)/5
 }
 
-func (s *forwardState) idempotent() bool { return s.route.Run == rules.RunIdempotent }
+// idempotent reports whether the request may run again. A body that is not held whole cannot be sent again.
+func (s *forwardState) idempotent() bool {
+	return s.route.Run == rules.RunIdempotent && s.request.Rest == nil
+}
 
 // finalOutcome returns the outcome for the caller when no further send is made.
 func (s *forwardState) finalOutcome() outcome {
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -148,6 +148,9 @@
 	case notRun:
 		return f.Dialect.EncodeRefusal(r.ID, result.failure, result.retryAfter)
 	case unknown:
+		if r.Rest != nil && r.Rest.tooLong.Load() {
+			return f.Dialect.EncodeRefusal(r.ID, retry.BodyTooLarge{Dispatched: true}, 0)
+		}
 		return f.Dialect.EncodeRefusal(r.ID, result.failure, 0)
 	}
 	return f.Dialect.EncodeRefusal(r.ID, retry.BackendLost{}, 0)
@@ -171,7 +174,7 @@
 	if failure := state.authenticate(set, r.APIKey); failure != nil {
 		return state, refusalFor(fresh, failure)
 	}
-	state.fingerprint = crash.Fingerprint(r.Method, r.Target, state.accountName(), int64(len(r.Body)), r.Body)
+	state.fingerprint = crash.Fingerprint(r.Method, r.Target, state.accountName(), r.size(), r.Body)
 	if snapshot.Quarantined(state.fingerprint, now) {
 		return state, &notRun{failure: retry.Quarantined{}, retryAfter: rateRetryAfter}
 	}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -52,6 +52,9 @@
 	WriteStall time.Duration
 	// Bodies bounds the bodies of all requests in progress.
 	Bodies *bodyBudget
+	// KeptBody is the size in bytes up to which a request body is held whole. The rest of a longer one is passed on as it
+	// arrives.
+	KeptBody int64
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -205,7 +205,7 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errUploadBroken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -238,7 +238,7 @@
 	switch {
 	case err == nil:
 		s.unanswered, s.probing = 0, false
-	case errors.Is(err, errNotConfirmed):
+	case errors.Is(err, errNotConfirmed), errors.Is(err, errBodyBroken):
 		s.probing = false
 	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
 		s.unreachableUntil = now.Add(unreachablePeriod)
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -16,6 +16,7 @@
 
 // Frame kinds of a peer stream. The daemon that sends requests writes kindSend, kindPart, kindCancel, kindPing
 // and kindNotice; the daemon next to the backend server writes kindReply, kindPart, kindPong and kindNoticeReply.
+// The receiver of a long body writes kindCredit, unless its sender is of a version without long bodies.
 const (
 	kindSend        wire.Kind = 32
 	kindPart        wire.Kind = 33
@@ -25,6 +26,7 @@
 	kindPong        wire.Kind = 37
 	kindNotice      wire.Kind = 38
 	kindNoticeReply wire.Kind = 39
+	kindCredit      wire.Kind = 40
 )
 
 const (
@@ -67,6 +69,8 @@
 		Body        []byte        `protobuf:"bytes,16,opt,name=body,proto3"`
 		More        bool          `protobuf:"varint,17,opt,name=more,proto3"` // parts of the body follow
 		Fingerprint string        `protobuf:"bytes,18,opt,name=fingerprint,proto3"`
+		Streamed    bool          `protobuf:"varint,19,opt,name=streamed,proto3"` // the whole body follows in parts, as far as the receiver grants
+		Length      int64         `protobuf:"varint,20,opt,name=length,proto3"`   // of a streamed body in bytes, -1 if it is not known
 	}
 
 	// BodyPart continues the body of a SendRequest or a Reply.
@@ -74,6 +78,18 @@
 		Number uint64 `protobuf:"varint,1,opt,name=number,proto3"`
 		Body   []byte `protobuf:"bytes,2,opt,name=body,proto3"`
 		More   bool   `protobuf:"varint,3,opt,name=more,proto3"`
+		Broken bool   `protobuf:"varint,4,opt,name=broken,proto3"` // the body ends here and is not whole
+	}
+
+	// Credit lets the sender of a long body send more of it.
+	Credit struct {
+		Number uint64 `protobuf:"varint,1,opt,name=number,proto3"`
+		Bytes  uint32 `protobuf:"varint,2,opt,name=bytes,proto3"`
+	}
+
+	// Pong is the reply to a ping. It is empty from a daemon of a version without long bodies.
+	Pong struct {
+		LongBodies bool `protobuf:"varint,1,opt,name=long_bodies,proto3"` // requests with Streamed are understood
 	}
 
 	// Cancel reports that the sender no longer waits for the response.
@@ -140,6 +156,9 @@
 	case s.Left <= 0:
 		return fmt.Errorf("time left %s is not positive", s.Left)
 	}
+	if s.Streamed && (s.Length < -1 || len(s.Body) > 0 || s.More) {
+		return fmt.Errorf("streamed body of %d bytes, %d of them in the request", s.Length, len(s.Body))
+	}
 	return checkSizes(s.Header, s.Body)
 }
 
@@ -149,6 +168,17 @@
 // Check accepts every value.
 func (c *Cancel) Check() error { return nil }
 
+// Check reports more bytes than any receiver grants.
+func (c *Credit) Check() error {
+	if c.Bytes > streamWindow {
+		return fmt.Errorf("credit of %d bytes, limit %d", c.Bytes, streamWindow)
+	}
+	return nil
+}
+
+// Check accepts every value.
+func (p *Pong) Check() error { return nil }
+
 // Check reports a rate that no configuration allows.
 func (r *Report) Check() error {
 	if !(r.ColdRate >= 0 && r.ColdRate <= rules.MaxColdRate) || r.ColdFor < 0 {
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -42,6 +42,7 @@
 		mu         sync.Mutex
 		cancels    map[uint64]context.CancelFunc
 		incomplete map[uint64]*SendRequest // requests with incomplete bodies; used by the reader only
+		long       map[uint64]*partQueue   // long bodies of requests in progress
 	}
 )
 
@@ -49,7 +50,7 @@
 func (s *PeerServer) ServeStream(ctx context.Context, stream *link.Stream) {
 	p := &peerStreamServer{
 		server: s, writer: newFrameWriter(stream),
-		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*SendRequest{},
+		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*SendRequest{}, long: map[uint64]*partQueue{},
 	}
 	go p.writer.run()
 	stop := context.AfterFunc(ctx, p.writer.close) // the daemon has drained and stops
@@ -99,7 +100,7 @@
 		}
 		p.cancel(cancel.Number)
 	case kindPing:
-		p.write(kindPong)
+		return writeMessage(p, kindPong, &Pong{LongBodies: true})
 	case kindNotice:
 		request, err := wire.Decode[NoticeRequest](frame.Body)
 		if err != nil {
@@ -116,6 +117,12 @@
 }
 
 func (p *peerStreamServer) handleBodyPart(ctx context.Context, part *BodyPart) error {
+	p.mu.Lock()
+	long := p.long[part.Number]
+	p.mu.Unlock()
+	if long != nil {
+		return long.push(part)
+	}
 	send := p.incomplete[part.Number]
 	if send == nil {
 		return nil // cancelled
@@ -131,11 +138,26 @@
 	return nil
 }
 
-// startRequest serves a complete request in its own goroutine.
+// startRequest serves a request in its own goroutine. It is complete, or its long body follows as it is read.
 func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest) {
+	j := decodeJob(p.server.Clock.Now(), send)
+	var long *partQueue
+	if send.Streamed {
+		if !p.server.LocalBackend.Bodies.take(streamReserve) {
+			p.reply(send.Number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
+			return
+		}
+		long = newPartQueue(func(bytes int) {
+			_ = writeMessage(p, kindCredit, &Credit{Number: send.Number, Bytes: uint32(bytes)})
+		})
+		j.request.Rest = &bodyStream{ReadCloser: long, length: send.Length}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	p.mu.Lock()
 	p.cancels[send.Number] = cancel
+	if long != nil {
+		p.long[send.Number] = long
+	}
 	p.mu.Unlock()
 	p.requests.Add(1)
 	p.server.workers.Go(func() {
@@ -143,13 +165,18 @@
 		defer func() {
 			p.mu.Lock()
 			delete(p.cancels, send.Number)
+			delete(p.long, send.Number)
 			p.mu.Unlock()
 			cancel()
+			if long != nil {
+				_ = long.Close()
+				p.server.LocalBackend.Bodies.release(streamReserve)
+			}
 		}()
 		defer super.Recover(&p.server.Log, "peer-request", func() {
 			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
 		})
-		result, report := p.server.LocalBackend.serve(ctx, decodeJob(p.server.Clock.Now(), send))
+		result, report := p.server.LocalBackend.serve(ctx, j)
 		if ctx.Err() == nil { // otherwise nobody waits for the reply
 			p.reply(send.Number, result, report)
 		}
@@ -190,7 +217,14 @@
 	}
 }
 
-func (p *peerStreamServer) write(kind wire.Kind) { p.writer.enqueue(wire.Frame{Kind: kind}) }
+// writeMessage queues a message.
+func writeMessage[T any, M wire.Message[T]](p *peerStreamServer, kind wire.Kind, m M) error {
+	frame, err := encodeFrame[T](kind, m)
+	if err == nil {
+		p.writer.enqueue(frame)
+	}
+	return err
+}
 
 // decodeJob decodes a request that was received at now.
 func decodeJob(now time.Time, send *SendRequest) *job {
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,6 +62,9 @@
 		writer   *frameWriter
 		err      error
 		detached chan struct{} // closed when the stream is detached
+		asked    chan struct{} // closed when the peer has replied to a ping
+
+		longBodies atomic.Bool // the peer understands requests with long bodies; valid once asked is closed
 
 		mu           sync.Mutex
 		next         uint64
@@ -69,8 +75,12 @@
 
 	// pendingReply waits for one reply.
 	pendingReply struct {
-		done  chan peerReply
-		reply *Reply // its body is incomplete
+		done   chan peerReply
+		reply  *Reply         // its body is incomplete
+		credit *creditCounter // of a long request body, nil for others
+		// credited is closed with the first credit: the server reads the body.
+		credited  chan struct{}
+		mayCredit bool // credited is open
 	}
 
 	// peerReply is a complete Reply or a NoticeReply; both are nil if the peer stream was lost.
@@ -95,7 +105,7 @@
 // Send sends a request to the daemon at address and waits for its reply. sent is false if the request has
 // certainly not left this daemon. When the daemon falls silent, Send calls abandon and, if that returns true,
 // gives up; otherwise it goes on waiting.
-func (p *PeerStreams) Send(ctx context.Context, address string, send *SendRequest, body []byte, abandon func() bool) (reply *Reply, sent bool, err error) {
+func (p *PeerStreams) Send(ctx context.Context, address string, send *SendRequest, request *Request, abandon func() bool) (reply *Reply, sent bool, err error) {
 	stream, err := p.stream(ctx, address)
 	if err != nil {
 		return nil, false, err
@@ -103,8 +113,18 @@
 	number, pending := stream.register(p.Clock.Now())
 	defer stream.unregister(number)
 	send.Number = number
-	first, rest := splitBody(body)
+	first, rest := splitBody(request.Body)
 	send.Body, send.More = first, len(rest) > 0
+	credited := chan struct{}(nil)
+	if request.Rest != nil {
+		if err := p.awaitLongBodies(ctx, stream); err != nil {
+			return nil, false, err
+		}
+		send.Streamed, send.Length = true, request.Rest.length
+		send.Body, send.More, rest = nil, false, nil
+		credited = stream.expectCredit(pending)
+		defer pending.credit.end()
+	}
 	frames, err := encodeFrames(kindSend, send, number, rest)
 	if err != nil {
 		return nil, false, err
@@ -114,15 +134,22 @@
 		return nil, false, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
 	p.startChecks(stream)
-	for detached := stream.detached; ; detached = nil {
+	for detached := stream.detached; ; {
 		select {
 		case result := <-pending.done:
 			if result.reply == nil {
 				return nil, true, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 			}
 			return result.reply, true, nil
+		case <-credited:
+			// Only here are bytes of the body taken, so that a request that was refused can be offered elsewhere.
+			request.Rest.taken.Store(true)
+			go stream.sendBody(number, pending.credit, request)
+			credited = nil
+			continue
 		case <-detached:
 			if !abandon() {
+				detached = nil
 				continue
 			}
 			err = errPeerSilent
@@ -136,6 +163,49 @@
 	}
 }
 
+// awaitLongBodies returns an error unless the peer understands requests with long bodies. It asks once for each stream.
+func (p *PeerStreams) awaitLongBodies(ctx context.Context, stream *peerStream) error {
+	select {
+	case <-stream.asked:
+	default:
+		frame, err := encodeFrame(kindPing, &Cancel{})
+		if err != nil {
+			return err
+		}
+		if !stream.writer.enqueue(frame) {
+			p.remove(stream)
+			return fmt.Errorf("%w: %s", errPeerStreamClosed, stream.address)
+		}
+		p.startChecks(stream)
+		select {
+		case <-stream.asked:
+		case <-stream.writer.closed:
+			return fmt.Errorf("%w: %s", errPeerStreamClosed, stream.address)
+		case <-stream.detached:
+			return fmt.Errorf("ask %s: %w", stream.address, errPeerSilent)
+		case <-ctx.Done():
+			return fmt.Errorf("ask %s: %w", stream.address, ctx.Err())
+		}
+	}
+	if !stream.longBodies.Load() {
+		return fmt.Errorf("%w: %s", errNoLongBodies, stream.address)
+	}
+	return nil
+}
+
+// expectCredit prepares for the credits of a long request body. The channel is closed with the first one.
+func (s *peerStream) expectCredit(pending *pendingReply) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending.credit, pending.credited, pending.mayCredit = newCreditCounter(), make(chan struct{}), true
+	return pending.credited
+}
+
+// sendBody sends a long request body until the exchange ends.
+func (s *peerStream) sendBody(number uint64, credit *creditCounter, request *Request) {
+	_ = sendParts(s.writer, number, credit, io.MultiReader(bytes.NewReader(request.Body), request.Rest))
+}
+
 // SendNotice sends a notice to the daemon at address; the error reports why it was not accepted.
 func (p *PeerStreams) SendNotice(ctx context.Context, address string, n Notice) error {
 	stream, err := p.stream(ctx, address)
@@ -178,7 +248,7 @@
 		if p.streams == nil {
 			p.streams = map[string]*peerStream{}
 		}
-		stream = &peerStream{address: address, ready: make(chan struct{}), detached: make(chan struct{}), pending: map[uint64]*pendingReply{}}
+		stream = &peerStream{address: address, ready: make(chan struct{}), detached: make(chan struct{}), asked: make(chan struct{}), pending: map[uint64]*pendingReply{}}
 		p.streams[address] = stream
 		go p.connect(stream)
 	}
@@ -359,13 +429,48 @@
 			return err
 		}
 		s.deliver(notice.Number, peerReply{notice: notice})
+	case kindCredit:
+		credit, err := wire.Decode[Credit](frame.Body)
+		if err != nil {
+			return err
+		}
+		s.handleCredit(credit)
 	case kindPong:
+		pong, err := wire.Decode[Pong](frame.Body)
+		if err != nil {
+			return err
+		}
+		s.handlePong(pong)
 	default:
 		return fmt.Errorf("%w: unexpected frame kind %d on a peer stream", wire.ErrDecode, frame.Kind)
 	}
 	return nil
 }
 
+// handlePong records what the peer understands; only the reader calls it.
+func (s *peerStream) handlePong(pong *Pong) {
+	select {
+	case <-s.asked:
+	default:
+		s.longBodies.Store(pong.LongBodies)
+		close(s.asked)
+	}
+}
+
+func (s *peerStream) handleCredit(credit *Credit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := s.pending[credit.Number]
+	if pending == nil || pending.credit == nil {
+		return // the exchange has ended
+	}
+	pending.credit.add(int(credit.Bytes))
+	if pending.mayCredit {
+		pending.mayCredit = false
+		close(pending.credited)
+	}
+}
+
 func (s *peerStream) handleReply(reply *Reply) {
 	if !reply.More {
 		s.deliver(reply.Number, peerReply{reply: reply})
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -168,7 +168,7 @@
 	}
 	got, err := p.readOwnResponse(conn, ex)
 	if err != nil {
-		return got.response, got.metadata, false, err
+		return got.response, got.metadata, false, sent.explain(err)
 	}
 	if got.unframed && !sent.completes(uploadGrace) {
 		return got.response, got.metadata, false, errUploadBroken
@@ -206,6 +206,17 @@
 func sendRequest(conn *backendConn, ex *exchange, dialect Dialect) (*upload, error) {
 	buf := encodeRequest(ex, dialect)
 	sent := &upload{done: make(chan struct{})}
+	if ex.request.Rest != nil {
+		ex.request.Rest.taken.Store(true)
+		go func() {
+			sent.err = writeLong(conn, buf, ex.request)
+			close(sent.done)
+			if errors.Is(sent.err, errBodyBroken) {
+				_ = conn.SetReadDeadline(time.Unix(1, 0)) // the server would wait for the rest
+			}
+		}()
+		return sent, nil
+	}
 	if len(buf) <= maxSyncWrite {
 		if n, err := conn.Write(buf); err != nil {
 			if n < len(buf)-len(ex.request.Body) {
@@ -315,14 +326,21 @@
 	}
 	dialect.SetRequestMetadata(header, ex.requestMeta)
 	var buf bytes.Buffer
-	buf.Grow(512 + len(ex.request.Body))
+	if ex.request.Rest == nil {
+		buf.Grow(512 + len(ex.request.Body))
+	}
 	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", ex.request.Method, ex.request.Target, ex.request.Host)
 	writeHeader(&buf, header)
-	if len(ex.request.Body) > 0 || ex.request.Method == http.MethodPost || ex.request.Method == http.MethodPut || ex.request.Method == http.MethodPatch {
-		fmt.Fprintf(&buf, "Content-Length: %d\r\n", len(ex.request.Body))
+	size := ex.request.size()
+	if size < 0 {
+		buf.WriteString("Transfer-Encoding: chunked\r\n")
+	} else if size > 0 || ex.request.Method == http.MethodPost || ex.request.Method == http.MethodPut || ex.request.Method == http.MethodPatch {
+		fmt.Fprintf(&buf, "Content-Length: %d\r\n", size)
 	}
 	buf.WriteString("\r\n")
-	buf.Write(ex.request.Body)
+	if ex.request.Rest == nil {
+		buf.Write(ex.request.Body)
+	}
 	return buf.Bytes()
 }
 
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -112,14 +112,12 @@
 		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Seed: o.Seed, Started: clk.Now(),
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
-	limits := o.Limits
-	limits.BodySize = min(limits.BodySize, maxBody)
 	return &Relay{
 		Options: o, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
-			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
-			Bodies: bodies, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
+			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: o.Limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
+			Bodies: bodies, KeptBody: o.MemoryLimit / keptBodyDivisor, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
 		},
 	}
 }
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -23,6 +23,7 @@
 		APIKey  string        // empty if the caller presents none
 		Timeout time.Duration // how long the caller waits for the response, zero if not specified
 		Body    []byte
+		Rest    *bodyStream // follows Body, nil if Body is the whole body
 	}
 
 	// Response is a complete HTTP response.
