--- a/internal/head/response.go
+++ b/internal/head/response.go
@@ -30,6 +30,8 @@
 		Header http.Header
 		// Body fails unless it ends as the head says. The end of the stream ends a body without a length.
 		Body io.Reader
+		// Length is the length of the body in bytes, -1 if it is not known before its end.
+		Length int64
 		// Close reports that the server closes the connection after the response.
 		Close bool
 		// Unframed reports that only the end of the stream marks the end of the body.
@@ -115,6 +117,7 @@
 	if err != nil {
 		return err
 	}
+	r.Length = -1
 	codings := r.Header[fieldTransferEncoding]
 	if len(codings) > 0 {
 		// Both fields together are a sign of two readers that disagree about the end of a message.
@@ -124,11 +127,11 @@
 	}
 	switch {
 	case method == http.MethodHead, r.Interim(), r.Status == http.StatusNoContent, r.Status == http.StatusNotModified:
-		r.Body = http.NoBody
+		r.Body, r.Length = http.NoBody, 0
 	case len(codings) > 0:
 		r.Body = &chunkedBody{reader: reader, chunks: httputil.NewChunkedReader(reader)}
 	case length >= 0:
-		r.Body = &lengthBody{reader: reader, remaining: length}
+		r.Body, r.Length = &lengthBody{reader: reader, remaining: length}, length
 	default:
 		r.Body, r.Close, r.Unframed = reader, true, true
 	}
--- a/internal/root/relay/bodystream.go
+++ b/internal/root/relay/bodystream.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -46,6 +47,7 @@
 	// queue has granted.
 	partQueue struct {
 		grant func(bytes int) // tells the sender that it may send more
+		stall time.Duration   // how long the sender may pause, zero for no limit
 
 		mu      sync.Mutex
 		arrived sync.Cond
@@ -135,6 +137,9 @@
 		q.grant(room)
 		q.mu.Lock()
 	}
+	if q.stall > 0 && q.data.Len() == 0 && q.err == nil {
+		defer time.AfterFunc(q.stall, q.expire).Stop()
+	}
 	for q.data.Len() == 0 && q.err == nil {
 		q.arrived.Wait()
 	}
@@ -144,6 +149,16 @@
 	return q.data.Read(p)
 }
 
+// expire ends a body whose sender has paused for too long.
+func (q *partQueue) expire() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.data.Len() == 0 && q.err == nil {
+		q.err = errPeerSilent
+		q.arrived.Broadcast()
+	}
+}
+
 func newCreditCounter() *creditCounter {
 	c := &creditCounter{}
 	c.change.L = &c.mu
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -71,6 +71,10 @@
 		method   string
 		response Response
 		close    bool // the connection closes after this response
+
+		turn    chan struct{} // closed when the slot is the first one, nil if nobody waits for that
+		started bool          // the head of a long response is being written or has been
+		passed  bool          // all of a long response has been written
 	}
 
 	// limitedReader fails with errHeaderSize once remaining bytes have been read.
@@ -321,7 +325,10 @@
 		c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, retry.Draining{}, noServerRetryAfter), true)
 		return stopAfter(true)
 	}
-	request.Body, request.Rest = body.data, rest
+	request.Body, request.Rest, request.gone = body.data, rest, c.ctx
+	if takesLong(parsed) {
+		request.pass = c.passResponse(slot, &request, last)
+	}
 	started = true
 	c.inProgress.Add(1)
 	c.frontend.workers.Go(func() {
@@ -389,6 +396,10 @@
 	for len(c.pipeline) > 0 && c.pipeline[0].ready && !c.broken {
 		first := c.pipeline[0]
 		c.pipeline = c.pipeline[1:]
+		if len(c.pipeline) > 0 && c.pipeline[0].turn != nil {
+			defer close(c.pipeline[0].turn) // after the write
+			c.pipeline[0].turn = nil
+		}
 		c.writeResponse(first, first.close || len(c.pipeline) == 0 && c.frontend.draining())
 	}
 	if len(c.pipeline) == 0 {
@@ -405,7 +416,16 @@
 
 // writeResponse writes a response; c.mu is held, so that responses keep the order of the requests.
 func (c *callerConn) writeResponse(slot *responseSlot, last bool) {
-	if err := c.write(encodeResponse(slot.method, slot.response, last)); err != nil {
+	err := error(nil)
+	switch {
+	case !slot.started:
+		err = c.write(encodeResponse(slot.method, slot.response, last))
+	case !slot.passed:
+		err = errBodyBroken // the caller sees that the response is not whole
+	default:
+		last = slot.close
+	}
+	if err != nil {
 		c.broken = true
 		c.cancel()
 		_ = c.conn.Close()
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -130,7 +130,7 @@
 	send := &SendRequest{
 		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
 		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: left,
-		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
+		LongResponses: state.request.pass != nil, Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
 	if endpoint.Daemon == f.PeerAddress {
 		j := decodeJob(now, send)
@@ -253,7 +253,7 @@
 		f.logRetry(state, result, now)
 		return true
 	}
-	if state.request.Rest != nil && state.request.Rest.taken.Load() {
+	if state.request.passing || state.request.Rest != nil && state.request.Rest.taken.Load() {
 		return false
 	}
 	cause := share.Lost
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -85,12 +85,15 @@
 		Cold       bool
 	}
 
-	// Result is Completed, Shed or Aborted.
+	// Result is Completed, Streamed, Shed or Aborted.
 	Result interface{ result() }
 
 	// Completed is a run that ended with the server's response.
 	Completed struct{}
 
+	// Streamed is a run whose response was passed on as its caller read it. The time that this took is no run time.
+	Streamed struct{}
+
 	// Shed is a request that the server refused after the controller had admitted it.
 	Shed struct{}
 
@@ -163,6 +166,7 @@
 func (Refused) decision()  {}
 
 func (Completed) result() {}
+func (Streamed) result()  {}
 func (Shed) result()      {}
 func (Aborted) result()   {}
 
@@ -296,7 +300,7 @@
 	switch result.(type) {
 	case Completed:
 		r.meanRunTime, g.runTime = average(r.meanRunTime, elapsed), average(g.runTime, elapsed)
-	case Shed:
+	case Streamed, Shed:
 	case Aborted:
 		// The elapsed time is a lower bound of the run time, unless enough runs that started later have completed
 		// in less.
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -51,6 +51,7 @@
 		Requests zerolog.Logger // log of single requests
 		Suspects *crash.Suspects
 		MaxBody  int64 // limit of a response in bytes
+		KeptBody int64 // size in bytes up to which a response is held whole if its receiver takes long ones
 		Bodies   *bodyBudget
 		Zone     string // availability zone of this daemon
 
@@ -65,6 +66,8 @@
 		coldNotice Notice // latest notice of which the limiter knows
 		coldLogged bool   // the log says that the server is cold
 
+		overdue atomic.Int64 // runs whose long response is still passed on after their deadline
+
 		coldLimited atomic.Bool // the service has a cold rate; changes under mu
 	}
 
@@ -230,7 +233,7 @@
 	}
 	b.current = &serverProcess{
 		notice: n, start: start, firstSeen: b.Clock.Now(), incarnation: incarnation, controller: gate.New(int(n.Slots)),
-		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies, log: b.Log},
+		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, kept: b.KeptBody, bodies: b.Bodies, log: b.Log},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
 	b.current.controller.Cold = &b.cold
@@ -300,14 +303,15 @@
 	}
 }
 
-// Running returns the number of requests that the server is running.
+// Running returns the number of requests that the server is running or whose response is being passed on.
 func (b *LocalBackend) Running() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	overdue := int(b.overdue.Load())
 	if b.current == nil {
-		return 0
+		return overdue
 	}
-	return b.current.controller.Running()
+	return b.current.controller.Running() + overdue
 }
 
 // RecordCallCongestion records the congestion that a call of the local backend server has met.
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -73,6 +73,7 @@
 		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
 		Account: j.account, CallerService: j.caller,
 	}}
+	ex.overdue = func() { b.releaseOverdue(s, ticket, ex) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
 	if errors.Is(err, errNotConfirmed) {
 		b.endSuspect(s, j, false)
@@ -82,6 +83,9 @@
 	if cause := ctx.Err(); err != nil && cause != nil {
 		err = fmt.Errorf("%w: %w: %w", errRequestEnded, cause, err)
 	}
+	if ex.released.Load() {
+		b.overdue.Add(-1)
+	}
 	gateResult, result := b.classifyResult(ctx, s, j, response, responseMeta, err)
 	b.finishRun(s, ticket, gateResult, err)
 	return s, result
@@ -179,6 +183,9 @@
 		if responseMeta.NotRun {
 			return gate.Shed{}, notRun{failure: retry.Overload{}, retryAfter: response.retryAfter(), reached: true}
 		}
+		if response.Passed {
+			return gate.Streamed{}, completed{response: response}
+		}
 		return gate.Completed{}, completed{response: response}
 	}
 	b.Requests.Info().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
@@ -205,7 +212,7 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -238,7 +245,7 @@
 	switch {
 	case err == nil:
 		s.unanswered, s.probing = 0, false
-	case errors.Is(err, errNotConfirmed), errors.Is(err, errBodyBroken):
+	case errors.Is(err, errNotConfirmed), errors.Is(err, errBodyBroken), errors.Is(err, errNotTaken):
 		s.probing = false
 	case errors.Is(err, errNotSent) && errors.As(err, &dialErr) && dialErr.Op == "dial":
 		s.unreachableUntil = now.Add(unreachablePeriod)
@@ -257,6 +264,18 @@
 	b.admitWaiting(now, s)
 }
 
+// releaseOverdue gives the slot of a run to others at its deadline, because its caller may read a long response for any
+// time.
+func (b *LocalBackend) releaseOverdue(s *serverProcess, t *gate.Ticket, ex *exchange) {
+	now := b.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ex.released.Store(true)
+	b.overdue.Add(1)
+	s.controller.Done(now, t, gate.Streamed{})
+	b.admitWaiting(now, s)
+}
+
 // reclaimLost frees the slots of runs whose response counts as lost. The responses are still awaited, because
 // some of these runs only take long; b.mu is held.
 func (b *LocalBackend) reclaimLost(now time.Time, s *serverProcess) {
--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -71,6 +71,8 @@
 		Fingerprint string        `protobuf:"bytes,18,opt,name=fingerprint,proto3"`
 		Streamed    bool          `protobuf:"varint,19,opt,name=streamed,proto3"` // the whole body follows in parts, as far as the receiver grants
 		Length      int64         `protobuf:"varint,20,opt,name=length,proto3"`   // of a streamed body in bytes, -1 if it is not known
+		// LongResponses says that the sender takes a long response in parts, as far as it grants.
+		LongResponses bool `protobuf:"varint,21,opt,name=long_responses,proto3"`
 	}
 
 	// BodyPart continues the body of a SendRequest or a Reply.
@@ -124,6 +126,12 @@
 		Outcome retry.Outcome `protobuf:"bytes,9,opt,name=outcome,proto3"`
 		After   time.Duration `protobuf:"varint,10,opt,name=after,proto3"`
 		Reached bool          `protobuf:"varint,11,opt,name=reached,proto3"`
+
+		// Streamed is set in the head of a long response: its body follows in parts, and then another Reply with Passed,
+		// or one that says how the exchange has failed.
+		Streamed bool  `protobuf:"varint,12,opt,name=streamed,proto3"`
+		Length   int64 `protobuf:"varint,13,opt,name=length,proto3"` // of a streamed body in bytes, -1 if it is not known
+		Passed   bool  `protobuf:"varint,14,opt,name=passed,proto3"` // the body was sent before, in parts
 	}
 
 	// NoticeRequest forwards a notice that a backend server sent to a control instance.
@@ -201,6 +209,9 @@
 	default:
 		return fmt.Errorf("unknown outcome kind %d", r.Kind)
 	}
+	if r.Streamed && (r.Kind != outcomeCompleted || r.Length < -1 || len(r.Body) > 0 || r.More) {
+		return fmt.Errorf("head of a streamed response with %d bytes of its body", len(r.Body))
+	}
 	if err := r.Report.Check(); err != nil {
 		return err
 	}
@@ -254,7 +265,7 @@
 	switch result := result.(type) {
 	case completed:
 		r.Kind, r.Status, r.Header = outcomeCompleted, int32(result.response.Status), field.FromHeader(result.response.Header)
-		r.Body = result.response.Body
+		r.Body, r.Passed = result.response.Body, result.response.Passed
 		return r
 	case notRun:
 		r.Kind, r.After, r.Reached = outcomeNotRun, result.retryAfter, result.reached
@@ -289,7 +300,7 @@
 	if head.CheckFinal(int(r.Status)) != nil || head.CheckHeader(header) != nil {
 		return unknown{failure: retry.BackendLost{}}
 	}
-	return completed{response: Response{Status: int(r.Status), Header: header, Body: r.Body}}
+	return completed{response: Response{Status: int(r.Status), Header: header, Body: r.Body, Passed: r.Passed}}
 }
 
 // balancerReport converts the report for the load balancer.
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -41,8 +41,9 @@
 
 		mu         sync.Mutex
 		cancels    map[uint64]context.CancelFunc
-		incomplete map[uint64]*SendRequest // requests with incomplete bodies; used by the reader only
-		long       map[uint64]*partQueue   // long bodies of requests in progress
+		incomplete map[uint64]*SendRequest   // requests with incomplete bodies; used by the reader only
+		long       map[uint64]*partQueue     // long bodies of requests in progress
+		credits    map[uint64]*creditCounter // of requests in progress whose sender takes long responses
 	}
 )
 
@@ -50,7 +51,7 @@
 func (s *PeerServer) ServeStream(ctx context.Context, stream *link.Stream) {
 	p := &peerStreamServer{
 		server: s, writer: newFrameWriter(stream),
-		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*SendRequest{}, long: map[uint64]*partQueue{},
+		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*SendRequest{}, long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
 	}
 	go p.writer.run()
 	stop := context.AfterFunc(ctx, p.writer.close) // the daemon has drained and stops
@@ -99,6 +100,12 @@
 			return err
 		}
 		p.cancel(cancel.Number)
+	case kindCredit:
+		credit, err := wire.Decode[Credit](frame.Body)
+		if err != nil {
+			return err
+		}
+		p.addCredit(credit)
 	case kindPing:
 		return writeMessage(p, kindPong, &Pong{LongBodies: true})
 	case kindNotice:
@@ -158,6 +165,12 @@
 	if long != nil {
 		p.long[send.Number] = long
 	}
+	j.request.gone = ctx
+	if send.LongResponses {
+		credit := newCreditCounter()
+		p.credits[send.Number] = credit
+		j.request.pass = p.passResponse(ctx, send.Number, credit)
+	}
 	p.mu.Unlock()
 	p.requests.Add(1)
 	p.server.workers.Go(func() {
@@ -166,6 +179,7 @@
 			p.mu.Lock()
 			delete(p.cancels, send.Number)
 			delete(p.long, send.Number)
+			delete(p.credits, send.Number)
 			p.mu.Unlock()
 			cancel()
 			if long != nil {
@@ -192,6 +206,14 @@
 	}
 }
 
+func (p *peerStreamServer) addCredit(credit *Credit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if counter := p.credits[credit.Number]; counter != nil {
+		counter.add(int(credit.Bytes))
+	}
+}
+
 func (p *peerStreamServer) reply(number uint64, result outcome, report Report) {
 	message := encodeReply(number, result, report)
 	first, rest := splitBody(message.Body)
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -81,6 +81,10 @@
 		// credited is closed with the first credit: the server reads the body.
 		credited  chan struct{}
 		mayCredit bool // credited is open
+
+		head chan *Reply   // the head of a long response
+		body *partQueue    // the body of a long response, nil before its head has arrived
+		left time.Duration // until the deadline when the request was sent
 	}
 
 	// peerReply is a complete Reply or a NoticeReply; both are nil if the peer stream was lost.
@@ -112,7 +116,7 @@
 	}
 	number, pending := stream.register(p.Clock.Now())
 	defer stream.unregister(number)
-	send.Number = number
+	send.Number, pending.left = number, send.Left
 	first, rest := splitBody(request.Body)
 	send.Body, send.More = first, len(rest) > 0
 	credited := chan struct{}(nil)
@@ -134,13 +138,21 @@
 		return nil, false, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
 	p.startChecks(stream)
+	passed := false
 	for detached := stream.detached; ; {
 		select {
 		case result := <-pending.done:
-			if result.reply == nil {
+			// A response is whole only if its body is in the reply or has been passed on.
+			if result.reply == nil || result.reply.Kind == outcomeCompleted && result.reply.Passed != passed {
 				return nil, true, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 			}
 			return result.reply, true, nil
+		case longHead := <-pending.head:
+			if err = stream.passResponse(longHead, pending.body, request); err == nil {
+				ctx, detached = request.gone, nil // the response outlasts the deadline
+				passed = true
+				continue
+			}
 		case <-credited:
 			// Only here are bytes of the body taken, so that a request that was refused can be offered elsewhere.
 			request.Rest.taken.Store(true)
@@ -416,13 +428,13 @@
 		if err != nil {
 			return err
 		}
-		s.handleReply(reply)
+		return s.handleReply(reply)
 	case kindPart:
 		part, err := wire.Decode[BodyPart](frame.Body)
 		if err != nil {
 			return err
 		}
-		s.handleBodyPart(part)
+		return s.handleBodyPart(part)
 	case kindNoticeReply:
 		notice, err := wire.Decode[NoticeReply](frame.Body)
 		if err != nil {
@@ -471,24 +483,47 @@
 	}
 }
 
-func (s *peerStream) handleReply(reply *Reply) {
-	if !reply.More {
+func (s *peerStream) handleReply(reply *Reply) error {
+	if !reply.More && !reply.Streamed {
 		s.deliver(reply.Number, peerReply{reply: reply})
-		return
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pending := s.pending[reply.Number]; pending != nil && reply.Streamed {
+		if pending.body != nil {
+			return fmt.Errorf("%w: two heads of one response", wire.ErrDecode)
+		}
+		pending.body = s.newResponseBody(reply.Number)
+		pending.body.stall = max(pending.left, responseStall) + peerTimeout // the other daemon allows its server as much
+		pending.head <- reply
+		return nil
+	}
 	if pending := s.pending[reply.Number]; pending != nil {
 		pending.reply = reply
 	}
+	return nil
 }
 
-func (s *peerStream) handleBodyPart(part *BodyPart) {
+// newResponseBody returns the queue for the body of a long response.
+func (s *peerStream) newResponseBody(number uint64) *partQueue {
+	return newPartQueue(func(bytes int) {
+		if frame, err := encodeFrame(kindCredit, &Credit{Number: number, Bytes: uint32(bytes)}); err == nil {
+			s.writer.enqueue(frame)
+		}
+	})
+}
+
+func (s *peerStream) handleBodyPart(part *BodyPart) error {
 	s.mu.Lock()
 	pending := s.pending[part.Number]
+	if pending != nil && pending.body != nil {
+		s.mu.Unlock()
+		return pending.body.push(part)
+	}
 	if pending == nil || pending.reply == nil {
 		s.mu.Unlock()
-		return
+		return nil
 	}
 	reply := pending.reply
 	reply.Body = append(reply.Body, part.Body...)
@@ -496,6 +531,7 @@
 	if !part.More {
 		s.deliver(part.Number, peerReply{reply: reply})
 	}
+	return nil
 }
 
 func (s *peerStream) deliver(number uint64, result peerReply) {
@@ -514,7 +550,7 @@
 		s.lastReceived = now // the idle time counts from the first request
 	}
 	s.next++
-	pending := &pendingReply{done: make(chan peerReply, 1)}
+	pending := &pendingReply{done: make(chan peerReply, 1), head: make(chan *Reply, 1)}
 	s.pending[s.next] = pending
 	return s.next, pending
 }
@@ -531,6 +567,9 @@
 	for number, pending := range s.pending {
 		delete(s.pending, number)
 		pending.done <- peerReply{}
+		if pending.body != nil {
+			pending.body.fail(errPeerStreamClosed)
+		}
 	}
 }
 
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,7 @@
 		address string
 		dialect Dialect
 		maxBody int64 // limit of a response in bytes
+		kept    int64 // size in bytes up to which a response is held whole if its receiver takes long ones
 		bodies  *bodyBudget
 		log     zerolog.Logger
 
@@ -91,6 +93,12 @@
 		// cost a new one, which is more than the rest of a short run.
 		linger time.Duration
 		start  startCheck // the request is not sent if the check returns an error
+		sent   *upload    // set once the request is being sent
+		// outlast lets a long response take longer than the deadline. It returns false if the exchange has ended.
+		outlast func() bool
+		// overdue is called at the deadline if a long response is still being passed on. It sets released.
+		overdue  func()
+		released atomic.Bool
 	}
 
 	// received is one complete response of the server.
@@ -134,6 +142,16 @@
 		}
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
+	ex.outlast = func() bool {
+		if !stop() {
+			return false
+		}
+		stop = context.AfterFunc(ex.request.gone, func() {
+			defer close(ended)
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		})
+		return true
+	}
 	if ctx.Err() != nil {
 		<-ended
 		p.put(conn)
@@ -166,6 +184,7 @@
 	if err != nil {
 		return response, responseMeta, false, err
 	}
+	ex.sent = sent
 	got, err := p.readOwnResponse(conn, ex)
 	if err != nil {
 		return got.response, got.metadata, false, sent.explain(err)
@@ -261,8 +280,10 @@
 	if err != nil {
 		return got, fmt.Errorf("read response: %w", err)
 	}
-	body, err := p.readBody(first.Body)
-	if err != nil {
+	held, err := p.readBody(first, ex.request.pass != nil)
+	defer held.release()
+	long := errors.Is(err, errBodySize) && ex.request.pass != nil
+	if err != nil && !long {
 		return got, fmt.Errorf("read response: %w", err)
 	}
 	got.metadata = p.dialect.DecodeResponseMetadata(first.Status, first.Header)
@@ -271,10 +292,13 @@
 		return got, errInvalidResponse
 	}
 	conn.idleUntil = time.Now().Add(idleTimeout(first.Header))
-	got.response = Response{Status: first.Status, Header: first.Header, Body: body}
+	got.response = Response{Status: first.Status, Header: first.Header, Body: held.data}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
 	got.reusable, got.unframed = !first.Close, first.Unframed
+	if long {
+		return got, p.passLong(conn, ex, first, &got, held)
+	}
 	return got, nil
 }
 
@@ -293,17 +317,23 @@
 	}
 }
 
-// readBody reads the body of a response.
-func (p *pool) readBody(body io.Reader) ([]byte, error) {
-	buffer := bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
-	defer buffer.release()
+// readBody reads the body of a response. If the receiver takes long ones, it returns errBodySize and what has been read
+// once the body is longer than the size up to which it is held. The caller releases the buffer.
+func (p *pool) readBody(response *head.Response, takesLong bool) (*bodyBuffer, error) {
+	held := &bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
+	if takesLong {
+		held.limit = int(p.kept)
+		if response.Length > p.kept {
+			return held, errBodySize
+		}
+	}
 	for {
-		err := buffer.read(body)
+		err := held.read(response.Body)
 		if errors.Is(err, io.EOF) {
-			return buffer.data, nil
+			return held, nil
 		}
 		if err != nil {
-			return nil, err
+			return held, err
 		}
 	}
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -104,7 +104,7 @@
 	bodies := newBodyBudget(o.MemoryLimit)
 	backend := &LocalBackend{
 		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
-		MaxBody: maxBody, Bodies: bodies, Zone: o.Zone, expected: Expected{Service: o.Service, Address: o.BackendAddress},
+		MaxBody: maxBody, KeptBody: o.MemoryLimit / keptBodyDivisor, Bodies: bodies, Zone: o.Zone, expected: Expected{Service: o.Service, Address: o.BackendAddress},
 	}
 	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
 	forwarder := &Forwarder{
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -24,13 +25,24 @@
 		Timeout time.Duration // how long the caller waits for the response, zero if not specified
 		Body    []byte
 		Rest    *bodyStream // follows Body, nil if Body is the whole body
+
+		// pass accepts a response that is too long to be held whole, nil if there is nobody who could take it in parts.
+		pass passFunc
+		// gone ends when nobody waits for the response any more. The deadline does not end it.
+		gone    context.Context
+		passing bool // pass has been called, so that no other response can follow
 	}
 
+	// passFunc passes on a long response; its body is read as fast as the receiver takes it. The length is -1 if it is
+	// not known. The body fails unless it is whole, and then the receiver learns that it is not.
+	passFunc func(response Response, length int64, body io.Reader) error
+
 	// Response is a complete HTTP response.
 	Response struct {
 		Status int
 		Header http.Header
 		Body   []byte
+		Passed bool // the body was too long to be held, and has been passed on
 	}
 
 	// RequestMetadata is what the daemon reports to a backend server about a request.
