--- a/internal/root/relay/fuzz_test.go
+++ b/internal/root/relay/fuzz_test.go
@@ -58,3 +58,11 @@
 func FuzzNoticeRequest(f *testing.F) {
 	fuzzMessage(f, &NoticeRequest{Number: 1, Instance: "i", Service: "s", Address: "10.0.0.1:1", Slots: 2, State: StateReady, StartUnixMilli: 5}, func(n *NoticeRequest) { n.notice() })
 }
+
+func FuzzCredit(f *testing.F) {
+	fuzzMessage(f, &Credit{Number: 1, Bytes: streamWindow}, func(c *Credit) { newCreditCounter().add(int(c.Bytes)) })
+}
+
+func FuzzPong(f *testing.F) {
+	fuzzMessage(f, &Pong{LongBodies: true}, func(*Pong) {})
+}
--- a/internal/root/relay/longbody_test.go
+++ b/internal/root/relay/longbody_test.go
@@ -374,3 +374,26 @@
 		}
 	})
 }
+
+// Guards against a daemon that sends more of a body than it may and so occupies memory, and against a part that is taken
+// for the whole body after the sender has broken it off or paused without end.
+func TestPartQueue(t *testing.T) {
+	granted := 0
+	q := newPartQueue(func(bytes int) { granted += bytes })
+	assert.ErrorIs(t, q.push(&BodyPart{Body: []byte("x"), More: true}), errPartsUnasked)
+	q.stall = time.Millisecond
+	_, err := q.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, errPeerSilent)
+
+	q = newPartQueue(func(bytes int) {
+		granted = bytes
+		go func() { _ = q.push(&BodyPart{Body: make([]byte, streamWindow), More: true}) }()
+	})
+	_, err = q.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, granted, streamWindow)
+	assert.ErrorIs(t, q.push(&BodyPart{Body: []byte("x"), More: true}), errPartsUnasked)
+	assert.NilError(t, q.push(&BodyPart{Broken: true}))
+	_, err = io.Copy(io.Discard, q)
+	assert.ErrorIs(t, err, errBodyBroken)
+}
