--- a/internal/root/relay/longbody_test.go
+++ b/internal/root/relay/longbody_test.go
@@ -397,3 +397,49 @@
 	_, err = io.Copy(io.Discard, q)
 	assert.ErrorIs(t, err, errBodyBroken)
 }
+
+// Guards against a part that is taken for the whole body, a second run and bodies that stay counted when the link between
+// two daemons breaks, or the caller leaves, in the middle of a long body.
+func TestLongBodyWhoseLinkBreaks(t *testing.T) {
+	f := newLongFleet(t, 1)
+	streams, peer := f.daemons[0].relay.PeerStreams, f.daemons[1].peerAddress
+	started, ended := make(chan struct{}, 10), make(chan error, 10)
+	f.setEarly(1, func(conn net.Conn, r *http.Request) {
+		started <- struct{}{}
+		_, err := io.Copy(io.Discard, r.Body)
+		if r.URL.Query().Has("bytes") {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Id"), longestBody)
+			_, err = io.Copy(conn, &pattern{size: longestBody})
+		}
+		ended <- err
+	})
+	cut := func() {
+		stream, err := streams.stream(t.Context(), peer)
+		assert.NilError(t, err)
+		stream.writer.close()
+	}
+	pipe, _ := io.Pipe() // the caller pauses
+	_, reader, _ := f.send("r", "/open/x", io.MultiReader(&pattern{size: 12 << 20}, pipe), longestBody, false)
+	<-started
+	cut()
+	assert.Equal(t, readResponse(t, reader).Header.Get("Outcome"), "unknown")
+	assert.ErrorContains(t, <-ended, "unexpected EOF")
+	for _, end := range []string{"link", "caller"} {
+		conn, reader, _ := f.send(end, "/open/x?bytes=all", &pattern{}, 0, false)
+		<-started
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.CopyN(io.Discard, response.Body, 1<<20)
+		assert.NilError(t, err)
+		if end == "caller" {
+			assert.NilError(t, conn.Close())
+		} else {
+			cut()
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.ErrorContains(t, err, "unexpected EOF")
+		}
+		assert.Assert(t, <-ended != nil, "the server has written all of it")
+	}
+	assert.Equal(t, len(started), 0, "no second run")
+	f.checkBudget()
+}
