--- a/internal/root/relay/bodybudget.go
+++ b/internal/root/relay/bodybudget.go
@@ -34,7 +34,8 @@
 	// bodyBuffer holds one body and counts its buffer in the budget until release.
 	bodyBuffer struct {
 		budget  *bodyBudget
-		limit   int // of this body in bytes
+		limit   int   // of this body in bytes
+		spare   int64 // bytes of the budget that this buffer leaves to others
 		counted int64
 		data    []byte
 	}
@@ -45,8 +46,11 @@
 }
 
 // take counts n more bytes unless the limit would be exceeded.
-func (b *bodyBudget) take(n int64) bool {
-	if b.used.Add(n) > b.limit {
+func (b *bodyBudget) take(n int64) bool { return b.takeLeaving(n, 0) }
+
+// takeLeaving counts n more bytes unless fewer than spare bytes would be left.
+func (b *bodyBudget) takeLeaving(n, spare int64) bool {
+	if b.used.Add(n) > b.limit-spare {
 		b.used.Add(-n)
 		return false
 	}
@@ -78,7 +82,7 @@
 	if size > freeBodySize {
 		counted = int64(size)
 	}
-	if !b.budget.take(counted) {
+	if !b.budget.takeLeaving(counted, b.spare) {
 		return errBodyBudget
 	}
 	grown := make([]byte, len(b.data), size)
--- a/internal/root/relay/longbody_test.go
+++ b/internal/root/relay/longbody_test.go
@@ -443,3 +443,18 @@
 	assert.Equal(t, len(started), 0, "no second run")
 	f.checkBudget()
 }
+
+// Guards against a response that is given up although it could pass through, because other bodies leave no room to hold
+// it.
+func TestLongResponseWithoutRoomToHold(t *testing.T) {
+	eachPath(t, func(t *testing.T, f *testFleet) {
+		const room = 1 << 20
+		for _, d := range f.daemons {
+			taken := d.relay.Frontend.Bodies.limit - room
+			assert.Assert(t, d.relay.Frontend.Bodies.take(taken))
+			defer d.relay.Frontend.Bodies.release(taken)
+		}
+		_, reader, _ := f.send("r", "/once/x?bytes=4194304&framing=chunks", &pattern{}, 0, false)
+		assert.Equal(t, len(bodyOf(t, readResponse(t, reader))), 4<<20)
+	})
+}
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -13,9 +13,15 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 )
 
-// responseStall is how long a server may pause within a long response after the deadline of its request. The caller
-// decides how long it reads.
-const responseStall = 10 * time.Second
+const (
+	// responseStall is how long a server may pause within a long response after the deadline of its request. The caller
+	// decides how long it reads.
+	responseStall = 10 * time.Second
+
+	// heldResponseSpare divides the budget for bodies; the quotient is left free by responses that are held. One that
+	// finds no more room passes through from there on.
+	heldResponseSpare = 4
+)
 
 // errNotTaken reports that the receiver of a long response has not taken all of it.
 var errNotTaken = errors.New("the receiver of the response has not taken all of it")
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -282,7 +282,7 @@
 	}
 	held, err := p.readBody(first, ex.request.pass != nil)
 	defer held.release()
-	long := errors.Is(err, errBodySize) && ex.request.pass != nil
+	long := ex.request.pass != nil && (errors.Is(err, errBodySize) || errors.Is(err, errBodyBudget))
 	if err != nil && !long {
 		return got, fmt.Errorf("read response: %w", err)
 	}
@@ -318,11 +318,13 @@
 }
 
 // readBody reads the body of a response. If the receiver takes long ones, it returns errBodySize and what has been read
-// once the body is longer than the size up to which it is held. The caller releases the buffer.
+// once the body is longer than the size up to which it is held, and errBodyBudget once there is no room to hold more of
+// it. The caller releases the buffer.
 func (p *pool) readBody(response *head.Response, takesLong bool) (*bodyBuffer, error) {
 	held := &bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
 	if takesLong {
-		held.limit = int(p.kept)
+		// What is held of responses leaves room for those that pass through.
+		held.limit, held.spare = int(p.kept), p.bodies.limit/heldResponseSpare
 		if response.Length > p.kept {
 			return held, errBodySize
 		}
