--- a/internal/root/relay/bodybudget.go
+++ b/internal/root/relay/bodybudget.go
@@ -34,7 +34,8 @@
 	// bodyBuffer holds one body and counts its buffer in the budget until release.
 	bodyBuffer struct {
 		budget  *bodyBudget
-		limit   int // of this body in bytes
+		limit   int   // of this body in bytes
+		spare   int64 // bytes of the budget that this buffer leaves to others
 		counted int64
 		data    []byte
 	}
@@ -45,14 +46,20 @@
 }
 
 // take counts n more bytes unless the limit would be exceeded.
-func (b *bodyBudget) take(n int64) bool {
-	if b.used.Add(n) > b.limit {
+func (b *bodyBudget) take(n int64) bool { return b.takeLeaving(n, 0) }
+
+// takeLeaving counts n more bytes unless fewer than spare bytes would be left.
+func (b *bodyBudget) takeLeaving(n, spare int64) bool {
+	if b.used.Add(n) > b.limit-spare {
 		b.used.Add(-n)
 		return false
 	}
 	return true
 }
 
+// release ends the counting of n bytes.
+func (b *bodyBudget) release(n int64) { b.used.Add(-n) }
+
 // read reads the next part of the body; the error is io.EOF at its end.
 func (b *bodyBuffer) read(r io.Reader) error {
 	if len(b.data) == cap(b.data) {
@@ -70,12 +77,12 @@
 
 // grow doubles the buffer. Both buffers are counted while the bytes are copied.
 func (b *bodyBuffer) grow() error {
-	size := max(2*cap(b.data), firstBodySize)
+	size := min(max(2*cap(b.data), firstBodySize), b.limit+1) // one byte more shows that the body is too long
 	counted := int64(0)
 	if size > freeBodySize {
 		counted = int64(size)
 	}
-	if !b.budget.take(counted) {
+	if !b.budget.takeLeaving(counted, b.spare) {
 		return errBodyBudget
 	}
 	grown := make([]byte, len(b.data), size)
@@ -85,6 +92,15 @@
 	return nil
 }
 
+// reserve counts n bytes in addition to the buffer, until release.
+func (b *bodyBuffer) reserve(n int64) bool {
+	if !b.budget.take(n) {
+		return false
+	}
+	b.counted += n
+	return true
+}
+
 // release ends the counting of the buffer.
 func (b *bodyBuffer) release() {
 	b.budget.used.Add(-b.counted)
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -139,7 +139,10 @@
 	}
 	send.Header = field.FromHeader(state.request.Header)
 	abandon := func() bool { return f.abandon(state, svc, choice.ID) }
-	reply, sent, err := f.PeerStreams.Send(ctx, choice.Daemon, choice.Cause, send, state.request.Body, abandon)
+	reply, sent, err := f.PeerStreams.Send(ctx, choice.Daemon, choice.Cause, send, state.request, abandon)
+	if errors.Is(err, errNoLongBodies) {
+		return notRun{failure: retry.Overload{}}, nil
+	}
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && sent {
 			return unknown{failure: retry.DeadlineAfter{}}, nil
@@ -154,7 +157,7 @@
 	return &SendRequest{
 		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
 		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: state.deadline.Sub(now),
-		Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
+		LongResponses: state.request.pass != nil, Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
 }
 
@@ -173,13 +176,21 @@
 	return state.retryAllowed
 }
 
+// size returns the size of the body in bytes; of one that was passed on it is the least that such a body has.
+func (r *Response) size() int {
+	if r.Passed {
+		return minPassedBody
+	}
+	return len(r.Body)
+}
+
 // reportResult reports the result of a send to the balancer.
 func (f *Forwarder) reportResult(svc *serviceState, state *forwardState, id string, result outcome, report *Report) {
 	var balancerResult place.Result = place.Failed{}
 	avoid := false
 	switch result := result.(type) {
 	case completed:
-		balancerResult = place.Served{Size: len(result.response.Body)}
+		balancerResult = place.Served{Size: result.response.size()}
 		if result.response.failed() {
 			balancerResult = place.Failed{}
 		}
@@ -259,6 +270,9 @@
 		f.logRetry(state, result, now)
 		return true
 	}
+	if state.request.passing || state.request.Rest != nil && state.request.Rest.taken.Load() {
+		return false
+	}
 	cause := share.Lost
 	defer func() {
 		if retrying {
@@ -323,7 +337,10 @@
 	return s.deadline.Sub(now) < s.deadline.Sub(s.started)/5
 }
 
-func (s *forwardState) idempotent() bool { return s.route.Run == rules.RunIdempotent }
+// idempotent reports whether the request may run again. A body that is not held whole cannot be sent again.
+func (s *forwardState) idempotent() bool {
+	return s.route.Run == rules.RunIdempotent && s.request.Rest == nil
+}
 
 // noServerDelay returns the advised retry delay for a request that no server could take.
 func noServerDelay(failure retry.Failure) time.Duration {
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,6 +63,9 @@
 		writer   *frameWriter
 		err      error
 		detached chan struct{} // closed when the stream is detached
+		asked    chan struct{} // closed when the peer has replied to a ping
+
+		longBodies atomic.Bool // the peer understands requests with long bodies; valid once asked is closed
 
 		mu           sync.Mutex
 		next         uint64
@@ -70,8 +76,16 @@
 
 	// pendingReply waits for one reply.
 	pendingReply struct {
-		done  chan peerReply
-		reply *Reply // its body is incomplete
+		done   chan peerReply
+		reply  *Reply         // its body is incomplete
+		credit *creditCounter // of a long request body, nil for others
+		// credited is closed with the first credit: the server reads the body.
+		credited  chan struct{}
+		mayCredit bool // credited is open
+
+		head chan *Reply   // the head of a long response
+		body *partQueue    // the body of a long response, nil before its head has arrived
+		left time.Duration // until the deadline when the request was sent
 	}
 
 	// peerReply is a complete Reply or a NoticeReply; both are nil if the peer stream was lost.
@@ -96,16 +110,26 @@
 // Send sends a request to the daemon at address and waits for its reply. sent is false if the request has
 // certainly not left this daemon. When the daemon falls silent, Send calls abandon and, if that returns true,
 // gives up; otherwise it goes on waiting. cause is that of the bytes if the daemon is in another availability zone.
-func (p *PeerStreams) Send(ctx context.Context, address string, cause cross.Cause, send *SendRequest, body []byte, abandon func() bool) (reply *Reply, sent bool, err error) {
+func (p *PeerStreams) Send(ctx context.Context, address string, cause cross.Cause, send *SendRequest, request *Request, abandon func() bool) (reply *Reply, sent bool, err error) {
 	stream, err := p.stream(ctx, address)
 	if err != nil {
 		return nil, false, err
 	}
 	number, pending := stream.register(p.Clock.Now(), cause)
 	defer stream.unregister(number)
-	send.Number = number
-	first, rest := splitBody(body)
+	send.Number, pending.left = number, send.Left
+	first, rest := splitBody(request.Body)
 	send.Body, send.More = first, len(rest) > 0
+	credited := chan struct{}(nil)
+	if request.Rest != nil {
+		if err := p.awaitLongBodies(ctx, stream); err != nil {
+			return nil, false, err
+		}
+		send.Streamed, send.Length = true, request.Rest.length
+		send.Body, send.More, rest = nil, false, nil
+		credited = stream.expectCredit(pending)
+		defer pending.credit.end()
+	}
 	frames, err := encodeFrames(kindSend, send, number, rest)
 	if err != nil {
 		return nil, false, err
@@ -115,15 +139,30 @@
 		return nil, false, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
 	p.startChecks(stream)
-	for detached := stream.detached; ; detached = nil {
+	passed := false
+	for detached := stream.detached; ; {
 		select {
 		case result := <-pending.done:
-			if result.reply == nil {
+			// A response is whole only if its body is in the reply or has been passed on.
+			if result.reply == nil || result.reply.Kind == outcomeCompleted && result.reply.Passed != passed {
 				return nil, true, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 			}
 			return result.reply, true, nil
+		case longHead := <-pending.head:
+			if err = stream.passResponse(longHead, pending.body, request); err == nil {
+				ctx, detached = request.gone, nil // the response outlasts the deadline
+				passed = true
+				continue
+			}
+		case <-credited:
+			// Only here are bytes of the body taken, so that a request that was refused can be offered elsewhere.
+			request.Rest.taken.Store(true)
+			go stream.sendBody(number, pending.credit, request)
+			credited = nil
+			continue
 		case <-detached:
 			if !abandon() {
+				detached = nil
 				continue
 			}
 			err = errPeerSilent
@@ -137,6 +176,49 @@
 	}
 }
 
+// awaitLongBodies returns an error unless the peer understands requests with long bodies. It asks once for each stream.
+func (p *PeerStreams) awaitLongBodies(ctx context.Context, stream *peerStream) error {
+	select {
+	case <-stream.asked:
+	default:
+		frame, err := encodeFrame(kindPing, &Cancel{})
+		if err != nil {
+			return err
+		}
+		if !stream.writer.enqueue(cross.KeepAlive, frame) {
+			p.remove(stream)
+			return fmt.Errorf("%w: %s", errPeerStreamClosed, stream.address)
+		}
+		p.startChecks(stream)
+		select {
+		case <-stream.asked:
+		case <-stream.writer.closed:
+			return fmt.Errorf("%w: %s", errPeerStreamClosed, stream.address)
+		case <-stream.detached:
+			return fmt.Errorf("ask %s: %w", stream.address, errPeerSilent)
+		case <-ctx.Done():
+			return fmt.Errorf("ask %s: %w", stream.address, ctx.Err())
+		}
+	}
+	if !stream.longBodies.Load() {
+		return fmt.Errorf("%w: %s", errNoLongBodies, stream.address)
+	}
+	return nil
+}
+
+// expectCredit prepares for the credits of a long request body. The channel is closed with the first one.
+func (s *peerStream) expectCredit(pending *pendingReply) chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending.credit, pending.credited, pending.mayCredit = newCreditCounter(), make(chan struct{}), true
+	return pending.credited
+}
+
+// sendBody sends a long request body until the exchange ends.
+func (s *peerStream) sendBody(number uint64, credit *creditCounter, request *Request) {
+	_ = sendParts(s.writer, number, credit, io.MultiReader(bytes.NewReader(request.Body), request.Rest))
+}
+
 // SendNotice sends a notice to the daemon at address; the error reports why it was not accepted.
 func (p *PeerStreams) SendNotice(ctx context.Context, address string, n Notice) error {
 	stream, err := p.stream(ctx, address)
@@ -179,7 +261,7 @@
 		if p.streams == nil {
 			p.streams = map[string]*peerStream{}
 		}
-		stream = &peerStream{address: address, ready: make(chan struct{}), detached: make(chan struct{}), pending: map[uint64]*pendingReply{}}
+		stream = &peerStream{address: address, ready: make(chan struct{}), detached: make(chan struct{}), asked: make(chan struct{}), pending: map[uint64]*pendingReply{}}
 		p.streams[address] = stream
 		go p.connect(stream)
 	}
@@ -351,15 +433,13 @@
 		if err != nil {
 			return cross.KeepAlive, err
 		}
-		s.handleReply(reply)
-		return cross.CauseOf(reply.Number), nil
+		return cross.CauseOf(reply.Number), s.handleReply(reply)
 	case kindPart:
 		part, err := wire.Decode[BodyPart](frame.Body)
 		if err != nil {
 			return cross.KeepAlive, err
 		}
-		s.handleBodyPart(part)
-		return cross.CauseOf(part.Number), nil
+		return cross.CauseOf(part.Number), s.handleBodyPart(part)
 	case kindNoticeReply:
 		notice, err := wire.Decode[NoticeReply](frame.Body)
 		if err != nil {
@@ -367,31 +447,90 @@
 		}
 		s.deliver(notice.Number, peerReply{notice: notice})
 		return cross.Control, nil
+	case kindCredit:
+		credit, err := wire.Decode[Credit](frame.Body)
+		if err != nil {
+			return cross.KeepAlive, err
+		}
+		s.handleCredit(credit)
+		return cross.CauseOf(credit.Number), nil
 	case kindPong:
+		pong, err := wire.Decode[Pong](frame.Body)
+		if err != nil {
+			return cross.KeepAlive, err
+		}
+		s.handlePong(pong)
 	default:
 		return cross.KeepAlive, fmt.Errorf("%w: unexpected frame kind %d on a peer stream", wire.ErrDecode, frame.Kind)
 	}
 	return cross.KeepAlive, nil
 }
 
-func (s *peerStream) handleReply(reply *Reply) {
-	if !reply.More {
+// handlePong records what the peer understands; only the reader calls it.
+func (s *peerStream) handlePong(pong *Pong) {
+	select {
+	case <-s.asked:
+	default:
+		s.longBodies.Store(pong.LongBodies)
+		close(s.asked)
+	}
+}
+
+func (s *peerStream) handleCredit(credit *Credit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := s.pending[credit.Number]
+	if pending == nil || pending.credit == nil {
+		return // the exchange has ended
+	}
+	pending.credit.add(int(credit.Bytes))
+	if pending.mayCredit {
+		pending.mayCredit = false
+		close(pending.credited)
+	}
+}
+
+func (s *peerStream) handleReply(reply *Reply) error {
+	if !reply.More && !reply.Streamed {
 		s.deliver(reply.Number, peerReply{reply: reply})
-		return
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if pending := s.pending[reply.Number]; pending != nil && reply.Streamed {
+		if pending.body != nil {
+			return fmt.Errorf("%w: two heads of one response", wire.ErrDecode)
+		}
+		pending.body = s.newResponseBody(reply.Number)
+		pending.body.stall = max(pending.left, responseStall) + peerTimeout // the other daemon allows its server as much
+		pending.head <- reply
+		return nil
+	}
 	if pending := s.pending[reply.Number]; pending != nil {
 		pending.reply = reply
 	}
+	return nil
+}
+
+// newResponseBody returns the queue for the body of a long response.
+func (s *peerStream) newResponseBody(number uint64) *partQueue {
+	return newPartQueue(func(bytes int) {
+		if frame, err := encodeFrame(kindCredit, &Credit{Number: number, Bytes: uint32(bytes)}); err == nil {
+			s.writer.enqueue(cross.CauseOf(number), frame)
+		}
+	})
 }
 
-func (s *peerStream) handleBodyPart(part *BodyPart) {
+func (s *peerStream) handleBodyPart(part *BodyPart) error {
 	s.mu.Lock()
 	pending := s.pending[part.Number]
+	if pending != nil && pending.body != nil {
+		s.mu.Unlock()
+		return pending.body.push(part)
+	}
 	if pending == nil || pending.reply == nil {
 		s.mu.Unlock()
-		return
+		return nil
 	}
 	reply := pending.reply
 	reply.Body = append(reply.Body, part.Body...)
@@ -399,6 +538,7 @@
 	if !part.More {
 		s.deliver(part.Number, peerReply{reply: reply})
 	}
+	return nil
 }
 
 func (s *peerStream) deliver(number uint64, result peerReply) {
@@ -418,7 +558,7 @@
 		s.lastReceived = now // the idle time counts from the first request
 	}
 	s.next++
-	pending := &pendingReply{done: make(chan peerReply, 1)}
+	pending := &pendingReply{done: make(chan peerReply, 1), head: make(chan *Reply, 1)}
 	number := cross.Number(s.next, cause)
 	s.pending[number] = pending
 	return number, pending
@@ -436,6 +576,9 @@
 	for number, pending := range s.pending {
 		delete(s.pending, number)
 		pending.done <- peerReply{}
+		if pending.body != nil {
+			pending.body.fail(errPeerStreamClosed)
+		}
 	}
 }
 
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,7 @@
 		address string
 		dialect Dialect
 		maxBody int64 // limit of a response in bytes
+		kept    int64 // size in bytes up to which a response is held whole if its receiver takes long ones
 		bodies  *bodyBudget
 		log     zerolog.Logger
 
@@ -86,6 +88,12 @@
 		// cost a new one, which is more than the rest of a short run.
 		linger time.Duration
 		start  startCheck // the request is not sent if the check returns an error
+		sent   *upload    // set once the request is being sent
+		// outlast lets a long response take longer than the deadline. It returns false if the exchange has ended.
+		outlast func() bool
+		// overdue is called at the deadline if a long response is still being passed on. It sets released.
+		overdue  func()
+		released atomic.Bool
 	}
 
 	// received is one complete response of the server.
@@ -129,6 +137,16 @@
 		}
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
+	ex.outlast = func() bool {
+		if !stop() {
+			return false
+		}
+		stop = context.AfterFunc(ex.request.gone, func() {
+			defer close(ended)
+			_ = conn.SetDeadline(time.Unix(1, 0))
+		})
+		return true
+	}
 	if ctx.Err() != nil {
 		<-ended
 		p.put(conn)
@@ -161,9 +179,10 @@
 	if err != nil {
 		return response, responseMeta, false, err
 	}
+	ex.sent = sent
 	got, err := p.readOwnResponse(conn, ex)
 	if err != nil {
-		return got.response, got.metadata, false, err
+		return got.response, got.metadata, false, sent.explain(err)
 	}
 	if got.unframed && !sent.completes(uploadGrace) {
 		return got.response, got.metadata, false, errUploadBroken
@@ -201,6 +220,17 @@
 func sendRequest(conn *backendConn, ex *exchange, dialect Dialect) (*upload, error) {
 	buf := encodeRequest(ex, dialect)
 	sent := &upload{done: make(chan struct{})}
+	if ex.request.Rest != nil {
+		ex.request.Rest.taken.Store(true)
+		go func() {
+			sent.err = writeLong(conn, buf, ex.request)
+			close(sent.done)
+			if errors.Is(sent.err, errBodyBroken) {
+				_ = conn.SetReadDeadline(time.Unix(1, 0)) // the server would wait for the rest
+			}
+		}()
+		return sent, nil
+	}
 	if len(buf) <= maxSyncWrite {
 		if n, err := conn.Write(buf); err != nil {
 			if n < len(buf)-len(ex.request.Body) {
@@ -245,8 +275,10 @@
 	if err != nil {
 		return got, fmt.Errorf("read response: %w", err)
 	}
-	body, err := p.readBody(first.Body)
-	if err != nil {
+	held, err := p.readBody(first, ex.request.pass != nil)
+	defer held.release()
+	long := ex.request.pass != nil && (errors.Is(err, errBodySize) || errors.Is(err, errBodyBudget))
+	if err != nil && !long {
 		return got, fmt.Errorf("read response: %w", err)
 	}
 	got.metadata = p.dialect.DecodeResponseMetadata(first.Status, first.Header)
@@ -255,10 +287,13 @@
 		return got, errInvalidResponse
 	}
 	conn.idleUntil = time.Now().Add(epoch.IdleTimeout(first.Header, defaultIdleTimeout))
-	got.response = Response{Status: first.Status, Header: first.Header, Body: body}
+	got.response = Response{Status: first.Status, Header: first.Header, Body: held.data}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
 	got.reusable, got.unframed = !first.Close, first.Unframed
+	if long {
+		return got, p.passLong(conn, ex, first, &got, held)
+	}
 	return got, nil
 }
 
@@ -277,17 +312,25 @@
 	}
 }
 
-// readBody reads the body of a response.
-func (p *pool) readBody(body io.Reader) ([]byte, error) {
-	buffer := bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
-	defer buffer.release()
+// readBody reads the body of a response. If the receiver takes long ones, it returns errBodySize and what has been read
+// once the body is longer than the size up to which it is held, and errBodyBudget once there is no room to hold more of
+// it. The caller releases the buffer.
+func (p *pool) readBody(response *head.Response, takesLong bool) (*bodyBuffer, error) {
+	held := &bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
+	if takesLong {
+		// What is held of responses leaves room for those that pass through.
+		held.limit, held.spare = int(p.kept), p.bodies.limit/heldResponseSpare
+		if response.Length > p.kept {
+			return held, errBodySize
+		}
+	}
 	for {
-		err := buffer.read(body)
+		err := held.read(response.Body)
 		if errors.Is(err, io.EOF) {
-			return buffer.data, nil
+			return held, nil
 		}
 		if err != nil {
-			return nil, err
+			return held, err
 		}
 	}
 }
@@ -299,14 +342,21 @@
 	}
 	dialect.SetRequestMetadata(header, ex.requestMeta)
 	var buf bytes.Buffer
-	buf.Grow(512 + len(ex.request.Body))
+	if ex.request.Rest == nil {
+		buf.Grow(512 + len(ex.request.Body))
+	}
 	fmt.Fprintf(&buf, "%s %s HTTP/1.1\r\nHost: %s\r\n", ex.request.Method, ex.request.Target, ex.request.Host)
 	writeHeader(&buf, header)
-	if len(ex.request.Body) > 0 || ex.request.Method == http.MethodPost || ex.request.Method == http.MethodPut || ex.request.Method == http.MethodPatch {
-		fmt.Fprintf(&buf, "Content-Length: %d\r\n", len(ex.request.Body))
+	size := ex.request.size()
+	if size < 0 {
+		buf.WriteString("Transfer-Encoding: chunked\r\n")
+	} else if size > 0 || ex.request.Method == http.MethodPost || ex.request.Method == http.MethodPut || ex.request.Method == http.MethodPatch {
+		fmt.Fprintf(&buf, "Content-Length: %d\r\n", size)
 	}
 	buf.WriteString("\r\n")
-	buf.Write(ex.request.Body)
+	if ex.request.Rest == nil {
+		buf.Write(ex.request.Body)
+	}
 	return buf.Bytes()
 }
 
