--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -39,6 +39,8 @@
 	coldServers            prometheus.Gauge
 	coldStarts             *prometheus.CounterVec
 	evacuationRefusals     prometheus.Counter
+	displacedConnections   *prometheus.CounterVec
+	budgetRefusals         *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -81,7 +83,9 @@
 		coldStarts: newCounterVec("cold_starts_total", "Calls that were delayed or refused because their backend server is cold.", "result"),
 	}
 	m.evacuationRefusals = newCounter("evacuation_refusals_total", "Requests refused at the daemon of their backend server because its availability zone is under evacuation.")
-	m.Registry.MustRegister(m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.displacedConnections = newCounterVec("connections_displaced_total", "Connections that were closed because a listener had no room for another one.", "listener")
+	m.budgetRefusals = newCounterVec("budget_refusals_total", "Requests refused and connections closed because the memory for clients was taken, by what it was needed for.", "use")
+	m.Registry.MustRegister(m.displacedConnections, m.budgetRefusals, m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -153,6 +157,14 @@
 // EvacuationRefused counts a request that the daemon of its backend server refused because of an evacuation.
 func (m *Meter) EvacuationRefused() { m.evacuationRefusals.Inc() }
 
+// ConnectionDisplaced counts a connection that was closed to make room for another one.
+func (m *Meter) ConnectionDisplaced(listener string) {
+	m.displacedConnections.WithLabelValues(listener).Inc()
+}
+
+// BudgetRefused counts a request that was refused, or a connection that was closed, for lack of memory for clients.
+func (m *Meter) BudgetRefused(use string) { m.budgetRefusals.WithLabelValues(use).Inc() }
+
 // WatchZones registers a gauge of the availability zones under evacuation, whose number read returns at each scrape.
 func (m *Meter) WatchZones(read func() int) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
@@ -52,17 +53,19 @@
 
 	// Server is the operators' endpoint of one daemon.
 	Server struct {
-		Name     string
-		Region   string
-		Listener net.Listener
-		Clock    clock.Clock
-		Reporter Reporter
-		Orders   Orders
-		Traffic  Traffic
-		Sessions func() int // returns the number of open connections with other daemons
-		Meter    *meter.Meter
-		Settings admin.Section
-		Log      zerolog.Logger
+		Name      string
+		Region    string
+		Listener  net.Listener
+		Clock     clock.Clock
+		Reporter  Reporter
+		Orders    Orders
+		Traffic   Traffic
+		Sessions  func() int // returns the number of open connections with other daemons
+		Meter     *meter.Meter
+		Guard     *accept.Guard // bounds the open connections; nil for no bound
+		MaxHeader int           // bytes of a request line and header, zero for the library's limit
+		Settings  admin.Section
+		Log       zerolog.Logger
 	}
 )
 
@@ -75,8 +78,10 @@
 func (s *Server) run(ctx context.Context) error {
 	// Without an explicit endpoint kratos lists the network interfaces, which some instances do not permit.
 	endpoint := &url.URL{Scheme: "http", Host: s.Listener.Addr().String()}
-	server := khttp.NewServer(khttp.Listener(s.Listener), khttp.Endpoint(endpoint), khttp.Timeout(0))
+	server := khttp.NewServer(khttp.Listener(s.Guard.Listen("admin", s.Listener)), khttp.Endpoint(endpoint), khttp.Timeout(0))
 	server.ReadHeaderTimeout = reportTimeout
+	server.MaxHeaderBytes = s.MaxHeader
+	server.ConnState = accept.ConnState
 	server.HandleFunc(admin.PathStatus, s.handle(s.status))
 	server.HandleFunc(admin.PathInForce, s.handle(s.inForce))
 	server.HandleFunc(admin.PathRules, s.handle(s.rules))
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -11,10 +11,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/admin"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/disk"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -38,6 +40,10 @@
 	// runtime, above which the garbage collector runs more often.
 	memoryLimitRatio = 0.7
 
+	// programMemory is the memory in bytes that the resident part of the program file takes; the limit of the Go runtime
+	// does not count it.
+	programMemory = 16 << 20
+
 	// leaseRatio is the fraction of the revoke-within setting for which a daemon without contact to the
 	// control instances still serves requests with a key. The remainder covers messages and requests in
 	// transit.
@@ -69,6 +75,7 @@
 	controlDialer *link.Dialer // for control and consensus streams
 	peerServer    *link.Server
 	meter         *meter.Meter
+	guard         *accept.Guard // bounds the connections of listeners for others than callers and daemons
 	boot          uint64
 	opened        resources
 }
@@ -78,8 +85,9 @@
 // requests go to requestLog, which may be sampled.
 func NewFleet(settings *config.Settings, settingsFile string, clk clock.Clock, log, requestLog zerolog.Logger) (daemon *Daemon, err error) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.Fleet.Memory)))
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.Fleet.Memory-programMemory)))
 	builder := &fleetBuilder{settings: settings, settingsFile: settingsFile, clock: clk, log: log, meter: meter.New()}
+	builder.guard = accept.NewGuard(budget.ServiceLimit(relay.CallerLimit(settings.Limits.Connections)), clk, builder.meter, log)
 	defer func() {
 		if err != nil {
 			builder.opened.close()
@@ -150,7 +158,8 @@
 	}
 	b.peerServer = &link.Server{
 		Listener: listener, Name: settings.Name, Secret: secret, Log: b.log, MaxConnections: maxPeerConnections,
-		Handlers: map[link.StreamType]link.Handler{},
+		Handlers:   map[link.StreamType]link.Handler{},
+		Handshakes: accept.NewGuard(relay.CallerLimit(settings.Limits.Connections), b.clock, b.meter, b.log),
 	}
 	if storage != nil {
 		b.peerServer.Handlers[link.StreamControl] = b.loop.ServeControl
@@ -165,6 +174,7 @@
 	options := relay.Options{
 		PeerAddress: s.PeerAdvertise.String(), Zone: s.AvailabilityZone, Service: s.Fleet.Service, Seed: b.boot,
 		BackendAddress: addressText(s.Fleet.Backend), BodyStall: s.Limits.BodyTimeout, WriteStall: s.Limits.WriteTimeout, StopWithin: s.Fleet.StopWithin, MemoryLimit: int64(s.Fleet.Memory),
+		MaxConnections: s.Limits.Connections, Guard: b.guard,
 		RetryRatio: float64(s.Fleet.RetryRatio), RetryWindow: s.Fleet.RetryWindow,
 		Limits: rules.Limits{
 			HeaderSize: int64(s.Limits.HeaderSize), BodySize: int64(s.Limits.BodySize),
@@ -207,8 +217,11 @@
 		Registrar: &relay.NoticeForwarder{PeerStreams: peerStreams, Port: b.settings.PeerAdvertise.Port()},
 		Configs:   b.loop, Orders: b.loop, Address: b.settings.Fleet.CallAddress, Log: b.log,
 	}
+	server := relay.HTTPServer{
+		Name: "calls", Listener: listener, Handler: handler, Guard: b.guard, MaxHeader: int64(b.settings.Limits.HeaderSize), Log: b.log,
+	}
 	return &super.Group{Name: "calls", Log: b.log, Children: []super.Child{
-		{Name: "calls-server", Run: relay.HTTPServerRunner("calls", listener, handler, b.log)},
+		{Name: "calls-server", Run: server.Runner()},
 		{Name: "lanes", Run: peerStreams.Run},
 	}}, nil
 }
@@ -222,7 +235,7 @@
 	return &admin.Server{
 		Name: b.settings.Name, Region: b.settings.Region, Listener: listener, Clock: b.clock, Reporter: b.loop, Orders: b.loop, Traffic: traffic,
 		Sessions: func() int { return b.peerServer.Sessions() + b.trafficDialer.Sessions() + b.controlDialer.Sessions() },
-		Meter:    b.meter, Settings: settingsSection(b.settings), Log: b.log,
+		Meter:    b.meter, Guard: b.guard, MaxHeader: int(b.settings.Limits.HeaderSize), Settings: settingsSection(b.settings), Log: b.log,
 	}, nil
 }
 
--- a/internal/root/link/server.go
+++ b/internal/root/link/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -28,6 +29,8 @@
 		Handlers map[StreamType]Handler
 		// MaxConnections bounds the open accepted connections, including those not authenticated yet.
 		MaxConnections int
+		// Handshakes bounds the connections that are not authenticated yet.
+		Handshakes *accept.Guard
 
 		sessions atomic.Int64
 	}
@@ -70,7 +73,9 @@
 // streams and waits for the running ones.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	slot := s.Handshakes.Add("peer", conn)
 	peer, err := authenticate(conn, s.Secret, s.Name, false)
+	slot.Remove()
 	if err != nil {
 		s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("peer-refused")
 		return
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
@@ -30,6 +31,12 @@
 	// part that the caller has accepted.
 	maxWrite = 64 << 10
 
+	// maxCopied is the size in bytes up to which a body is copied behind its head, so that both are one packet.
+	maxCopied = 16 << 10
+
+	// responseOverhead is about the number of bytes that a response takes beside its body.
+	responseOverhead = 2 << 10
+
 	// maxDiscarded bounds the bytes that are read from a caller after its last request. Reading them shows when it
 	// disconnects.
 	maxDiscarded = 256 << 10
@@ -54,6 +61,7 @@
 		ctx        context.Context // ends when the caller has disconnected or receives no more responses
 		cancel     context.CancelFunc
 		inProgress sync.WaitGroup
+		lastKey    atomic.Value // string: key of the last request, for log lines
 
 		mu        sync.Mutex
 		pipeline  []*responseSlot // in the order of the requests
@@ -107,6 +115,7 @@
 	}
 	c.cancel()
 	c.inProgress.Wait()
+	c.frontend.Queued.end(c)
 	_ = c.conn.Close()
 }
 
@@ -253,6 +262,7 @@
 		return stopAfter(true)
 	}
 	request.Body = body.data
+	c.lastKey.Store(request.APIKey)
 	started = true
 	c.inProgress.Add(1)
 	c.frontend.workers.Go(func() {
@@ -313,8 +323,13 @@
 
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
+	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.broken {
+		c.frontend.Queued.remove(c, response.size())
+		return // nobody receives the response
+	}
 	slot.ready, slot.method, slot.response, slot.close = true, method, response, last
 	for len(c.pipeline) > 0 && c.pipeline[0].ready && !c.broken {
 		first := c.pipeline[0]
@@ -335,10 +350,18 @@
 
 // writeResponse writes a response; c.mu is held, so that responses keep the order of the requests.
 func (c *callerConn) writeResponse(slot *responseSlot, last bool) {
-	if err := c.write(encodeResponse(slot.method, slot.response, last)); err != nil {
+	head, body := encodeResponse(slot.method, slot.response, last)
+	err := c.write(head)
+	if err == nil {
+		err = c.write(body)
+	}
+	c.frontend.Queued.remove(c, slot.response.size())
+	if err != nil {
 		c.broken = true
 		c.cancel()
 		_ = c.conn.Close()
+		c.pipeline = nil // nobody receives the responses
+		c.frontend.Queued.end(c)
 		return
 	}
 	if last {
@@ -408,11 +431,14 @@
 	return int64(size)
 }
 
+// size returns about the number of bytes that the response takes while it waits for its caller.
+func (r *Response) size() int64 { return int64(len(r.Body)) + responseOverhead }
+
 // encodeResponse encodes a complete response. It keeps the server's header except for the fields about the
-// connection.
-func encodeResponse(method string, r Response, last bool) []byte {
+// connection. A long body is not copied and has to be written after the head.
+func encodeResponse(method string, r Response, last bool) (head, body []byte) {
 	var buf bytes.Buffer
-	buf.Grow(512 + len(r.Body))
+	buf.Grow(512 + min(len(r.Body), maxCopied))
 	fmt.Fprintf(&buf, "HTTP/1.1 %d %s\r\n", r.Status, statusText(r.Status))
 	writeHeader(&buf, r.Header)
 	bodiless := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
@@ -423,10 +449,14 @@
 		buf.WriteString("Connection: close\r\n")
 	}
 	buf.WriteString("\r\n")
-	if !bodiless && method != http.MethodHead {
-		buf.Write(r.Body)
+	if bodiless || method == http.MethodHead {
+		return buf.Bytes(), nil
+	}
+	if len(r.Body) > maxCopied {
+		return buf.Bytes(), r.Body
 	}
-	return buf.Bytes()
+	buf.Write(r.Body)
+	return buf.Bytes(), nil
 }
 
 // writeHeader writes header fields. It does not sort them, which http.Header.Write does.
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -52,6 +52,8 @@
 	WriteStall time.Duration
 	// Bodies bounds the bodies of all requests in progress.
 	Bodies *bodyBudget
+	// Queued bounds the responses that callers have not accepted yet; nil for no bound.
+	Queued *queuedResponses
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
--- /dev/null
+++ b/internal/root/relay/queuedresponses.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
+)
+
+// queuedResponses bounds the responses of all connections that their callers have not accepted yet.
+type queuedResponses struct {
+	mu     sync.Mutex
+	queues *budget.Queues[*callerConn]
+}
+
+func newQueuedResponses(memoryLimit int64) *queuedResponses {
+	return &queuedResponses{queues: budget.NewQueues[*callerConn](budget.QueueLimit(memoryLimit))}
+}
+
+// add counts a response of n bytes. If the callers have left too much unread, it closes the connection of the one with
+// the most.
+func (q *queuedResponses) add(c *callerConn, n int64) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	victim, exceeded := q.queues.Add(c, n)
+	q.mu.Unlock()
+	if !exceeded {
+		return
+	}
+	f := victim.frontend
+	f.Forwarder.Meter.BudgetRefused("queued-responses")
+	f.Log.Info().Str("address", accept.ClientAddress(victim.conn).String()).Str("account", victim.account()).
+		Msg("caller-closed-unread-responses")
+	victim.cancel()
+	_ = victim.conn.Close() // a write in progress fails
+}
+
+// remove ends the counting of a response that was written or given up.
+func (q *queuedResponses) remove(c *callerConn, n int64) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queues.Remove(c, n)
+}
+
+// end ends the counting of all responses of a connection.
+func (q *queuedResponses) end(c *callerConn) {
+	if q == nil {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queues.End(c)
+}
+
+// account returns the name of the client account of the connection's last request, empty if it is not known.
+func (c *callerConn) account() string {
+	key, _ := c.lastKey.Load().(string)
+	set := c.frontend.Forwarder.Control.Snapshot().Rules
+	if set == nil || key == "" {
+		return ""
+	}
+	if found, active := set.KeyFor(key); found != nil && active {
+		return found.Account
+	}
+	return ""
+}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -54,6 +54,11 @@
 	httpStopTimeout   = 100 * time.Millisecond // for calls in progress when the HTTP server stops
 	httpIdleTimeout   = 30 * time.Second
 
+	// httpReadTimeout bounds the time in which a call of the platform has to arrive, and httpWriteTimeout the time from
+	// then until its response is written.
+	httpReadTimeout  = 10 * time.Second
+	httpWriteTimeout = 15 * time.Second
+
 	// maxConnections leaves file descriptors for peer streams and backend servers below the limit of 4,096 per
 	// process.
 	maxConnections = 1500
@@ -75,8 +80,9 @@
 		StopWithin     time.Duration
 		RetryRatio     float64
 		RetryWindow    time.Duration
-		MemoryLimit    int64 // bytes
-		MaxConnections int   // of callers, zero selects maxConnections
+		MemoryLimit    int64         // bytes
+		MaxConnections int           // of callers, zero selects maxConnections
+		Guard          *accept.Guard // bounds the connections at Ready and Calls
 		Seed           uint64
 	}
 
@@ -119,7 +125,7 @@
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
 			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
-			Bodies: bodies, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
+			Bodies: bodies, Queued: newQueuedResponses(o.MemoryLimit), MaxConnections: CallerLimit(cmp.Or(o.MaxConnections, maxConnections)),
 		},
 	}
 }
@@ -139,8 +145,8 @@
 func (r *Relay) Group() *super.Group {
 	return &super.Group{Name: "relay", Log: r.Log, Children: []super.Child{
 		{Name: "front", Run: r.runFrontend},
-		{Name: "ready", Run: HTTPServerRunner("ready", r.Options.Ready, r.ready, r.Log)},
-		{Name: "calls", Run: HTTPServerRunner("calls", r.Calls, r.calls, r.Log)},
+		{Name: "ready", Run: r.httpServer("ready", r.Options.Ready, r.ready)},
+		{Name: "calls", Run: r.httpServer("calls", r.Calls, r.calls)},
 		{Name: "greet", Run: r.checkHealth},
 		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
 		{Name: "lanes", Run: r.PeerStreams.Run},
@@ -238,19 +244,42 @@
 	<-timer.C()
 }
 
-// HTTPServerRunner returns the run function of a small HTTP server.
-func HTTPServerRunner(name string, listener net.Listener, handler http.Handler, log zerolog.Logger) func(context.Context) error {
-	listener = accept.New(listener)
+// CallerLimit returns the largest number of connections of callers under the setting for connections.
+func CallerLimit(connections int) int { return min(connections, maxConnections) }
+
+func (r *Relay) httpServer(name string, listener net.Listener, handler http.Handler) func(context.Context) error {
+	server := HTTPServer{Name: name, Listener: listener, Handler: handler, Guard: r.Guard, MaxHeader: r.Options.Limits.HeaderSize, Log: r.Log}
+	return server.Runner()
+}
+
+// HTTPServer is a small HTTP server for calls of the platform.
+type HTTPServer struct {
+	Name      string
+	Listener  net.Listener
+	Handler   http.Handler
+	Guard     *accept.Guard // bounds the open connections; nil for no bound
+	MaxHeader int64         // bytes of a request line and header, zero for the library's limit
+	Log       zerolog.Logger
+}
+
+// Runner returns the run function of the server.
+func (s HTTPServer) Runner() func(context.Context) error {
+	listener := s.Guard.Listen(s.Name, accept.New(s.Listener))
+	name, log := s.Name, s.Log
 	return func(ctx context.Context) error {
 		server := khttp.NewServer(
 			khttp.Listener(listener),
 			// Without an endpoint the library lists the network interfaces, which not every instance permits.
 			khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
 			khttp.Timeout(0), // handlers set their own timeouts
-			khttp.Filter(func(http.Handler) http.Handler { return handler }),
+			khttp.Filter(func(http.Handler) http.Handler { return s.Handler }),
 		)
 		server.ReadHeaderTimeout = httpHeaderTimeout
+		server.ReadTimeout = httpReadTimeout
+		server.WriteTimeout = httpWriteTimeout
 		server.IdleTimeout = httpIdleTimeout
+		server.MaxHeaderBytes = int(s.MaxHeader)
+		server.ConnState = accept.ConnState
 		server.ErrorLog = stdlog.New(log, "", 0)
 		done := make(chan error, 1)
 		go func() { done <- server.Start(context.WithoutCancel(ctx)) }()
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -13,10 +13,12 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/config"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/admin"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -88,17 +90,19 @@
 	}, clk, loop, callDialer, metrics, log)
 	peerServer := &link.Server{
 		Listener: listeners.peer, Name: settings.Name, Secret: secret, Log: log, MaxConnections: maxPeerConnections,
-		Handlers: map[link.StreamType]link.Handler{link.StreamCall: traffic.ServeStream},
+		Handlers:   map[link.StreamType]link.Handler{link.StreamCall: traffic.ServeStream},
+		Handshakes: accept.NewGuard(limits.Connections, clk, metrics, log),
 	}
 	if storage != nil {
 		peerServer.Handlers[link.StreamControl] = loop.ServeControl
 		peerServer.Handlers[link.StreamRaft] = loop.ServeRaft
 	}
+	guard := accept.NewGuard(budget.ServiceLimit(limits.Connections), clk, metrics, log)
 	adminServer := &admin.Server{
 		Name: settings.Name, Region: settings.Region, Listener: listeners.admin, Clock: clk, Reporter: loop, Orders: loop,
 		Traffic:  traffic,
 		Sessions: func() int { return peerServer.Sessions() + callDialer.Sessions() + controlDialer.Sessions() },
-		Meter:    metrics, Settings: settingsSection(settings), Log: log,
+		Meter:    metrics, Guard: guard, MaxHeader: int(limits.HeaderSize), Settings: settingsSection(settings), Log: log,
 	}
 	linkGroup := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: peerServer.Run}}}
 	return &Daemon{
