--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -76,7 +76,8 @@
 
 	// serverProcess is one process of the server, from its start to its end.
 	serverProcess struct {
-		notice           Notice
+		notice           Notice    // the newest one; guarded by the lock of the backend
+		instance         string    // of all notices of this process
 		start            string    // distinguishes this process from others
 		firstSeen        time.Time // when the daemon first received a notice or health response of it
 		incarnation      uint64
@@ -229,7 +230,7 @@
 		b.retire(old)
 	}
 	b.current = &serverProcess{
-		notice: n, start: start, firstSeen: b.Clock.Now(), incarnation: incarnation, controller: gate.New(int(n.Slots)),
+		notice: n, instance: n.Instance, start: start, firstSeen: b.Clock.Now(), incarnation: incarnation, controller: gate.New(int(n.Slots)),
 		pool:    &pool{address: n.Address, dialect: b.Dialect, maxBody: b.MaxBody, bodies: b.Bodies, log: b.Log},
 		waiting: map[*gate.Ticket]chan admission{},
 	}
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -70,7 +70,7 @@
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
 	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, requestMeta: RequestMetadata{
-		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.notice.Instance,
+		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.instance,
 		Account: j.account, CallerService: j.caller,
 	}}
 	response, responseMeta, err := s.pool.do(ctx, ex)
@@ -181,7 +181,7 @@
 		}
 		return gate.Completed{}, completed{response: response}
 	}
-	b.Requests.Info().Str("request", j.request.ID).Str("instance", s.notice.Instance).Err(err).Msg("exchange-failed")
+	b.Requests.Info().Str("request", j.request.ID).Str("instance", s.instance).Err(err).Msg("exchange-failed")
 	switch {
 	case errors.Is(err, errNotSent):
 		b.endSuspect(s, j, false)
