--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -9,6 +9,9 @@
 	// calmShare divides a limit; up to the quotient, bytes are granted without regard to who holds them.
 	calmShare = 2
 
+	// requestDivisor divides the memory of a process; the quotient bounds the requests in progress without their bodies.
+	requestDivisor = 8
+
 	// configDivisor divides the memory of a process; the quotient bounds the configurations that are being received.
 	// minConfigs is the number of the largest ones that always find room.
 	configDivisor = 8
@@ -27,6 +30,9 @@
 	}
 )
 
+// RequestLimit returns the limit for the requests in progress without their bodies, in a process with the given memory.
+func RequestLimit(memory int64) int64 { return memory / requestDivisor }
+
 // ConfigLimit returns the limit for the configurations that are being received, in a process with the given memory, if
 // the longest configuration has longest bytes.
 func ConfigLimit(memory, longest int64) int64 { return max(memory/configDivisor, minConfigs*longest) }
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,7 @@
 		ctx        context.Context // ends when the caller has disconnected or receives no more responses
 		cancel     context.CancelFunc
 		inProgress sync.WaitGroup
+		address    netip.Addr   // of the caller
 		lastKey    atomic.Value // string: key of the last request, for log lines
 
 		mu        sync.Mutex
@@ -77,7 +79,8 @@
 		ready    bool
 		method   string
 		response Response
-		close    bool // the connection closes after this response
+		close    bool  // the connection closes after this response
+		cost     int64 // bytes that are counted for the request
 	}
 
 	// limitedReader fails with errHeaderSize once remaining bytes have been read.
@@ -246,7 +249,11 @@
 			body.release()
 		}
 	}()
-	slot, err := c.reserveSlot(last)
+	slot, err := c.reserveSlot(last, requestCost(parsed))
+	if errors.Is(err, errRequestBudget) {
+		c.frontend.Forwarder.Meter.BudgetRefused("requests")
+		return c.refuse(parsed, retry.Overload{})
+	}
 	if err != nil {
 		return err
 	}
@@ -290,8 +297,9 @@
 	return nil
 }
 
-// reserveSlot appends a slot to the pipeline, waiting while the pipeline is full.
-func (c *callerConn) reserveSlot(last bool) (*responseSlot, error) {
+// reserveSlot appends a slot to the pipeline for a request that takes about cost bytes. It waits while the pipeline is
+// full, or while the requests in progress leave no room for one that was sent ahead.
+func (c *callerConn) reserveSlot(last bool, cost int64) (*responseSlot, error) {
 	for {
 		c.mu.Lock()
 		if c.broken {
@@ -302,8 +310,12 @@
 			c.mu.Unlock()
 			return nil, &readStopped{"a response has announced that the connection closes"}
 		}
-		if len(c.pipeline) < maxPipelined {
-			slot := &responseSlot{}
+		slot := c.newSlot(cost)
+		if slot == nil && len(c.pipeline) == 0 {
+			c.mu.Unlock()
+			return nil, errRequestBudget
+		}
+		if slot != nil {
 			c.pipeline = append(c.pipeline, slot)
 			c.last = last
 			c.frontend.idle.requestRead(c)
@@ -323,6 +335,7 @@
 
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
+	c.frontend.Requests.Release(c.address, slot.cost)
 	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -397,7 +410,7 @@
 
 // refuse sends a refusal for a request that cannot be served, and ends the connection.
 func (c *callerConn) refuse(parsed *http.Request, failure retry.Failure) error {
-	slot, err := c.reserveSlot(true)
+	slot, err := c.reserveSlot(true, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -52,6 +54,8 @@
 	WriteStall time.Duration
 	// Bodies bounds the bodies of all requests in progress.
 	Bodies *bodyBudget
+	// Requests bounds the requests in progress by the bytes that they take; nil for no bound.
+	Requests *budget.Bytes
 	// Queued bounds the responses that callers have not accepted yet; nil for no bound.
 	Queued *queuedResponses
 	// MaxConnections bounds the number of connections from callers.
@@ -129,7 +133,7 @@
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2})
 	}
 	limit := &limitedReader{reader: conn}
-	caller := &callerConn{frontend: f, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
+	caller := &callerConn{frontend: f, conn: conn, address: accept.ClientAddress(conn), limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
--- a/internal/root/relay/queuedresponses.go
+++ b/internal/root/relay/queuedresponses.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 )
 
@@ -31,7 +30,7 @@
 	}
 	f := victim.frontend
 	f.Forwarder.Meter.BudgetRefused("queued-responses")
-	f.Log.Info().Str("address", accept.ClientAddress(victim.conn).String()).Str("account", victim.account()).
+	f.Log.Info().Str("address", victim.address.String()).Str("account", victim.account()).
 		Msg("caller-closed-unread-responses")
 	victim.cancel()
 	_ = victim.conn.Close() // a write in progress fails
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
@@ -125,7 +126,7 @@
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
 			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
-			Bodies: bodies, Queued: newQueuedResponses(o.MemoryLimit), MaxConnections: CallerLimit(cmp.Or(o.MaxConnections, maxConnections)),
+			Bodies: bodies, Requests: budget.NewBytes(budget.RequestLimit(o.MemoryLimit)), Queued: newQueuedResponses(o.MemoryLimit), MaxConnections: CallerLimit(cmp.Or(o.MaxConnections, maxConnections)),
 		},
 	}
 }
--- /dev/null
+++ b/internal/root/relay/requestbudget.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+)
+
+const (
+	// requestOverhead and fieldOverhead are about the bytes that a request, and each of its header fields, take in memory
+	// beside the text.
+	requestOverhead = 4 << 10
+	fieldOverhead   = 160
+
+	// ordinaryRequest is the cost in bytes up to which the only request of a connection is never refused.
+	ordinaryRequest = 16 << 10
+)
+
+// errRequestBudget reports a request with so many fields that the requests in progress leave no room for it.
+var errRequestBudget = errors.New("the requests in progress leave no room for this one")
+
+// requestCost returns about the number of bytes that a request takes while it is in progress, without its body.
+func requestCost(r *http.Request) int64 {
+	fields := 0
+	for _, values := range r.Header {
+		fields += len(values)
+	}
+	return requestOverhead + headerSize(r) + int64(fields)*fieldOverhead
+}
+
+// newSlot returns a slot for a request that takes about cost bytes, or nil while there is no room; c.mu is held. An
+// ordinary request always has room if it was not sent ahead.
+func (c *callerConn) newSlot(cost int64) *responseSlot {
+	switch {
+	case len(c.pipeline) >= maxPipelined:
+		return nil
+	case c.frontend.Requests.Take(c.address, cost):
+		return &responseSlot{cost: cost}
+	case len(c.pipeline) == 0 && cost <= ordinaryRequest:
+		return &responseSlot{}
+	}
+	return nil
+}
