--- a/internal/accept/guard.go
+++ b/internal/accept/guard.go
@@ -5,30 +5,26 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 )
 
-// displacedLogInterval is the time between two log lines about displaced connections.
-const displacedLogInterval = time.Second
-
 type (
 	// Guard bounds the open connections of several listeners together.
 	Guard struct {
 		clock clock.Clock
 		meter *meter.Meter
 		log   zerolog.Logger
+		lines logs.Repeat // about displaced connections
 
-		mu     sync.Mutex
-		conns  *budget.Conns
-		open   map[*budget.Conn]net.Conn
-		logged time.Time // when the last line about displaced connections was logged
-		hidden int       // displaced connections since then
+		mu    sync.Mutex
+		conns *budget.Conns
+		open  map[*budget.Conn]net.Conn
 	}
 
 	// Slot is the place of one connection in a Guard.
@@ -66,30 +62,28 @@
 	g.mu.Lock()
 	g.open[added] = conn
 	var displaced net.Conn
+	var victim *budget.Conn
 	switch decision := g.conns.Open(added).(type) {
 	case budget.Accepted:
 	case budget.Replaces:
-		displaced = g.open[decision.Victim]
-		delete(g.open, decision.Victim)
-		g.report(decision.Victim)
+		victim = decision.Victim
+		displaced = g.open[victim]
+		delete(g.open, victim)
 	}
 	g.mu.Unlock()
 	if displaced != nil {
 		_ = displaced.Close()
+		g.report(victim)
 	}
 	return &Slot{guard: g, conn: added}
 }
 
-// report counts and logs a displaced connection; g.mu is held.
+// report counts and logs a displaced connection.
 func (g *Guard) report(victim *budget.Conn) {
 	g.meter.ConnectionDisplaced(victim.Listener)
-	now := g.clock.Now()
-	if now.Sub(g.logged) < displacedLogInterval {
-		g.hidden++
-		return
+	if others, ok := g.lines.Allow(g.clock.Now()); ok {
+		g.log.Warn().Str("listener", victim.Listener).Str("address", victim.Address.String()).Int("others", others).Msg("connection-displaced")
 	}
-	g.log.Warn().Str("listener", victim.Listener).Str("address", victim.Address.String()).Int("others", g.hidden).Msg("connection-displaced")
-	g.logged, g.hidden = now, 0
 }
 
 // Remove removes the connection, which may have been displaced.
--- a/internal/logs/limit_test.go
+++ b/internal/logs/limit_test.go
@@ -72,3 +72,19 @@
 	assert.Assert(t, strings.Contains(text.String(), "event=last"))
 	assert.Assert(t, strings.Contains(text.String(), "event=log-lines-left-out over-budget=7"), text.String())
 }
+
+// Guards against a line for each event that a client causes, and against events that no line counts.
+func TestRepeat(t *testing.T) {
+	var r Repeat
+	now := time.Unix(1000, 0)
+	lines, hidden := 0, 0
+	for range 100 {
+		if left, ok := r.Allow(now); ok {
+			lines++
+			hidden += left
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	assert.Equal(t, lines, 5)
+	assert.Equal(t, lines+hidden, 81) // those after the last line are counted by the next one
+}
--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -27,7 +27,8 @@
 // unbounded number of them would queue.
 type boundedListener struct {
 	net.Listener
-	slots chan struct{}
+	slots   chan struct{}
+	refused func(net.Conn) // called for a connection above the limit; may be nil
 }
 
 func newBoundedListener(listener net.Listener, limit int) *boundedListener {
@@ -48,6 +49,9 @@
 		case l.slots <- struct{}{}:
 			return &boundedConn{Conn: conn, release: func() { <-l.slots }}, nil
 		default:
+			if l.refused != nil {
+				l.refused(conn)
+			}
 			_ = conn.Close()
 		}
 	}
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -12,7 +12,9 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -68,6 +70,7 @@
 		handler   *Handler
 		ingress   *boundedListener
 		forwarder *Forwarder
+		refused   logs.Repeat // lines about connections above the limit
 	}
 )
 
@@ -101,11 +104,21 @@
 		MaxBody: options.MaxBody, MaxHeader: options.MaxHeader, MaxCalls: options.MaxCalls,
 		BodyTimeout: options.BodyTimeout, WriteTimeout: options.WriteTimeout, backends: servers, parents: parents,
 	}
-	return &Traffic{
+	traffic := &Traffic{
 		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
 		server: server, handler: handler, forwarder: forwarder,
 		ingress: newBoundedListener(options.Ingress, options.MaxConnections),
 	}
+	traffic.ingress.refused = traffic.reportRefused
+	return traffic
+}
+
+// reportRefused counts and logs a connection above the limit.
+func (t *Traffic) reportRefused(conn net.Conn) {
+	t.Meter.BudgetRefused("connections")
+	if others, ok := t.refused.Allow(t.Clock.Now()); ok {
+		t.Log.Warn().Str("address", accept.ClientAddress(conn).String()).Int("others", others).Msg("connection-refused")
+	}
 }
 
 // Running returns the number of calls in progress in the local backend servers.
--- a/internal/root/link/server.go
+++ b/internal/root/link/server.go
@@ -7,11 +7,13 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/accept"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -33,6 +35,7 @@
 		Handshakes *accept.Guard
 
 		sessions atomic.Int64
+		refused  logs.Repeat // lines about peers that are not authenticated
 	}
 )
 
@@ -62,22 +65,24 @@
 			_ = conn.Close()
 			continue
 		}
+		handshake := s.Handshakes.Add("peer", conn) // here, so that no more are open than the guard allows
 		conns.Go(func() {
 			defer func() { <-slots }()
-			s.serveConn(ctx, conn)
+			s.serveConn(ctx, conn, handshake)
 		})
 	}
 }
 
 // serveConn authenticates the peer and serves the streams of its session. When ctx ends it accepts no more
 // streams and waits for the running ones.
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+func (s *Server) serveConn(ctx context.Context, conn net.Conn, handshake *accept.Slot) {
 	defer func() { _ = conn.Close() }()
-	slot := s.Handshakes.Add("peer", conn)
 	peer, err := authenticate(conn, s.Secret, s.Name, false)
-	slot.Remove()
+	handshake.Remove()
 	if err != nil {
-		s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Msg("peer-refused")
+		if others, ok := s.refused.Allow(time.Now()); ok {
+			s.Log.Warn().Str("remote", conn.RemoteAddr().String()).Err(err).Int("others", others).Msg("peer-refused")
+		}
 		return
 	}
 	s.sessions.Add(1)
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -83,7 +83,8 @@
 		}
 		if !f.makeRoom() {
 			_ = conn.Close()
-			f.Log.Info().Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
+			f.Forwarder.Meter.BudgetRefused("connections")
+			f.Log.Info().Str("address", accept.ClientAddress(conn).String()).Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
 			continue
 		}
 		f.open.Add(1)
