--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -23,6 +23,7 @@
 		Control  *controlCommand  `arg:"subcommand:control" help:"control bytes and processor time for each daemon and the leader"`
 		Change   *changeCommand   `arg:"subcommand:change" help:"processor time, bytes and disk space of one change"`
 		Rejoin   *rejoinCommand   `arg:"subcommand:rejoin" help:"many daemons that start at once"`
+		Crowd    *crowdCommand    `arg:"subcommand:crowd" help:"a crowd of clients outside of the limits against a running daemon"`
 		Host     *hostCommand     `arg:"subcommand:host" help:"run daemons for another measurement; used by the command itself"`
 
 		Output string `arg:"--output" default:"text" help:"text or json"`
@@ -50,6 +51,7 @@
 func (*controlCommand) command()  {}
 func (*changeCommand) command()   {}
 func (*rejoinCommand) command()   {}
+func (*crowdCommand) command()    {}
 func (*hostCommand) command()     {}
 
 // Main runs the measurement that args select and returns the exit status: 0 after a complete run, 1 after a
@@ -108,6 +110,8 @@
 		return b.measureControl(chosen, report)
 	case *changeCommand:
 		return b.measureChange(chosen, report)
+	case *crowdCommand:
+		return b.measureCrowd(chosen, report)
 	case *rejoinCommand:
 		return b.measureRejoin(chosen, report)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -47,7 +47,7 @@
 		StopWithin   time.Duration  `toml:"stop-within" default:"6s" min:"500ms" max:"10m" doc:"Time from the signal to stop until the process is killed."`
 		RetryRatio   Ratio          `toml:"retry-ratio" default:"0.2" doc:"Requests that the fleet sends again to one service, as a part of those sent to it."`
 		RetryWindow  time.Duration  `toml:"retry-window" default:"10s" min:"1s" max:"10m" doc:"Time over which repeated requests are counted."`
-		Memory       Size           `toml:"memory" default:"256MiB" min:"32MiB" max:"64GiB" doc:"Memory that the process may use."`
+		Memory       Size           `toml:"memory" default:"256MiB" min:"32MiB" max:"64GiB" doc:"Memory that the process may use. Bodies and requests in progress, unread responses and configurations that are being received have a part of it each."`
 	}
 
 	// AddressList is a list of addresses, separated by commas in the file.
@@ -63,7 +63,7 @@
 	Limits struct {
 		BodySize       Size          `toml:"body-size" default:"64MiB" min:"1KiB" max:"16GiB" doc:"Largest request body."`
 		HeaderSize     Size          `toml:"header-size" default:"64KiB" min:"4KiB" max:"1MiB" doc:"Largest request header."`
-		Connections    int           `toml:"connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at one time."`
+		Connections    int           `toml:"connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at one time; on the users' platform at most 1500. The listeners for calls, readiness and operators have a quarter of it together, at least 32."`
 		HeaderTimeout  time.Duration `toml:"header-timeout" default:"10s" min:"100ms" max:"5m" doc:"Time in which a caller has to send the request header."`
 		BodyTimeout    time.Duration `toml:"body-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest pause within a request body."`
 		WriteTimeout   time.Duration `toml:"write-timeout" default:"30s" min:"100ms" max:"1h" doc:"Longest time that a caller may accept no byte of a response."`
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -79,7 +79,9 @@
 func (c *Crowd) connect(ctx context.Context, index int) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", c.Target.Address)
 	if err != nil {
-		c.failed.Add(1)
+		if ctx.Err() == nil {
+			c.failed.Add(1)
+		}
 		return
 	}
 	c.opened.Add(1)
--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -28,6 +28,7 @@
 type boundedListener struct {
 	net.Listener
 	slots   chan struct{}
+	mayOpen func() bool    // a further bound; may be nil
 	refused func(net.Conn) // called for a connection above the limit; may be nil
 }
 
@@ -45,15 +46,17 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case l.slots <- struct{}{}:
-			return &boundedConn{Conn: conn, release: func() { <-l.slots }}, nil
-		default:
-			if l.refused != nil {
-				l.refused(conn)
+		if l.mayOpen == nil || l.mayOpen() {
+			select {
+			case l.slots <- struct{}{}:
+				return &boundedConn{Conn: conn, release: func() { <-l.slots }}, nil
+			default:
 			}
-			_ = conn.Close()
 		}
+		if l.refused != nil {
+			l.refused(conn)
+		}
+		_ = conn.Close()
 	}
 }
 
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
@@ -69,6 +70,7 @@
 		server    *Server
 		handler   *Handler
 		ingress   *boundedListener
+		local     *boundedListener
 		forwarder *Forwarder
 		refused   logs.Repeat // lines about connections above the limit
 	}
@@ -108,11 +110,19 @@
 		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
 		server: server, handler: handler, forwarder: forwarder,
 		ingress: newBoundedListener(options.Ingress, options.MaxConnections),
+		local:   newBoundedListener(options.Local, options.MaxConnections),
 	}
-	traffic.ingress.refused = traffic.reportRefused
+	traffic.ingress.refused, traffic.local.refused = traffic.reportRefused, traffic.reportRefused
+	traffic.local.mayOpen = traffic.mayOpenLocal
 	return traffic
 }
 
+// mayOpenLocal reports whether the backend server may open another connection. Together with the callers' connections
+// there may be as many as the setting says, and a reserve that callers cannot take.
+func (t *Traffic) mayOpenLocal() bool {
+	return t.ingress.openConns()+t.local.openConns() < t.MaxConnections+budget.ServiceLimit(t.MaxConnections)
+}
+
 // reportRefused counts and logs a connection above the limit.
 func (t *Traffic) reportRefused(conn net.Conn) {
 	t.Meter.BudgetRefused("connections")
@@ -148,7 +158,7 @@
 		{Name: "ingress", Run: t.serveHTTP("ingress", t.ingress, t.handler.ServeIngress)},
 		{Name: "drain", Run: t.drain},
 		{Name: "evacuation", Run: t.server.backends.watchEvacuations},
-		{Name: "local", Run: t.serveHTTP("local", newBoundedListener(t.Local, t.MaxConnections), t.handler.ServeLocal)},
+		{Name: "local", Run: t.serveHTTP("local", t.local, t.handler.ServeLocal)},
 	}}
 }
 
