--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -415,8 +415,9 @@
 		return err
 	}
 	request, _ := c.frontend.Dialect.DecodeRequest(parsed) // only its ID is used
-	c.frontend.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(failure).Reason)).Msg("request-refused")
-	c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, 0), true)
+	c.frontend.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(failure).Reason)).
+		Str("address", c.address.String()).Str("account", c.accountOf(request.APIKey)).Msg("request-refused")
+	c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, refusalRetryAfter(failure)), true)
 	return &readStopped{"the request was refused"}
 }
 
--- a/internal/root/relay/queuedresponses.go
+++ b/internal/root/relay/queuedresponses.go
@@ -59,6 +59,11 @@
 // account returns the name of the client account of the connection's last request, empty if it is not known.
 func (c *callerConn) account() string {
 	key, _ := c.lastKey.Load().(string)
+	return c.accountOf(key)
+}
+
+// accountOf returns the name of the client account with the given key, empty if there is none.
+func (c *callerConn) accountOf(key string) string {
 	set := c.frontend.Forwarder.Control.Snapshot().Rules
 	if set == nil || key == "" {
 		return ""
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"net/http"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
 const (
@@ -27,6 +30,15 @@
 	return requestOverhead + headerSize(r) + int64(fields)*fieldOverhead
 }
 
+// refusalRetryAfter returns the advised delay before a request that was refused for a lack of room is sent again, and
+// zero for a request that would be refused again.
+func refusalRetryAfter(failure retry.Failure) time.Duration {
+	if _, overload := failure.(retry.Overload); overload {
+		return noServerRetryAfter
+	}
+	return 0
+}
+
 // newSlot returns a slot for a request that takes about cost bytes, or nil while there is no room; c.mu is held. An
 // ordinary request always has room if it was not sent ahead.
 func (c *callerConn) newSlot(cost int64) *responseSlot {
