--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -445,8 +445,9 @@
 	return int64(size)
 }
 
-// size returns about the number of bytes that the response takes while it waits for its caller.
-func (r *Response) size() int64 { return int64(len(r.Body)) + responseOverhead }
+// size returns about the number of bytes that the response takes while it waits for its caller. The buffer of a body may
+// be twice as long as the body.
+func (r *Response) size() int64 { return int64(cap(r.Body)) + responseOverhead }
 
 // encodeResponse encodes a complete response. It keeps the server's header except for the fields about the
 // connection. A long body is not copied and has to be written after the head.
