--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -10,9 +10,11 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
@@ -31,6 +33,12 @@
 	// part that the caller has accepted.
 	maxWrite = 64 << 10
 
+	// maxCopied is the size in bytes up to which a body is copied behind its head, so that both are one packet.
+	maxCopied = 16 << 10
+
+	// responseOverhead is about the number of bytes that a response takes beside its body.
+	responseOverhead = 2 << 10
+
 	// maxDiscarded bounds the bytes that are read from a caller after its last request. Reading them shows when it
 	// disconnects.
 	maxDiscarded = 256 << 10
@@ -55,6 +63,8 @@
 		ctx        context.Context // ends when the caller has disconnected or receives no more responses
 		cancel     context.CancelFunc
 		inProgress sync.WaitGroup
+		address    netip.Addr   // of the caller
+		lastKey    atomic.Value // string: key of the last request, for log lines
 
 		mu        sync.Mutex
 		pipeline  []*responseSlot // in the order of the requests
@@ -70,7 +80,8 @@
 		ready    bool
 		method   string
 		response Response
-		close    bool // the connection closes after this response
+		close    bool  // the connection closes after this response
+		cost     int64 // bytes that are counted for the request
 
 		turn    chan struct{} // closed when the slot is the first one, nil if nobody waits for that
 		started bool          // the head of a long response is being written or has been
@@ -112,6 +123,7 @@
 	}
 	c.cancel()
 	c.inProgress.Wait()
+	c.frontend.Queued.end(c)
 	_ = c.conn.Close()
 }
 
@@ -310,7 +322,11 @@
 			end()
 		}
 	}()
-	slot, err := c.reserveSlot(last)
+	slot, err := c.reserveSlot(last, requestCost(parsed))
+	if errors.Is(err, errRequestBudget) {
+		c.frontend.Forwarder.Meter.BudgetRefused("requests")
+		return c.refuse(parsed, retry.Overload{})
+	}
 	if err != nil {
 		return err
 	}
@@ -329,6 +345,7 @@
 	if takesLong(parsed) {
 		request.pass = c.passResponse(slot, &request, last)
 	}
+	c.lastKey.Store(request.APIKey)
 	started = true
 	c.inProgress.Add(1)
 	c.frontend.workers.Go(func() {
@@ -357,8 +374,9 @@
 	return nil
 }
 
-// reserveSlot appends a slot to the pipeline, waiting while the pipeline is full.
-func (c *callerConn) reserveSlot(last bool) (*responseSlot, error) {
+// reserveSlot appends a slot to the pipeline for a request that takes about cost bytes. It waits while the pipeline is
+// full, or while the requests in progress leave no room for one that was sent ahead.
+func (c *callerConn) reserveSlot(last bool, cost int64) (*responseSlot, error) {
 	for {
 		c.mu.Lock()
 		if c.broken {
@@ -369,8 +387,12 @@
 			c.mu.Unlock()
 			return nil, &readStopped{"a response has announced that the connection closes"}
 		}
-		if len(c.pipeline) < maxPipelined {
-			slot := &responseSlot{}
+		slot := c.newSlot(cost)
+		if slot == nil && len(c.pipeline) == 0 {
+			c.mu.Unlock()
+			return nil, errRequestBudget
+		}
+		if slot != nil {
 			c.pipeline = append(c.pipeline, slot)
 			c.last = last
 			c.frontend.idle.requestRead(c)
@@ -390,8 +412,14 @@
 
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
+	c.frontend.Requests.Release(c.address, slot.cost)
+	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.broken {
+		c.frontend.Queued.remove(c, response.size())
+		return // nobody receives the response
+	}
 	slot.ready, slot.method, slot.response, slot.close = true, method, response, last
 	for len(c.pipeline) > 0 && c.pipeline[0].ready && !c.broken {
 		first := c.pipeline[0]
@@ -419,16 +447,19 @@
 	err := error(nil)
 	switch {
 	case !slot.started:
-		err = c.write(encodeResponse(slot.method, slot.response, last))
+		err = c.writeWhole(slot, last)
 	case !slot.passed:
 		err = errBodyBroken // the caller sees that the response is not whole
 	default:
 		last = slot.close
 	}
+	c.frontend.Queued.remove(c, slot.response.size())
 	if err != nil {
 		c.broken = true
 		c.cancel()
 		_ = c.conn.Close()
+		c.pipeline = nil // nobody receives the responses
+		c.frontend.Queued.end(c)
 		return
 	}
 	if last {
@@ -441,6 +472,15 @@
 	}
 }
 
+// writeWhole writes a response whose body is held.
+func (c *callerConn) writeWhole(slot *responseSlot, last bool) error {
+	head, body := encodeResponse(slot.method, slot.response, last)
+	if err := c.write(head); err != nil {
+		return err
+	}
+	return c.write(body)
+}
+
 // write writes all bytes, however slowly the caller reads, unless it accepts none for WriteStall.
 func (c *callerConn) write(text []byte) error {
 	for len(text) > 0 {
@@ -464,17 +504,14 @@
 
 // refuse sends a refusal for a request that cannot be served, and ends the connection.
 func (c *callerConn) refuse(parsed *http.Request, failure retry.Failure) error {
-	slot, err := c.reserveSlot(true)
+	slot, err := c.reserveSlot(true, 0)
 	if err != nil {
 		return err
 	}
 	request, _ := c.frontend.Dialect.DecodeRequest(parsed) // only its ID is used
-	c.frontend.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(failure).Reason)).Msg("request-refused")
-	retryAfter := time.Duration(0)
-	if _, full := failure.(retry.Overload); full {
-		retryAfter = noServerRetryAfter
-	}
-	c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, retryAfter), true)
+	c.frontend.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(failure).Reason)).
+		Str("address", c.address.String()).Str("account", c.accountOf(request.APIKey)).Msg("request-refused")
+	c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, refusalRetryAfter(failure)), true)
 	return &readStopped{"the request was refused"}
 }
 
@@ -502,11 +539,15 @@
 	return int64(size)
 }
 
+// size returns about the number of bytes that the response takes while it waits for its caller. The buffer of a body may
+// be twice as long as the body.
+func (r *Response) size() int64 { return int64(cap(r.Body)) + responseOverhead }
+
 // encodeResponse encodes a complete response. It keeps the server's header except for the fields about the
-// connection.
-func encodeResponse(method string, r Response, last bool) []byte {
+// connection. A long body is not copied and has to be written after the head.
+func encodeResponse(method string, r Response, last bool) (head, body []byte) {
 	var buf bytes.Buffer
-	buf.Grow(512 + len(r.Body))
+	buf.Grow(512 + min(len(r.Body), maxCopied))
 	fmt.Fprintf(&buf, "HTTP/1.1 %d %s\r\n", r.Status, statusText(r.Status))
 	writeHeader(&buf, r.Header)
 	bodiless := r.Status == http.StatusNoContent || r.Status == http.StatusNotModified
@@ -517,10 +558,14 @@
 		buf.WriteString("Connection: close\r\n")
 	}
 	buf.WriteString("\r\n")
-	if !bodiless && method != http.MethodHead {
-		buf.Write(r.Body)
+	if bodiless || method == http.MethodHead {
+		return buf.Bytes(), nil
+	}
+	if len(r.Body) > maxCopied {
+		return buf.Bytes(), r.Body
 	}
-	return buf.Bytes()
+	buf.Write(r.Body)
+	return buf.Bytes(), nil
 }
 
 // writeHeader writes header fields. It does not sort them, which http.Header.Write does.
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -176,8 +176,8 @@
 	return state.retryAllowed
 }
 
-// size returns the size of the body in bytes; of one that was passed on it is the least that such a body has.
-func (r *Response) size() int {
+// bodySize returns the size of the body in bytes; of one that was passed on it is the least that such a body has.
+func (r *Response) bodySize() int {
 	if r.Passed {
 		return minPassedBody
 	}
@@ -190,7 +190,7 @@
 	avoid := false
 	switch result := result.(type) {
 	case completed:
-		balancerResult = place.Served{Size: result.response.size()}
+		balancerResult = place.Served{Size: result.response.bodySize()}
 		if result.response.failed() {
 			balancerResult = place.Failed{}
 		}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/accept"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -55,6 +57,10 @@
 	// KeptBody is the size in bytes up to which a request body is held whole. The rest of a longer one is passed on as it
 	// arrives.
 	KeptBody int64
+	// Requests bounds the requests in progress by the bytes that they take; nil for no bound.
+	Requests *budget.Bytes
+	// Queued bounds the responses that callers have not accepted yet; nil for no bound.
+	Queued *queuedResponses
 	// MaxConnections bounds the number of connections from callers.
 	MaxConnections int
 
@@ -80,7 +86,8 @@
 		}
 		if !f.makeRoom() {
 			_ = conn.Close()
-			f.Log.Info().Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
+			f.Forwarder.Meter.BudgetRefused("connections")
+			f.Log.Info().Str("address", accept.ClientAddress(conn).String()).Str("reason", string(retry.Describe(retry.Overload{}).Reason)).Msg("connection-refused")
 			continue
 		}
 		f.open.Add(1)
@@ -130,7 +137,7 @@
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2})
 	}
 	limit := &limitedReader{reader: conn}
-	caller := &callerConn{frontend: f, conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
+	caller := &callerConn{frontend: f, conn: conn, address: accept.ClientAddress(conn), limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/accept"
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
@@ -54,6 +55,11 @@
 	httpStopTimeout   = 100 * time.Millisecond // for calls in progress when the HTTP server stops
 	httpIdleTimeout   = 30 * time.Second
 
+	// httpReadTimeout bounds the time in which a call of the platform has to arrive, and httpWriteTimeout the time from
+	// then until its response is written.
+	httpReadTimeout  = 10 * time.Second
+	httpWriteTimeout = 15 * time.Second
+
 	// maxConnections leaves file descriptors for peer streams and backend servers below the limit of 4,096 per
 	// process.
 	maxConnections = 1500
@@ -75,8 +81,9 @@
 		StopWithin     time.Duration
 		RetryRatio     float64
 		RetryWindow    time.Duration
-		MemoryLimit    int64 // bytes
-		MaxConnections int   // of callers, zero selects maxConnections
+		MemoryLimit    int64         // bytes
+		MaxConnections int           // of callers, zero selects maxConnections
+		Guard          *accept.Guard // bounds the connections at Ready and Calls
 		Seed           uint64
 	}
 
@@ -116,8 +123,11 @@
 		Options: o, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
 		Frontend: &Frontend{
-			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests, Limits: o.Limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
-			Bodies: bodies, KeptBody: o.MemoryLimit / keptBodyDivisor, MaxConnections: cmp.Or(o.MaxConnections, maxConnections),
+			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests,
+			Limits: o.Limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
+			Bodies: bodies, KeptBody: o.MemoryLimit / keptBodyDivisor,
+			Requests: budget.NewBytes(budget.RequestLimit(o.MemoryLimit)), Queued: newQueuedResponses(o.MemoryLimit),
+			MaxConnections: CallerLimit(cmp.Or(o.MaxConnections, maxConnections)),
 		},
 	}
 }
@@ -137,8 +147,8 @@
 func (r *Relay) Group() *super.Group {
 	return &super.Group{Name: "relay", Log: r.Log, Children: []super.Child{
 		{Name: "front", Run: r.runFrontend},
-		{Name: "ready", Run: HTTPServerRunner("ready", r.Options.Ready, r.ready, r.Log)},
-		{Name: "calls", Run: HTTPServerRunner("calls", r.Calls, r.calls, r.Log)},
+		{Name: "ready", Run: r.httpServer("ready", r.Options.Ready, r.ready)},
+		{Name: "calls", Run: r.httpServer("calls", r.Calls, r.calls)},
 		{Name: "greet", Run: r.checkHealth},
 		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
 		{Name: "lanes", Run: r.PeerStreams.Run},
@@ -236,19 +246,42 @@
 	<-timer.C()
 }
 
-// HTTPServerRunner returns the run function of a small HTTP server.
-func HTTPServerRunner(name string, listener net.Listener, handler http.Handler, log zerolog.Logger) func(context.Context) error {
-	listener = accept.New(listener)
+// CallerLimit returns the largest number of connections of callers under the setting for connections.
+func CallerLimit(connections int) int { return min(connections, maxConnections) }
+
+func (r *Relay) httpServer(name string, listener net.Listener, handler http.Handler) func(context.Context) error {
+	server := HTTPServer{Name: name, Listener: listener, Handler: handler, Guard: r.Guard, MaxHeader: r.Options.Limits.HeaderSize, Log: r.Log}
+	return server.Runner()
+}
+
+// HTTPServer is a small HTTP server for calls of the platform.
+type HTTPServer struct {
+	Name      string
+	Listener  net.Listener
+	Handler   http.Handler
+	Guard     *accept.Guard // bounds the open connections; nil for no bound
+	MaxHeader int64         // bytes of a request line and header, zero for the library's limit
+	Log       zerolog.Logger
+}
+
+// Runner returns the run function of the server.
+func (s HTTPServer) Runner() func(context.Context) error {
+	listener := s.Guard.Listen(s.Name, accept.New(s.Listener))
+	name, log := s.Name, s.Log
 	return func(ctx context.Context) error {
 		server := khttp.NewServer(
 			khttp.Listener(listener),
 			// Without an endpoint the library lists the network interfaces, which not every instance permits.
 			khttp.Endpoint(&url.URL{Scheme: "http", Host: listener.Addr().String()}),
 			khttp.Timeout(0), // handlers set their own timeouts
-			khttp.Filter(func(http.Handler) http.Handler { return handler }),
+			khttp.Filter(func(http.Handler) http.Handler { return s.Handler }),
 		)
 		server.ReadHeaderTimeout = httpHeaderTimeout
+		server.ReadTimeout = httpReadTimeout
+		server.WriteTimeout = httpWriteTimeout
 		server.IdleTimeout = httpIdleTimeout
+		server.MaxHeaderBytes = int(s.MaxHeader)
+		server.ConnState = accept.ConnState
 		server.ErrorLog = stdlog.New(log, "", 0)
 		done := make(chan error, 1)
 		go func() { done <- server.Start(context.WithoutCancel(ctx)) }()
