--- /dev/null
+++ b/internal/netest/doc.go
@@ -0,0 +1,2 @@
+// Package netest has listeners for tests: one whose process can be replaced, and one that neither accepts nor refuses.
+package netest
--- a/internal/netest/listener.go
+++ b/internal/netest/listener.go
@@ -1,4 +1,3 @@
-// Package netest has network fakes for tests.
 package netest
 
 import (
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -155,9 +155,11 @@
 // sendRequest returns the message for the daemon of a server, without the header.
 func (f *Forwarder) sendRequest(now time.Time, state *forwardState) *SendRequest {
 	return &SendRequest{
-		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(), Caller: f.LocalBackend.Service(),
-		Nested: state.nested, Rank: uint32(max(state.rank, 0)), Age: now.Sub(state.started), Objective: state.route.Objective, Left: state.deadline.Sub(now),
-		LongResponses: state.request.pass != nil, Method: state.request.Method, Target: state.request.Target, Host: state.request.Host, Fingerprint: state.fingerprint,
+		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(),
+		Caller: f.LocalBackend.Service(), Nested: state.nested, Rank: uint32(max(state.rank, 0)),
+		Age: now.Sub(state.started), Objective: state.route.Objective, Left: state.deadline.Sub(now),
+		LongResponses: state.request.pass != nil, Method: state.request.Method, Target: state.request.Target,
+		Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
 }
 
