--- a/internal/root/relay/bodybudget.go
+++ b/internal/root/relay/bodybudget.go
@@ -82,7 +82,7 @@
 	if size > freeBodySize {
 		counted = int64(size)
 	}
-	if !b.budget.takeLeaving(counted, b.spare) {
+	if counted > 0 && !b.budget.takeLeaving(counted, b.spare) {
 		return errBodyBudget
 	}
 	grown := make([]byte, len(b.data), size)
--- a/internal/root/relay/bodystream.go
+++ b/internal/root/relay/bodystream.go
@@ -209,8 +209,11 @@
 		if room == 0 {
 			return errBodyBroken
 		}
-		n, err := fill(body, buf[:room])
+		n, err := body.Read(buf[:room]) // what has arrived goes on at once, however slowly it arrives
 		credit.add(room - n)
+		if n == 0 && err == nil {
+			continue
+		}
 		part := &BodyPart{Number: number, Body: buf[:n], More: err == nil, Broken: err != nil && !errors.Is(err, io.EOF)}
 		frame, encodeErr := encodeFrame(kindPart, part)
 		if encodeErr != nil {
@@ -245,7 +248,7 @@
 	}
 	buf := make([]byte, streamPart)
 	for written := int64(len(request.Body)); ; {
-		n, err := fill(request.Rest, buf)
+		n, err := request.Rest.Read(buf)
 		ended := errors.Is(err, io.EOF)
 		if written += int64(n); length >= 0 && (written > length || ended && written < length) {
 			return fmt.Errorf("%w: %d of %d bytes", errBodyBroken, written, length)
@@ -281,14 +284,3 @@
 	}
 	return err
 }
-
-// fill reads until p is full. Other than io.ReadFull, it returns the error of the reader itself, because the end of a
-// body must not be confused with a body that was cut.
-func fill(r io.Reader, p []byte) (n int, err error) {
-	for n < len(p) && err == nil {
-		var read int
-		read, err = r.Read(p[n:])
-		n += read
-	}
-	return n, err
-}
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -298,7 +298,7 @@
 		}
 		_, _ = rest.Write(buf[:n]) // fails once the request has ended
 		if errors.Is(err, io.EOF) {
-			_ = c.conn.SetReadDeadline(time.Time{})
+			c.clearReadDeadline()
 			return rest.Close()
 		}
 		if err != nil {
@@ -308,6 +308,15 @@
 	}
 }
 
+// clearReadDeadline removes the deadline of a body, but not the one that ends the connection after its last response.
+func (c *callerConn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.broken {
+		_ = c.conn.SetReadDeadline(time.Time{})
+	}
+}
+
 // startRequest serves a request in its own goroutine. The rest of its body is nil if the body is whole.
 func (c *callerConn) startRequest(parsed *http.Request, body *bodyBuffer, rest *bodyStream, last bool) error {
 	started := false
--- a/internal/root/relay/framewriter.go
+++ b/internal/root/relay/framewriter.go
@@ -48,20 +48,26 @@
 	return &frameWriter{conn: stream, bytes: stream.Bytes, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
-// enqueue queues all frames. It returns false if the peer stream is closed. If the queue exceeds
-// maxQueuedBytes, it closes the peer stream and returns false.
+// enqueue queues all frames. It returns false if the peer stream is closed. If they don't fit into maxQueuedBytes with what
+// is queued, it queues none of them, closes the peer stream and returns false.
 func (w *frameWriter) enqueue(cause cross.Cause, frames ...wire.Frame) bool {
 	select {
 	case <-w.closed:
 		return false
 	default:
 	}
-	w.mu.Lock()
+	size := 0
 	for _, frame := range frames {
-		w.size += len(frame.Body) + wire.HeaderSize
-		w.frames = append(w.frames, queuedFrame{Frame: frame, cause: cause})
+		size += len(frame.Body) + wire.HeaderSize
+	}
+	w.mu.Lock()
+	full := w.size > 0 && w.size+size > maxQueuedBytes
+	if !full {
+		w.size += size
+		for _, frame := range frames {
+			w.frames = append(w.frames, queuedFrame{Frame: frame, cause: cause})
+		}
 	}
-	full := w.size > maxQueuedBytes
 	w.mu.Unlock()
 	if full {
 		w.close()
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -41,10 +41,6 @@
 	if got.metadata.ID != ex.requestMeta.ID || got.metadata.NotRun {
 		return errInvalidResponse
 	}
-	if !p.bodies.take(streamReserve) {
-		return errBodyBudget
-	}
-	defer p.bodies.release(streamReserve)
 	if !ex.outlast() {
 		return errRequestEnded
 	}
@@ -62,6 +58,8 @@
 	body := &longResponse{conn: conn, ex: ex, head: first, held: held}
 	err := ex.request.pass(got.response, first.Length, body)
 	switch {
+	case err != nil && ex.request.gone.Err() != nil: // the end of the receiver also ends a read in progress
+		return fmt.Errorf("%w: %w", errNotTaken, ex.request.gone.Err())
 	case body.ended != nil && !errors.Is(body.ended, io.EOF):
 		return fmt.Errorf("read response: %w", body.ended)
 	case err != nil:
@@ -201,6 +199,11 @@
 // passResponse returns the function that sends a long response to the daemon of the caller.
 func (p *peerStreamServer) passResponse(ctx context.Context, number uint64, credit *creditCounter) passFunc {
 	return func(response Response, length int64, body io.Reader) error {
+		bodies := p.server.LocalBackend.Bodies
+		if !bodies.take(streamReserve) {
+			return errBodyBudget
+		}
+		defer bodies.release(streamReserve)
 		stop := context.AfterFunc(ctx, credit.end)
 		defer stop()
 		message := encodeReply(number, completed{response: response}, Report{})
@@ -215,7 +218,7 @@
 // passResponse passes on a long response that arrives from another daemon.
 func (s *peerStream) passResponse(reply *Reply, body *partQueue, request *Request) error {
 	decoded, ok := reply.decodeResponse().(completed)
-	if !ok {
+	if !ok || request.pass == nil { // the peer was not asked for a response in parts
 		return head.ErrMalformed
 	}
 	stop := context.AfterFunc(request.gone, func() { body.fail(errNotTaken) })
