--- a/internal/accept/guard.go
+++ b/internal/accept/guard.go
@@ -141,10 +141,13 @@
 }
 
 // ClientAddress returns the IP address of the client of a connection, without the port.
-func ClientAddress(conn net.Conn) netip.Addr {
-	remote, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+func ClientAddress(conn net.Conn) netip.Addr { return AddressOf(conn.RemoteAddr().String()) }
+
+// AddressOf returns the IP address of an address with a port, the zero address if it is none.
+func AddressOf(text string) netip.Addr {
+	remote, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return netip.Addr{} // not a TCP connection
+		return netip.Addr{}
 	}
 	return remote.Addr().Unmap()
 }
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -29,8 +29,8 @@
 	// readBuffer is the size in bytes of the receive buffer of a client that reads slowly or not at all.
 	readBuffer = 4 << 10
 
-	// largestEnd is a number of bytes above that of the line that a head ends with.
-	largestEnd = 128
+	// headEndReserve is the number of bytes that a head of legal size leaves for its end.
+	headEndReserve = 128
 
 	// pipelined is the number of requests in one write of a client that sends requests ahead.
 	pipelined = 64
@@ -119,8 +119,8 @@
 	case HalfClosed:
 		return c.halfClose()
 	case Mixed:
-		kind := single[c.variant%len(single)]
-		c.variant /= len(single)
+		kind := basicKinds[c.variant%len(basicKinds)]
+		c.variant /= len(basicKinds)
 		return c.behave(kind)
 	}
 	return fmt.Errorf("kind %T is unknown", k)
@@ -181,7 +181,7 @@
 	head.WriteString(c.target.Download)
 	for i := 0; ; i++ {
 		field := fmt.Sprintf("%x:\r\n", i)
-		if head.Len()+len(field) > c.target.HeaderSize-largestEnd {
+		if head.Len()+len(field) > c.target.HeaderSize-headEndReserve {
 			break
 		}
 		head.WriteString(field)
--- a/internal/crowd/kind.go
+++ b/internal/crowd/kind.go
@@ -36,8 +36,8 @@
 	Mixed struct{}
 )
 
-// single lists the kinds whose clients all behave alike.
-var single = []Kind{
+// basicKinds lists all kinds except Mixed.
+var basicKinds = []Kind{
 	HeldBodies{}, LongBodies{}, ManyFields{}, UnreadAnswers{}, SlowSenders{}, SlowReaders{}, HalfClosed{},
 }
 
@@ -51,7 +51,7 @@
 func (Mixed) kind()         {}
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return append(single[:len(single):len(single)], Mixed{}) }
+func Kinds() []Kind { return append(basicKinds[:len(basicKinds):len(basicKinds)], Mixed{}) }
 
 // Name returns the name of a kind on command lines and in reports.
 func Name(k Kind) string {
--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// calmShare divides a limit; up to the quotient, bytes are granted without regard to who holds them.
-	calmShare = 2
+	// unsharedDivisor divides a limit; up to the quotient, bytes are granted whatever a client holds.
+	unsharedDivisor = 2
 
 	// requestDivisor divides the memory of a process; the quotient bounds the requests in progress without their bodies.
 	requestDivisor = 8
@@ -49,7 +49,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	held, known := b.holders[client]
-	if b.used+n > b.limit/calmShare {
+	if b.used+n > b.limit/unsharedDivisor {
 		sharers := int64(len(b.holders)) + 1 // one share stays free for a client that holds nothing yet
 		if !known {
 			sharers++
--- a/internal/root/budget/conns.go
+++ b/internal/root/budget/conns.go
@@ -6,9 +6,9 @@
 	// minConnections is the smallest number of connections of one budget.
 	minConnections = 32
 
-	// callerShare divides the largest number of connections of callers; the quotient bounds those of all other
+	// serviceDivisor divides the largest number of connections of callers; the quotient bounds those of all other
 	// listeners together.
-	callerShare = 4
+	serviceDivisor = 4
 )
 
 type (
@@ -51,7 +51,7 @@
 
 // ServiceLimit returns the limit for the connections at all listeners that do not serve callers, on a daemon that
 // accepts the given number of connections of callers.
-func ServiceLimit(callers int) int { return max(callers/callerShare, minConnections) }
+func ServiceLimit(callers int) int { return max(callers/serviceDivisor, minConnections) }
 
 // NewConns returns a budget of limit connections.
 func NewConns(limit int) *Conns {
--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -151,10 +151,10 @@
 	b.reused().CloseIdleConnections()
 }
 
-// heedIdleTimeout applies the idle timeout that the server announces with a response. A call on a connection that the
+// applyIdleTimeout applies the idle timeout that the server announces with a response. A call on a connection that the
 // server is about to close would have an unknown outcome, and the end of the connection would look like that of the
 // server. The shortest timeout that an incarnation has announced applies to later calls.
-func (b *backends) heedIdleTimeout(server *backend, header http.Header, conns *connTracker) {
+func (b *backends) applyIdleTimeout(server *backend, header http.Header, conns *connTracker) {
 	idle := epoch.IdleTimeout(header, idleConnTimeout)
 	if idle >= idleConnTimeout || !server.returnsAttempt {
 		return
--- a/internal/root/call/picker/picker.go
+++ b/internal/root/call/picker/picker.go
@@ -22,7 +22,7 @@
 	minSlowStartWeight = 0.1 // weight at the start of an incarnation
 	explorationPeriod  = 128 // one call in this many goes to another zone to sample its latency; fewer than 1 in 100 leave the 99th percentile unchanged
 	drainingPause      = 10 * time.Second
-	remoteGain         = 40 * time.Millisecond // least gain of a call with a long answer, grows with the answer
+	remoteGain         = 40 * time.Millisecond // gain that a call must have for each KiB of its answer above 1 KiB
 	maxOthers          = 3                     // calls of other daemons expected at an instance whose limit is fully used
 )
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -295,7 +295,7 @@
 	if response.Close || request.Close {
 		c.conns.markLastUse()
 	} else {
-		c.server.backends.heedIdleTimeout(c.backend, response.Header, c.conns)
+		c.server.backends.applyIdleTimeout(c.backend, response.Header, c.conns)
 	}
 	return c.respond(ctx, started, attempt, response)
 }
--- a/internal/root/cross/answer.go
+++ b/internal/root/cross/answer.go
@@ -29,7 +29,7 @@
 	// Answer is what is known about the response to a request before its server is chosen.
 	Answer struct {
 		Size   int           // expected bytes of the body, zero if unknown
-		Left   time.Duration // until the caller wants the response: the target latency, or the deadline without one
+		Left   time.Duration // until the caller wants the response: the target latency or the deadline, whichever is sooner
 		AtHome time.Duration // predicted time to the response of the best server at home, with its penalties
 	}
 
--- a/internal/root/cross/cause.go
+++ b/internal/root/cross/cause.go
@@ -12,8 +12,8 @@
 	causes
 )
 
-// attemptBits is the number of low bits of a request number that hold its cause.
-const attemptBits = 3
+// causeBits is the number of low bits of a request number that hold its cause.
+const causeBits = 3
 
 type (
 	// Cause is the reason why bytes go to another availability zone and back.
@@ -71,7 +71,7 @@
 
 // Number returns a request number that carries the cause, so that a response which arrives after its request was
 // abandoned is counted by it as well.
-func Number(count uint64, c Cause) uint64 { return count<<attemptBits | uint64(c) }
+func Number(count uint64, c Cause) uint64 { return count<<causeBits | uint64(c) }
 
 // CauseOf returns the cause that a request number carries.
-func CauseOf(number uint64) Cause { return Cause(number & (1<<attemptBits - 1)) }
+func CauseOf(number uint64) Cause { return Cause(number & (1<<causeBits - 1)) }
--- a/internal/root/relay/bodystream.go
+++ b/internal/root/relay/bodystream.go
@@ -31,9 +31,9 @@
 )
 
 var (
-	errBodyBroken   = errors.New("the body ended before it was whole")
-	errNoLongBodies = errors.New("the daemon is of a version without long bodies")
-	errPartsUnasked = errors.New("the peer has sent more of a body than it may")
+	errBodyBroken     = errors.New("the body ended before it was whole")
+	errNoLongBodies   = errors.New("the daemon is of a version without long bodies")
+	errCreditExceeded = errors.New("the peer has sent more of a body than was granted")
 )
 
 type (
@@ -101,7 +101,7 @@
 		return nil // nobody reads the body any more
 	}
 	if len(part.Body) > q.granted {
-		return errPartsUnasked
+		return errCreditExceeded
 	}
 	q.granted -= len(part.Body)
 	_, _ = q.data.Write(part.Body)
@@ -231,9 +231,17 @@
 	}
 }
 
-// writeLong writes the head of a request and a body that is not held whole. The error wraps errBodyBroken if the body
+// checkLength returns an error if a body is longer than its length or has ended before it; a length of -1 is not known.
+func checkLength(written, length int64, ended bool) error {
+	if length >= 0 && (written > length || ended && written < length) {
+		return fmt.Errorf("%w: %d of %d bytes", errBodyBroken, written, length)
+	}
+	return nil
+}
+
+// writeLongRequest writes the head of a request and a body that is not held whole. The error wraps errBodyBroken if the body
 // could not be read to its end.
-func writeLong(conn io.Writer, head []byte, request *Request) error {
+func writeLongRequest(conn io.Writer, head []byte, request *Request) error {
 	if _, err := conn.Write(head); err != nil {
 		return err
 	}
@@ -250,8 +258,9 @@
 	for written := int64(len(request.Body)); ; {
 		n, err := request.Rest.Read(buf)
 		ended := errors.Is(err, io.EOF)
-		if written += int64(n); length >= 0 && (written > length || ended && written < length) {
-			return fmt.Errorf("%w: %d of %d bytes", errBodyBroken, written, length)
+		written += int64(n)
+		if err := checkLength(written, length, ended); err != nil {
+			return err
 		}
 		if err != nil && !ended {
 			return fmt.Errorf("%w: %w", errBodyBroken, err)
--- a/internal/root/relay/explain.go
+++ b/internal/root/relay/explain.go
@@ -16,7 +16,7 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
-// explanation is an explanation in progress.
+// explanation collects the report on one query, from one snapshot and one time.
 type explanation struct {
 	forwarder *Forwarder
 	snapshot  *snap.Snapshot
--- a/internal/root/relay/gate/gate.go
+++ b/internal/root/relay/gate/gate.go
@@ -213,7 +213,7 @@
 	return g.decide(now, t, c, r)
 }
 
-// decide makes the decision of Offer. It does not depend on earlier arrivals of the same class.
+// decide makes the decision of Offer and changes nothing. It is the same whether t has been counted as an arrival or not.
 func (g *Controller) decide(now time.Time, t *Ticket, c *class, r *route) Decision {
 	ahead := g.queuedAhead(c)
 	if ahead == 0 && g.canStart(now, t, r) {
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -80,7 +80,7 @@
 		}
 		return n, nil
 	}
-	// The deadline is set before the look at the receiver, whose end sets one that has passed.
+	// The deadline is set before gone is checked: the end of gone sets a deadline in the past, which must not be replaced.
 	now := time.Now()
 	_ = r.conn.SetReadDeadline(now.Add(max(r.ex.deadline.Sub(now), responseStall)))
 	if r.ended = r.ex.request.gone.Err(); r.ended != nil {
@@ -106,7 +106,7 @@
 			return err
 		}
 		slot.started, slot.close = true, last
-		if err := c.writeLong(response, length, body, last); err != nil {
+		if err := c.writeLongResponse(response, length, body, last); err != nil {
 			return err
 		}
 		slot.passed = true
@@ -132,10 +132,10 @@
 	}
 }
 
-// writeLong writes a long response. Without a length it is written in chunks, whose end says that it is whole.
-func (c *callerConn) writeLong(response Response, length int64, body io.Reader, last bool) error {
+// writeLongResponse writes a long response. Without a length it is written in chunks, whose end says that it is whole.
+func (c *callerConn) writeLongResponse(response Response, length int64, body io.Reader, last bool) error {
 	const chunkMargin = 16 // for the size of a chunk and its line ends
-	if err := c.writeOrLeave(encodeHead(response, length, last)); err != nil {
+	if err := c.writeOrCancel(encodeHead(response, length, last)); err != nil {
 		return err
 	}
 	buf := make([]byte, streamPart)
@@ -144,8 +144,9 @@
 	for written := int64(0); ; {
 		n, err := body.Read(buf)
 		ended := errors.Is(err, io.EOF)
-		if written += int64(n); length >= 0 && (written > length || ended && written < length) {
-			return fmt.Errorf("%w: %d of %d bytes", errBodyBroken, written, length)
+		written += int64(n)
+		if err := checkLength(written, length, ended); err != nil {
+			return err
 		}
 		if err != nil && !ended {
 			return err
@@ -161,14 +162,14 @@
 			}
 			text = chunk.Bytes()
 		}
-		if err := c.writeOrLeave(text); err != nil || ended {
+		if err := c.writeOrCancel(text); err != nil || ended {
 			return err
 		}
 	}
 }
 
-// writeOrLeave writes to the caller. A caller that does not take the bytes has left.
-func (c *callerConn) writeOrLeave(text []byte) error {
+// writeOrCancel writes to the caller, and ends the connection's requests if the caller does not take the bytes.
+func (c *callerConn) writeOrCancel(text []byte) error {
 	err := c.write(text)
 	if err != nil {
 		c.cancel()
@@ -218,7 +219,7 @@
 // passResponse passes on a long response that arrives from another daemon.
 func (s *peerStream) passResponse(reply *Reply, body *partQueue, request *Request) error {
 	decoded, ok := reply.decodeResponse().(completed)
-	if !ok || request.pass == nil { // the peer was not asked for a response in parts
+	if !ok || request.pass == nil { // the peer was not ponged for a response in parts
 		return head.ErrMalformed
 	}
 	stop := context.AfterFunc(request.gone, func() { body.fail(errNotTaken) })
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -61,9 +61,9 @@
 		writer   *frameWriter
 		err      error
 		detached chan struct{} // closed when the stream is detached
-		asked    chan struct{} // closed when the peer has replied to a ping
+		ponged   chan struct{} // closed when the peer has replied to a ping
 
-		longBodies atomic.Bool // the peer understands requests with long bodies; valid once asked is closed
+		longBodies atomic.Bool // the peer understands requests with long bodies; valid once ponged is closed
 
 		mu           sync.Mutex
 		next         uint64
@@ -219,7 +219,7 @@
 			p.streams = map[string]*peerStream{}
 		}
 		stream = &peerStream{
-			address: address, ready: make(chan struct{}), detached: make(chan struct{}), asked: make(chan struct{}),
+			address: address, ready: make(chan struct{}), detached: make(chan struct{}), ponged: make(chan struct{}),
 			pending: map[uint64]*pendingReply{},
 		}
 		p.streams[address] = stream
@@ -429,10 +429,10 @@
 // handlePong records what the peer understands; only the reader calls it.
 func (s *peerStream) handlePong(pong *Pong) {
 	select {
-	case <-s.asked:
+	case <-s.ponged:
 	default:
 		s.longBodies.Store(pong.LongBodies)
-		close(s.asked)
+		close(s.ponged)
 	}
 }
 
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -223,7 +223,7 @@
 	if ex.request.Rest != nil {
 		ex.request.Rest.taken.Store(true)
 		go func() {
-			sent.err = writeLong(conn, buf, ex.request)
+			sent.err = writeLongRequest(conn, buf, ex.request)
 			close(sent.done)
 			if errors.Is(sent.err, errBodyBroken) {
 				_ = conn.SetReadDeadline(time.Unix(1, 0)) // the server would wait for the rest
