--- a/internal/root/relay/bodybudget.go
+++ b/internal/root/relay/bodybudget.go
@@ -103,6 +103,6 @@
 
 // release ends the counting of the buffer.
 func (b *bodyBuffer) release() {
-	b.budget.used.Add(-b.counted)
+	b.budget.release(b.counted)
 	b.counted = 0
 }
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -168,7 +168,8 @@
 		if err := head.CheckRequest(parsed); err != nil {
 			return c.handleParseError(err)
 		}
-		if size := headerSize(parsed); size > limits.HeaderSize {
+		size := headerSize(parsed)
+		if size > limits.HeaderSize {
 			return c.refuse(parsed, retry.HeaderTooLarge{})
 		}
 		body, whole, err := c.readBody(parsed, limits)
@@ -181,11 +182,11 @@
 			return err
 		}
 		_ = c.conn.SetReadDeadline(time.Time{})
-		last := parsed.Close || !parsed.ProtoAtLeast(1, 1)
+		cost := requestCost(parsed, size)
 		if whole {
-			err = c.startRequest(parsed, body, nil, last)
+			err = c.startRequest(parsed, body, nil, cost)
 		} else {
-			err = c.startLongRequest(parsed, body, limits.BodySize, last)
+			err = c.startLongRequest(parsed, body, limits.BodySize, cost)
 		}
 		if err != nil {
 			return err
@@ -258,7 +259,7 @@
 }
 
 // startLongRequest serves a request whose body is not held whole, and passes the rest of it on.
-func (c *callerConn) startLongRequest(parsed *http.Request, body *bodyBuffer, limit int64, last bool) error {
+func (c *callerConn) startLongRequest(parsed *http.Request, body *bodyBuffer, limit, cost int64) error {
 	if !body.reserve(streamReserve) {
 		body.release()
 		return c.refuse(parsed, retry.Overload{})
@@ -267,7 +268,7 @@
 	passed := int64(len(body.data))
 	rest := &bodyStream{ReadCloser: reader, length: parsed.ContentLength}
 	stopped := (*readStopped)(nil)
-	if err := c.startRequest(parsed, body, rest, last); err != nil && !errors.As(err, &stopped) {
+	if err := c.startRequest(parsed, body, rest, cost); err != nil && !errors.As(err, &stopped) {
 		return err
 	}
 	if err := c.passBody(parsed.Body, writer, limit-passed); err != nil {
@@ -317,8 +318,10 @@
 	}
 }
 
-// startRequest serves a request in its own goroutine. The rest of its body is nil if the body is whole.
-func (c *callerConn) startRequest(parsed *http.Request, body *bodyBuffer, rest *bodyStream, last bool) error {
+// startRequest serves a request that takes about cost bytes in its own goroutine. The rest of its body is nil if the body
+// is whole.
+func (c *callerConn) startRequest(parsed *http.Request, body *bodyBuffer, rest *bodyStream, cost int64) error {
+	last := parsed.Close || !parsed.ProtoAtLeast(1, 1)
 	started := false
 	end := func() {
 		body.release()
@@ -331,7 +334,7 @@
 			end()
 		}
 	}()
-	slot, err := c.reserveSlot(last, requestCost(parsed))
+	slot, err := c.reserveSlot(last, cost)
 	if errors.Is(err, errRequestBudget) {
 		c.frontend.Forwarder.Meter.BudgetRefused("requests")
 		return c.refuse(parsed, retry.Overload{})
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -21,13 +21,14 @@
 // errRequestBudget reports a request with so many fields that the requests in progress leave no room for it.
 var errRequestBudget = errors.New("the requests in progress leave no room for this one")
 
-// requestCost returns about the number of bytes that a request takes while it is in progress, without its body.
-func requestCost(r *http.Request) int64 {
+// requestCost returns about the number of bytes that a request whose header has the given size takes while it is in
+// progress, without its body.
+func requestCost(r *http.Request, header int64) int64 {
 	fields := 0
 	for _, values := range r.Header {
 		fields += len(values)
 	}
-	return requestOverhead + headerSize(r) + int64(fields)*fieldOverhead
+	return requestOverhead + header + int64(fields)*fieldOverhead
 }
 
 // refusalRetryAfter returns the advised delay before a request that was refused for a lack of room is sent again, and
