--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -6,10 +6,11 @@
 )
 
 const (
-	// unsharedDivisor divides a limit; up to the quotient, bytes are granted whatever a client holds.
+	// unsharedDivisor divides a limit; up to the quotient, bytes are granted whatever a holder has.
 	unsharedDivisor = 2
 
-	// requestDivisor divides the memory of a process; the quotient bounds the requests in progress without their bodies.
+	// requestDivisor divides the memory of a process; the quotient bounds the requests in progress with their small
+	// bodies.
 	requestDivisor = 8
 
 	// configDivisor divides the memory of a process; the quotient bounds the configurations that are being received.
@@ -19,66 +20,112 @@
 )
 
 type (
-	// Bytes bounds the bytes that a process holds for its clients. Once half of the limit is taken, a client address gets
-	// no more than its share of the limit, so that a crowd at one address is refused before others.
+	// Bytes bounds the bytes that a process holds for one use. Once half of the limit is taken, a holder gets no more than
+	// its share of the limit, so that a crowd of one client account, or at one address, is refused before others.
 	Bytes struct {
-		limit int64
+		limit  int64
+		memory *Memory // that all uses draw on
 
 		mu      sync.Mutex
 		used    int64
-		holders map[netip.Addr]int64
+		holders map[holder]int64
+	}
+
+	// Claim says for whom bytes are taken, and what is left to others.
+	Claim struct {
+		Account string     // client account, empty if it is not known
+		Address netip.Addr // of the client, used if the account is not known
+		Urgent  bool       // may use the part of the limit that is reserved for urgent requests
+		Spare   int64      // bytes of each limit that are left to others
+	}
+
+	// holder is a client account, or the address of a client without one.
+	holder struct {
+		account string
+		address netip.Addr
 	}
 )
 
-// RequestLimit returns the limit for the requests in progress without their bodies, in a process with the given memory.
+// RequestLimit returns the limit for the requests in progress with their small bodies, in a process with the given
+// memory in bytes.
 func RequestLimit(memory int64) int64 { return memory / requestDivisor }
 
 // ConfigLimit returns the limit for the configurations that are being received, in a process with the given memory, if
 // the longest configuration has longest bytes.
 func ConfigLimit(memory, longest int64) int64 { return max(memory/configDivisor, minConfigs*longest) }
 
-// NewBytes returns a budget of limit bytes.
-func NewBytes(limit int64) *Bytes { return &Bytes{limit: limit, holders: map[netip.Addr]int64{}} }
+// NewBytes returns a budget of limit bytes, which also draws on memory; nil for a use that draws on nothing else.
+func NewBytes(limit int64, memory *Memory) *Bytes {
+	return &Bytes{limit: limit, memory: memory, holders: map[holder]int64{}}
+}
 
-// Take counts n bytes for a client and reports whether they are granted. Nothing is counted otherwise. A nil
-// budget grants all.
-func (b *Bytes) Take(client netip.Addr, n int64) bool {
+// Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. A nil budget grants all.
+func (b *Bytes) Take(c Claim, n int64) bool {
 	if b == nil {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	held, known := b.holders[client]
-	if b.used+n > b.limit/unsharedDivisor {
-		sharers := int64(len(b.holders)) + 1 // one share stays free for a client that holds nothing yet
-		if !known {
-			sharers++
-		}
-		if b.used+n > b.limit || held+n > b.limit/sharers {
-			return false
-		}
+	by := c.holder()
+	if !b.mayTake(c, by, n) || !b.memory.Take(c, n) {
+		return false
 	}
 	b.used += n
-	b.holders[client] = held + n
+	b.holders[by] += n
 	return true
 }
 
+func (b *Bytes) mayTake(c Claim, by holder, n int64) bool {
+	if b.used+n > c.available(b.limit) {
+		return false
+	}
+	if b.used+n <= b.limit/unsharedDivisor {
+		return true
+	}
+	held, known := b.holders[by]
+	sharers := int64(len(b.holders)) + 1 // one share stays free for a holder that has nothing yet
+	if !known {
+		sharers++
+	}
+	return held+n <= b.limit/sharers
+}
+
 // Release ends the counting of n bytes.
-func (b *Bytes) Release(client netip.Addr, n int64) {
-	if b == nil {
+func (b *Bytes) Release(c Claim, n int64) {
+	if b == nil || n == 0 {
 		return
 	}
+	b.memory.Release(n)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.used -= n
-	if b.holders[client] -= n; b.holders[client] <= 0 {
-		delete(b.holders, client)
+	by := c.holder()
+	if b.holders[by] -= n; b.holders[by] <= 0 {
+		delete(b.holders, by)
 	}
 }
 
+// Limit returns the largest number of bytes that are held.
+func (b *Bytes) Limit() int64 { return b.limit }
+
 // Used returns the number of bytes that are held.
 func (b *Bytes) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.used
 }
+
+// available returns how much of a limit may be taken.
+func (c Claim) available(limit int64) int64 {
+	if !c.Urgent {
+		limit -= limit / reserveDivisor
+	}
+	return limit - c.Spare
+}
+
+func (c Claim) holder() holder {
+	if c.Account != "" {
+		return holder{account: c.Account}
+	}
+	return holder{address: c.Address}
+}
--- /dev/null
+++ b/internal/root/budget/memory.go
@@ -0,0 +1,124 @@
+package budget
+
+import "sync"
+
+const (
+	// memoryDivisor divides the memory of a process; the quotient bounds all bytes that it holds for its clients. The
+	// rest is for the program and for its own state.
+	memoryDivisor = 4
+
+	// reserveDivisor divides a limit; the quotient is left to urgent requests and to the control of the system.
+	reserveDivisor = 8
+
+	// garbageDivisor divides the limit; a collection is worth its time if it frees at least the quotient.
+	garbageDivisor = 64
+)
+
+// Memory bounds the bytes that a process holds for its clients, whatever for. Each use has a limit of its own below it.
+// Bytes that were released go on counting until the garbage collector has freed them: clients that make a process
+// allocate faster than it collects would exceed its memory otherwise. A nil Memory has no bound.
+type Memory struct {
+	limit   int64
+	collect func() // frees all that was released before the call; nil without a garbage collector
+
+	collecting sync.Mutex // one collection at a time
+
+	mu          sync.Mutex
+	held        int64
+	recent      int64 // released since the last collection ended
+	older       int64 // released before it, perhaps too late for it
+	released    int64 // in all
+	collections int   // that Take waited for
+}
+
+// MemoryLimit returns the limit for all that a process with the given memory in bytes holds for its clients.
+func MemoryLimit(memory int64) int64 { return memory / memoryDivisor }
+
+// NewMemory returns a budget of limit bytes. collect runs the garbage collector; without it, released bytes are free at
+// once.
+func NewMemory(limit int64, collect func()) *Memory { return &Memory{limit: limit, collect: collect} }
+
+// Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. If released bytes stand in the
+// way, it waits for the garbage collector.
+func (m *Memory) Take(c Claim, n int64) bool {
+	if m == nil || m.take(c, n) {
+		return true
+	}
+	return m.collectGarbage() && m.take(c, n)
+}
+
+func (m *Memory) take(c Claim, n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.held+m.recent+m.older+n > c.available(m.limit) {
+		return false
+	}
+	m.held += n
+	return true
+}
+
+// Add counts n bytes that the process already holds, also beyond the limit. They leave less to those who ask before.
+func (m *Memory) Add(n int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held += n
+}
+
+// Release ends the holding of n bytes.
+func (m *Memory) Release(n int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held -= n
+	if m.collect != nil {
+		m.recent += n
+		m.released += n
+	}
+}
+
+// Collected is called after each collection by the garbage collector. It frees what was released before that collection
+// had begun.
+func (m *Memory) Collected() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.older, m.recent = m.recent, 0
+}
+
+// collectGarbage frees what has been released, and reports whether it may be worth to ask for bytes once more.
+func (m *Memory) collectGarbage() bool {
+	m.mu.Lock()
+	before := m.collections
+	m.mu.Unlock()
+	m.collecting.Lock()
+	defer m.collecting.Unlock()
+	m.mu.Lock()
+	released, garbage, done := m.released, m.recent+m.older, m.collections != before
+	m.mu.Unlock()
+	if done || garbage < m.limit/garbageDivisor {
+		return done // another one has collected meanwhile
+	}
+	m.collect()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.collections++
+	m.older, m.recent = 0, m.released-released
+	return true
+}
+
+// Exceeded reports whether more bytes are held than the limit allows.
+func (m *Memory) Exceeded() bool { return m != nil && m.Used() > m.limit }
+
+// Used returns the number of bytes that are held.
+func (m *Memory) Used() int64 {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held
+}
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -223,7 +223,7 @@
 	peerStreams := &relay.PeerStreams{Clock: b.clock, Dialer: b.trafficDialer, Log: b.log}
 	handler := &platform.RPCHandler{
 		Registrar: &relay.NoticeForwarder{PeerStreams: peerStreams, Port: b.settings.PeerAdvertise.Port()},
-		Configs:   b.loop, Orders: b.loop, Bodies: budget.NewBytes(budget.ConfigLimit(int64(b.settings.Fleet.Memory), rules.MaxFile)),
+		Configs:   b.loop, Orders: b.loop, Bodies: budget.NewBytes(budget.ConfigLimit(int64(b.settings.Fleet.Memory), rules.MaxFile), nil),
 		Meter: b.meter, Address: b.settings.Fleet.CallAddress, Log: b.log,
 	}
 	server := relay.HTTPServer{
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
@@ -169,24 +170,26 @@
 			return c.handleParseError(err)
 		}
 		size := headerSize(parsed)
+		in := newIncoming(parsed, size, c.frontend.Dialect)
 		if size > limits.HeaderSize {
-			return c.refuse(parsed, retry.HeaderTooLarge{})
+			return c.refuse(in, retry.HeaderTooLarge{})
 		}
-		body, whole, err := c.readBody(parsed, limits)
+		body, whole, err := c.readBody(in, limits)
 		switch {
 		case errors.Is(err, errBodySize):
-			return c.refuse(parsed, retry.BodyTooLarge{})
+			return c.refuse(in, retry.BodyTooLarge{})
 		case errors.Is(err, errBodyBudget):
-			return c.refuse(parsed, retry.Overload{})
+			c.frontend.Forwarder.Meter.BudgetRefused("bodies")
+			return c.refuse(in, retry.Overload{})
 		case err != nil:
 			return err
 		}
 		_ = c.conn.SetReadDeadline(time.Time{})
-		cost := requestCost(parsed, size)
+		in.cost += body.uncounted()
 		if whole {
-			err = c.startRequest(parsed, body, nil, cost)
+			err = c.startRequest(in, body, nil)
 		} else {
-			err = c.startLongRequest(parsed, body, limits.BodySize, cost)
+			err = c.startLongRequest(in, body, limits.BodySize)
 		}
 		if err != nil {
 			return err
@@ -226,8 +229,8 @@
 
 // readBody reads the body of a request, or the beginning of one that is too long to be held whole. The caller releases
 // it once the request has ended.
-func (c *callerConn) readBody(r *http.Request, limits rules.Limits) (body *bodyBuffer, whole bool, err error) {
-	kept := min(limits.BodySize, c.frontend.KeptBody)
+func (c *callerConn) readBody(in *incoming, limits rules.Limits) (body *bodyBuffer, whole bool, err error) {
+	r, kept := in.parsed, min(limits.BodySize, c.frontend.KeptBody)
 	body = &bodyBuffer{budget: c.frontend.Bodies, limit: int(kept)}
 	if r.ContentLength > limits.BodySize {
 		return nil, false, errBodySize
@@ -235,7 +238,10 @@
 	if r.ContentLength == 0 {
 		return body, true, nil
 	}
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+	if r.ContentLength < 0 || r.ContentLength > freeBodySize {
+		body.claim = c.claim(&in.request)
+	}
+	if in.expectsContinue {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, false, fmt.Errorf("write 100 Continue: %w", err)
 		}
@@ -259,19 +265,20 @@
 }
 
 // startLongRequest serves a request whose body is not held whole, and passes the rest of it on.
-func (c *callerConn) startLongRequest(parsed *http.Request, body *bodyBuffer, limit, cost int64) error {
+func (c *callerConn) startLongRequest(in *incoming, body *bodyBuffer, limit int64) error {
 	if !body.reserve(streamReserve) {
 		body.release()
-		return c.refuse(parsed, retry.Overload{})
+		c.frontend.Forwarder.Meter.BudgetRefused("bodies")
+		return c.refuse(in, retry.Overload{})
 	}
 	reader, writer := io.Pipe()
 	passed := int64(len(body.data))
-	rest := &bodyStream{ReadCloser: reader, length: parsed.ContentLength}
+	rest := &bodyStream{ReadCloser: reader, length: in.parsed.ContentLength}
 	stopped := (*readStopped)(nil)
-	if err := c.startRequest(parsed, body, rest, cost); err != nil && !errors.As(err, &stopped) {
+	if err := c.startRequest(in, body, rest); err != nil && !errors.As(err, &stopped) {
 		return err
 	}
-	if err := c.passBody(parsed.Body, writer, limit-passed); err != nil {
+	if err := c.passBody(in.parsed.Body, writer, limit-passed); err != nil {
 		return err
 	}
 	if stopped != nil {
@@ -318,9 +325,9 @@
 	}
 }
 
-// startRequest serves a request that takes about cost bytes in its own goroutine. The rest of its body is nil if the body
-// is whole.
-func (c *callerConn) startRequest(parsed *http.Request, body *bodyBuffer, rest *bodyStream, cost int64) error {
+// startRequest serves a request in its own goroutine. The rest of its body is nil if the body is whole.
+func (c *callerConn) startRequest(in *incoming, body *bodyBuffer, rest *bodyStream) error {
+	parsed, request := in.parsed, &in.request
 	last := parsed.Close || !parsed.ProtoAtLeast(1, 1)
 	started := false
 	end := func() {
@@ -334,17 +341,16 @@
 			end()
 		}
 	}()
-	slot, err := c.reserveSlot(last, cost)
+	slot, err := c.reserveSlot(last, in.cost)
 	if errors.Is(err, errRequestBudget) {
 		c.frontend.Forwarder.Meter.BudgetRefused("requests")
-		return c.refuse(parsed, retry.Overload{})
+		return c.refuse(in, retry.Overload{})
 	}
 	if err != nil {
 		return err
 	}
-	request, err := c.frontend.Dialect.DecodeRequest(parsed)
-	if err != nil {
-		c.frontend.Log.Info().Str("request", request.ID).Err(err).Msg("request-unreadable")
+	if in.invalid != nil {
+		c.frontend.Log.Info().Str("request", request.ID).Err(in.invalid).Msg("request-unreadable")
 		c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, retry.BadRequest{}, 0), last)
 		return stopAfter(last)
 	}
@@ -355,8 +361,10 @@
 	}
 	request.Body, request.Rest, request.gone = body.data, rest, c.ctx
 	if takesLong(parsed) {
-		request.pass = c.passResponse(slot, &request, last)
+		request.pass = c.passResponse(slot, request, last)
 	}
+	arriving := &arrivingResponse{queued: c.frontend.Queued, conn: c}
+	request.arriving = arriving.add
 	c.lastKey.Store(request.APIKey)
 	started = true
 	c.inProgress.Add(1)
@@ -365,7 +373,8 @@
 		defer end()
 		c.frontend.active.Add(1)
 		defer c.frontend.active.Add(-1)
-		response := c.forward(&request)
+		response := c.forward(request)
+		arriving.end()
 		c.complete(slot, request.Method, response, last || rest != nil && rest.tooLong.Load())
 	})
 	return stopAfter(last)
@@ -424,7 +433,7 @@
 
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
-	c.frontend.Requests.Release(c.address, slot.cost)
+	c.frontend.Requests.Release(budget.Claim{Address: c.address}, slot.cost)
 	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -515,15 +524,15 @@
 }
 
 // refuse sends a refusal for a request that cannot be served, and ends the connection.
-func (c *callerConn) refuse(parsed *http.Request, failure retry.Failure) error {
+func (c *callerConn) refuse(in *incoming, failure retry.Failure) error {
 	slot, err := c.reserveSlot(true, 0)
 	if err != nil {
 		return err
 	}
-	request, _ := c.frontend.Dialect.DecodeRequest(parsed) // only its ID is used
+	request := &in.request
 	c.frontend.Log.Info().Str("request", request.ID).Str("reason", string(retry.Describe(failure).Reason)).
 		Str("address", c.address.String()).Str("account", c.accountOf(request.APIKey)).Msg("request-refused")
-	c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, refusalRetryAfter(failure)), true)
+	c.complete(slot, in.parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, failure, refusalRetryAfter(failure)), true)
 	return &readStopped{"the request was refused"}
 }
 
@@ -535,9 +544,9 @@
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.As(err, &netErr) && netErr.Timeout():
 		return err
 	case errors.Is(err, errHeaderSize):
-		return c.refuse(&http.Request{Header: http.Header{}}, retry.HeaderTooLarge{})
+		return c.refuse(&incoming{parsed: &http.Request{}}, retry.HeaderTooLarge{})
 	}
-	return c.refuse(&http.Request{Header: http.Header{}}, retry.BadRequest{})
+	return c.refuse(&incoming{parsed: &http.Request{}}, retry.BadRequest{})
 }
 
 // headerSize returns the size of the request line and the header in bytes.
--- a/internal/root/relay/framewriter.go
+++ b/internal/root/relay/framewriter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
@@ -28,14 +29,16 @@
 // frameWriter writes frames in order without blocking the senders.
 type frameWriter struct {
 	conn   net.Conn
-	bytes  *cross.Bytes  // nil to count nothing
-	wake   chan struct{} // holds a value while frames are queued
+	bytes  *cross.Bytes   // nil to count nothing
+	memory *budget.Memory // counts the queued frames; nil to count nothing
+	wake   chan struct{}  // holds a value while frames are queued
 	closed chan struct{}
 	once   sync.Once
 
 	mu     sync.Mutex
 	frames []queuedFrame
 	size   int
+	ended  bool // nothing is written any more
 }
 
 // queuedFrame is a frame and the cause that its bytes are counted by.
@@ -44,8 +47,8 @@
 	cause cross.Cause
 }
 
-func newFrameWriter(stream *link.Stream) *frameWriter {
-	return &frameWriter{conn: stream, bytes: stream.Bytes, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+func newFrameWriter(stream *link.Stream, memory *budget.Memory) *frameWriter {
+	return &frameWriter{conn: stream, bytes: stream.Bytes, memory: memory, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // enqueue queues all frames. It returns false if the peer stream is closed. If they don't fit into maxQueuedBytes with what
@@ -61,9 +64,14 @@
 		size += len(frame.Body) + wire.HeaderSize
 	}
 	w.mu.Lock()
+	if w.ended {
+		w.mu.Unlock()
+		return false
+	}
 	full := w.size > 0 && w.size+size > maxQueuedBytes
 	if !full {
 		w.size += size
+		w.memory.Add(int64(size))
 		for _, frame := range frames {
 			w.frames = append(w.frames, queuedFrame{Frame: frame, cause: cause})
 		}
@@ -90,6 +98,7 @@
 
 // run writes queued frames until the peer stream is closed.
 func (w *frameWriter) run() {
+	defer w.end()
 	buffered := bufio.NewWriterSize(w.conn, peerBufferSize)
 	for {
 		select {
@@ -98,16 +107,26 @@
 		case <-w.wake:
 		}
 		w.mu.Lock()
-		frames := w.frames
+		frames, size := w.frames, w.size
 		w.frames, w.size = nil, 0
 		w.mu.Unlock()
-		if err := w.write(buffered, frames); err != nil {
+		err := w.write(buffered, frames)
+		w.memory.Release(int64(size))
+		if err != nil {
 			w.close()
 			return
 		}
 	}
 }
 
+// end drops what is still queued.
+func (w *frameWriter) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.memory.Release(int64(w.size))
+	w.frames, w.size, w.ended = nil, 0, true
+}
+
 func (w *frameWriter) write(buffered *bufio.Writer, frames []queuedFrame) error {
 	// Deadlines of real I/O use the system clock.
 	if err := w.conn.SetWriteDeadline(time.Now().Add(writeStallTimeout)); err != nil {
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -53,7 +53,7 @@
 	// WriteStall is the longest time that a caller may accept no byte of a response.
 	WriteStall time.Duration
 	// Bodies bounds the bodies of all requests in progress.
-	Bodies *bodyBudget
+	Bodies *budget.Bytes
 	// KeptBody is the size in bytes up to which a request body is held whole. The rest of a longer one is passed on as it
 	// arrives.
 	KeptBody int64
--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
@@ -53,7 +54,7 @@
 		Suspects *crash.Suspects
 		MaxBody  int64 // limit of a response in bytes
 		KeptBody int64 // size in bytes up to which a response is held whole if its receiver takes long ones
-		Bodies   *bodyBudget
+		Bodies   *budget.Bytes
 		Zone     string // availability zone of this daemon
 
 		mu       sync.Mutex
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/gate"
@@ -69,7 +70,7 @@
 		return s, refused
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
-	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, requestMeta: RequestMetadata{
+	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, claim: j.claim(), requestMeta: RequestMetadata{
 		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.instance,
 		Account: j.account, CallerService: j.caller,
 	}}
@@ -340,6 +341,11 @@
 	}
 }
 
+// claim says for whom memory is taken.
+func (j *job) claim() budget.Claim {
+	return budget.Claim{Account: j.account, Urgent: j.nested || j.rank == 0}
+}
+
 func (j *job) ticket() *gate.Ticket {
 	return &gate.Ticket{
 		RequestID: j.request.ID, Route: j.route, Nested: j.nested, Rank: j.rank, Arrived: j.arrived, Objective: j.objective, Deadline: j.deadline,
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 )
 
 const (
@@ -98,10 +99,11 @@
 func (c *callerConn) passResponse(slot *responseSlot, request *Request, last bool) passFunc {
 	return func(response Response, length int64, body io.Reader) error {
 		request.passing = true
-		if !c.frontend.Bodies.take(streamReserve) {
+		claim := c.claim(request)
+		if !c.frontend.Bodies.Take(claim, streamReserve) {
 			return errBodyBudget
 		}
-		defer c.frontend.Bodies.release(streamReserve)
+		defer c.frontend.Bodies.Release(claim, streamReserve)
 		if err := c.awaitTurn(slot); err != nil {
 			return err
 		}
@@ -198,13 +200,13 @@
 func takesLong(r *http.Request) bool { return r.ProtoAtLeast(1, 1) }
 
 // passResponse returns the function that sends a long response to the daemon of the caller.
-func (p *peerStreamServer) passResponse(ctx context.Context, number uint64, credit *creditCounter) passFunc {
+func (p *peerStreamServer) passResponse(ctx context.Context, number uint64, claim budget.Claim, credit *creditCounter) passFunc {
 	return func(response Response, length int64, body io.Reader) error {
 		bodies := p.server.LocalBackend.Bodies
-		if !bodies.take(streamReserve) {
+		if !bodies.Take(claim, streamReserve) {
 			return errBodyBudget
 		}
-		defer bodies.release(streamReserve)
+		defer bodies.Release(claim, streamReserve)
 		stop := context.AfterFunc(ctx, credit.end)
 		defer stop()
 		message := encodeReply(number, completed{response: response}, Report{})
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -30,10 +31,24 @@
 		Log          zerolog.Logger
 		// MaxBody bounds the body of a request in bytes.
 		MaxBody int64
+		Memory  *budget.Memory // counts the frames that wait for other daemons; nil to count nothing
 
 		workers super.Workers // serve requests
 	}
 
+	// incompleteRequest is a request whose body has not arrived whole.
+	incompleteRequest struct {
+		send *SendRequest
+		held *heldBody
+	}
+
+	// heldBody counts the body of a request of another daemon until release.
+	heldBody struct {
+		budget *budget.Bytes
+		claim  budget.Claim
+		bytes  int64
+	}
+
 	// peerStreamServer is the receiving end of one peer stream.
 	peerStreamServer struct {
 		server   *PeerServer
@@ -42,17 +57,17 @@
 
 		mu         sync.Mutex
 		cancels    map[uint64]context.CancelFunc
-		incomplete map[uint64]*SendRequest   // requests with incomplete bodies; used by the reader only
-		long       map[uint64]*partQueue     // long bodies of requests in progress
-		credits    map[uint64]*creditCounter // of requests in progress whose sender takes long responses
+		incomplete map[uint64]*incompleteRequest // used by the reader only
+		long       map[uint64]*partQueue         // long bodies of requests in progress
+		credits    map[uint64]*creditCounter     // of requests in progress whose sender takes long responses
 	}
 )
 
 // ServeStream serves one peer stream until it ends.
 func (s *PeerServer) ServeStream(ctx context.Context, stream *link.Stream) {
 	p := &peerStreamServer{
-		server: s, writer: newFrameWriter(stream),
-		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*SendRequest{}, long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
+		server: s, writer: newFrameWriter(stream, s.Memory),
+		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*incompleteRequest{}, long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
 	}
 	go p.writer.run()
 	stop := context.AfterFunc(ctx, p.writer.close) // the daemon has drained and stops
@@ -62,6 +77,9 @@
 	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("lane-ended")
 	cancel() // the responses can no longer be delivered
 	p.writer.close()
+	for _, unfinished := range p.incomplete {
+		unfinished.held.release()
+	}
 	p.requests.Wait()
 }
 
@@ -84,11 +102,7 @@
 		if err != nil {
 			return err
 		}
-		if send.More {
-			p.incomplete[send.Number] = send
-			return nil
-		}
-		p.startRequest(ctx, send)
+		p.receiveRequest(ctx, send)
 	case kindPart:
 		part, err := wire.Decode[BodyPart](frame.Body)
 		if err != nil {
@@ -131,30 +145,76 @@
 	if long != nil {
 		return long.push(part)
 	}
-	send := p.incomplete[part.Number]
-	if send == nil {
-		return nil // cancelled
+	unfinished := p.incomplete[part.Number]
+	if unfinished == nil {
+		return nil // cancelled or refused
 	}
+	send := unfinished.send
 	if int64(len(send.Body)+len(part.Body)) > p.server.MaxBody {
 		return fmt.Errorf("request body exceeds the limit of %d bytes", p.server.MaxBody)
 	}
+	if !unfinished.held.take(len(part.Body)) {
+		delete(p.incomplete, part.Number)
+		p.refuse(send.Number, unfinished.held)
+		return nil
+	}
 	send.Body = append(send.Body, part.Body...)
 	if !part.More {
 		delete(p.incomplete, part.Number)
-		p.startRequest(ctx, send)
+		p.startRequest(ctx, send, unfinished.held)
 	}
 	return nil
 }
 
+// receiveRequest starts a request, or waits for the rest of its body.
+func (p *peerStreamServer) receiveRequest(ctx context.Context, send *SendRequest) {
+	held := &heldBody{
+		budget: p.server.LocalBackend.Bodies, claim: budget.Claim{Account: send.Account, Urgent: send.Nested || send.Rank == 0},
+	}
+	size := len(send.Body)
+	if send.Streamed {
+		size = streamReserve
+	}
+	switch {
+	case !held.take(size):
+		p.refuse(send.Number, held)
+	case send.More:
+		p.incomplete[send.Number] = &incompleteRequest{send: send, held: held}
+	default:
+		p.startRequest(ctx, send, held)
+	}
+}
+
+// refuse refuses a request whose body finds no room.
+func (p *peerStreamServer) refuse(number uint64, held *heldBody) {
+	held.release()
+	p.server.LocalBackend.Meter.BudgetRefused("bodies")
+	p.reply(number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
+}
+
+// take counts bytes of the body and reports whether there is room for them.
+func (h *heldBody) take(bytes int) bool {
+	if bytes == 0 {
+		return true
+	}
+	if !h.budget.Take(h.claim, int64(bytes)) {
+		return false
+	}
+	h.bytes += int64(bytes)
+	return true
+}
+
+// release ends the counting of the body.
+func (h *heldBody) release() {
+	h.budget.Release(h.claim, h.bytes)
+	h.bytes = 0
+}
+
 // startRequest serves a request in its own goroutine. It is complete, or its long body follows as it is read.
-func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest) {
+func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest, held *heldBody) {
 	j := decodeJob(p.server.Clock.Now(), send)
 	var long *partQueue
 	if send.Streamed {
-		if !p.server.LocalBackend.Bodies.take(streamReserve) {
-			p.reply(send.Number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
-			return
-		}
 		long = newPartQueue(func(bytes int) {
 			_ = writeMessage(p, kindCredit, &Credit{Number: send.Number, Bytes: uint32(bytes)})
 		})
@@ -170,7 +230,7 @@
 	if send.LongResponses {
 		credit := newCreditCounter()
 		p.credits[send.Number] = credit
-		j.request.pass = p.passResponse(ctx, send.Number, credit)
+		j.request.pass = p.passResponse(ctx, send.Number, j.claim(), credit)
 	}
 	p.mu.Unlock()
 	p.requests.Add(1)
@@ -185,8 +245,8 @@
 			cancel()
 			if long != nil {
 				_ = long.Close()
-				p.server.LocalBackend.Bodies.release(streamReserve)
 			}
+			held.release()
 		}()
 		defer super.Recover(&p.server.Log, "peer-request", func() {
 			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
@@ -199,7 +259,10 @@
 }
 
 func (p *peerStreamServer) cancel(number uint64) {
-	delete(p.incomplete, number)
+	if unfinished := p.incomplete[number]; unfinished != nil {
+		unfinished.held.release()
+		delete(p.incomplete, number)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if cancel := p.cancels[number]; cancel != nil {
@@ -219,6 +282,9 @@
 	message := encodeReply(number, result, report)
 	first, rest := splitBody(message.Body)
 	message.Body, message.More = first, len(rest) > 0
+	if message.More {
+		message.Length = int64(len(first) + len(rest))
+	}
 	frames, err := encodeFrames(kindReply, message, number, rest)
 	if err != nil {
 		p.server.Log.Error().Err(err).Msg("reply-not-encoded")
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -30,6 +31,9 @@
 	// packet is retransmitted sooner.
 	peerTimeout = 900 * time.Millisecond
 
+	// maxExpectedBody bounds the buffer in bytes that is made for a response before its parts have arrived.
+	maxExpectedBody = 16 << 20
+
 	// peerDialTimeout bounds connecting to another daemon.
 	peerDialTimeout = 500 * time.Millisecond
 )
@@ -45,6 +49,7 @@
 		Clock  clock.Clock
 		Dialer *link.Dialer
 		Log    zerolog.Logger
+		Memory *budget.Memory // counts the frames that wait for other daemons; nil to count nothing
 
 		mu       sync.Mutex
 		streams  map[string]*peerStream
@@ -84,6 +89,8 @@
 		head chan *Reply   // the head of a long response
 		body *partQueue    // the body of a long response, nil before its head has arrived
 		left time.Duration // until the deadline when the request was sent
+
+		arriving func(bytes int64) // counts what is held of a response, nil to count nothing
 	}
 
 	// peerReply is a complete Reply or a NoticeReply; both are nil if the peer stream was lost.
@@ -117,7 +124,7 @@
 	}
 	number, pending := stream.register(p.Clock.Now(), cause)
 	defer stream.unregister(number)
-	send.Number, pending.left = number, send.Left
+	send.Number, pending.left, pending.arriving = number, send.Left, request.arriving
 	first, rest := splitBody(request.Body)
 	send.Body, send.More = first, len(rest) > 0
 	credited := chan struct{}(nil)
@@ -248,7 +255,7 @@
 	}
 	defer super.Recover(&p.Log, "peer-stream", func() { p.remove(stream) })
 	conn.Cause = cross.Home // frames are counted one by one
-	stream.writer = newFrameWriter(conn)
+	stream.writer = newFrameWriter(conn, p.Memory)
 	stream.lastReceived = p.Clock.Now()
 	close(stream.ready)
 	go stream.writer.run()
@@ -467,11 +474,34 @@
 		return nil
 	}
 	if pending := s.pending[reply.Number]; pending != nil {
-		pending.reply = reply
+		pending.expect(reply)
 	}
 	return nil
 }
 
+// expect prepares for the parts of a response that follow its reply. A peer of an earlier version does not tell its length.
+func (p *pendingReply) expect(reply *Reply) {
+	p.reply = reply
+	if length := min(reply.Length, maxExpectedBody); length > int64(len(reply.Body)) {
+		reply.Body = append(make([]byte, 0, length), reply.Body...)
+	}
+	p.hold(cap(reply.Body))
+}
+
+// add adds a part of the response.
+func (p *pendingReply) add(part *BodyPart) {
+	before := cap(p.reply.Body)
+	p.reply.Body = append(p.reply.Body, part.Body...)
+	p.hold(cap(p.reply.Body) - before)
+}
+
+// hold counts bytes of the response.
+func (p *pendingReply) hold(bytes int) {
+	if p.arriving != nil && bytes > 0 {
+		p.arriving(int64(bytes))
+	}
+}
+
 // newResponseBody returns the queue for the body of a long response.
 func (s *peerStream) newResponseBody(number uint64) *partQueue {
 	return newPartQueue(func(bytes int) {
@@ -492,8 +522,8 @@
 		s.mu.Unlock()
 		return nil
 	}
+	pending.add(part)
 	reply := pending.reply
-	reply.Body = append(reply.Body, part.Body...)
 	s.mu.Unlock()
 	if !part.More {
 		s.deliver(part.Number, peerReply{reply: reply})
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
 )
@@ -61,7 +62,7 @@
 		dialect Dialect
 		maxBody int64 // limit of a response in bytes
 		kept    int64 // size in bytes up to which a response is held whole if its receiver takes long ones
-		bodies  *bodyBudget
+		bodies  *budget.Bytes
 		log     zerolog.Logger
 
 		mu     sync.Mutex
@@ -83,6 +84,7 @@
 	exchange struct {
 		request     *Request
 		requestMeta RequestMetadata
+		claim       budget.Claim // for the response
 		deadline    time.Time
 		// linger is how long the response is still awaited once the caller has gone. Closing the connection would
 		// cost a new one, which is more than the rest of a short run.
@@ -275,7 +277,7 @@
 	if err != nil {
 		return got, fmt.Errorf("read response: %w", err)
 	}
-	held, err := p.readBody(first, ex.request.pass != nil)
+	held, err := p.readBody(first, ex)
 	defer held.release()
 	long := ex.request.pass != nil && (errors.Is(err, errBodySize) || errors.Is(err, errBodyBudget))
 	if err != nil && !long {
@@ -315,15 +317,18 @@
 // readBody reads the body of a response. If the receiver takes long ones, it returns errBodySize and what has been read
 // once the body is longer than the size up to which it is held, and errBodyBudget once there is no room to hold more of
 // it. The caller releases the buffer.
-func (p *pool) readBody(response *head.Response, takesLong bool) (*bodyBuffer, error) {
-	held := &bodyBuffer{budget: p.bodies, limit: int(p.maxBody)}
-	if takesLong {
+func (p *pool) readBody(response *head.Response, ex *exchange) (*bodyBuffer, error) {
+	held := &bodyBuffer{budget: p.bodies, claim: ex.claim, limit: int(p.maxBody)}
+	if ex.request.pass != nil {
 		// What is held of responses leaves room for those that pass through.
-		held.limit, held.spare = int(p.kept), p.bodies.limit/heldResponseSpare
+		held.limit, held.claim.Spare = int(p.kept), p.bodies.Limit()/heldResponseSpare
 		if response.Length > p.kept {
 			return held, errBodySize
 		}
 	}
+	if err := held.expect(response.Length); err != nil {
+		return held, err
+	}
 	for {
 		err := held.read(response.Body)
 		if errors.Is(err, io.EOF) {
--- a/internal/root/relay/queuedresponses.go
+++ b/internal/root/relay/queuedresponses.go
@@ -6,14 +6,27 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 )
 
-// queuedResponses bounds the responses of all connections that their callers have not accepted yet.
-type queuedResponses struct {
-	mu     sync.Mutex
-	queues *budget.Queues[*callerConn]
-}
+type (
+	// queuedResponses bounds the responses of all connections that their callers have not accepted yet.
+	queuedResponses struct {
+		mu     sync.Mutex
+		queues *budget.Queues[*callerConn]
+	}
+
+	// arrivingResponse counts the bytes of a response that arrives from another daemon, until the response is complete.
+	// Another attempt of the request counts on.
+	arrivingResponse struct {
+		queued *queuedResponses
+		conn   *callerConn
+
+		mu    sync.Mutex
+		bytes int64
+		ended bool
+	}
+)
 
-func newQueuedResponses(memoryLimit int64) *queuedResponses {
-	return &queuedResponses{queues: budget.NewQueues[*callerConn](budget.QueueLimit(memoryLimit))}
+func newQueuedResponses(limit int64, memory *budget.Memory) *queuedResponses {
+	return &queuedResponses{queues: budget.NewQueues[*callerConn](limit, memory)}
 }
 
 // add counts a response of n bytes. If the callers have left too much unread, it closes the connection of the one with
@@ -56,6 +69,26 @@
 	q.queues.End(c)
 }
 
+// add counts n bytes that are held for the response.
+func (a *arrivingResponse) add(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.bytes += n
+		a.queued.add(a.conn, n)
+	}
+}
+
+// end ends the counting; the complete response is counted by itself.
+func (a *arrivingResponse) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.ended = true
+		a.queued.remove(a.conn, a.bytes)
+	}
+}
+
 // account returns the name of the client account of the connection's last request, empty if it is not known.
 func (c *callerConn) account() string {
 	key, _ := c.lastKey.Load().(string)
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -90,6 +90,7 @@
 	// Relay supervises the request traffic of a daemon that has a local backend server.
 	Relay struct {
 		Options
+		Memory       *budget.Memory // that is held for callers
 		LocalBackend *LocalBackend
 		Server       *PeerServer
 		PeerStreams  *PeerStreams
@@ -108,25 +109,27 @@
 func New(o Options, dialect Dialect, clk clock.Clock, control Control, dialer *link.Dialer, m *meter.Meter, log, requests zerolog.Logger) *Relay {
 	suspects := crash.NewSuspects()
 	maxBody := o.MemoryLimit / 16
-	bodies := newBodyBudget(o.MemoryLimit)
+	memory := newMemory(o.MemoryLimit)
+	bodies := budget.NewBytes(budget.MemoryLimit(o.MemoryLimit), memory)
 	backend := &LocalBackend{
 		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
 		MaxBody: maxBody, KeptBody: o.MemoryLimit / keptBodyDivisor, Bodies: bodies, Zone: o.Zone, expected: Expected{Service: o.Service, Address: o.BackendAddress},
 	}
-	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
+	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log, Memory: memory}
 	forwarder := &Forwarder{
 		Clock: clk, Control: control, Dialect: dialect, PeerStreams: streams, LocalBackend: backend, Meter: m,
 		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Seed: o.Seed, Started: clk.Now(),
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
 	return &Relay{
-		Options: o, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
-		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody},
+		Options: o, Memory: memory, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
+		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody, Memory: memory},
 		Frontend: &Frontend{
 			Listener: accept.New(o.Ingress), Forwarder: forwarder, Dialect: dialect, Log: requests,
 			Limits: o.Limits, BodyStall: o.BodyStall, WriteStall: o.WriteStall,
 			Bodies: bodies, KeptBody: o.MemoryLimit / keptBodyDivisor,
-			Requests: budget.NewBytes(budget.RequestLimit(o.MemoryLimit)), Queued: newQueuedResponses(o.MemoryLimit),
+			Requests:       budget.NewBytes(budget.RequestLimit(o.MemoryLimit), memory),
+			Queued:         newQueuedResponses(budget.QueueLimit(o.MemoryLimit), memory),
 			MaxConnections: CallerLimit(cmp.Or(o.MaxConnections, maxConnections)),
 		},
 	}
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
@@ -21,6 +23,35 @@
 // errRequestBudget reports a request with so many fields that the requests in progress leave no room for it.
 var errRequestBudget = errors.New("the requests in progress leave no room for this one")
 
+// incoming is a request of a caller whose head has been read.
+type incoming struct {
+	parsed          *http.Request
+	request         Request // its body follows
+	invalid         error   // why it cannot be decoded, nil for a valid request
+	expectsContinue bool
+	cost            int64 // about the bytes that it takes while it is in progress, beside a counted body
+}
+
+// newIncoming decodes a request whose header has the given size in bytes.
+func newIncoming(parsed *http.Request, header int64, dialect Dialect) *incoming {
+	in := &incoming{
+		parsed: parsed, cost: requestCost(parsed, header),
+		expectsContinue: strings.EqualFold(parsed.Header.Get("Expect"), "100-continue"),
+	}
+	in.request, in.invalid = dialect.DecodeRequest(parsed)
+	return in
+}
+
+// claim says for whom a body of the request is held.
+func (c *callerConn) claim(r *Request) budget.Claim {
+	claim := budget.Claim{Account: c.accountOf(r.APIKey), Address: c.address}
+	if set := c.frontend.Forwarder.Control.Snapshot().Rules; set != nil {
+		route, ok := set.MatchHost(r.Host, r.Path)
+		claim.Urgent = ok && route.Rank == 0
+	}
+	return claim
+}
+
 // requestCost returns about the number of bytes that a request whose header has the given size takes while it is in
 // progress, without its body.
 func requestCost(r *http.Request, header int64) int64 {
@@ -46,7 +77,7 @@
 	switch {
 	case len(c.pipeline) >= maxPipelined:
 		return nil
-	case c.frontend.Requests.Take(c.address, cost):
+	case c.frontend.Requests.Take(budget.Claim{Address: c.address}, cost):
 		return &responseSlot{cost: cost}
 	case len(c.pipeline) == 0 && cost <= ordinaryRequest:
 		return &responseSlot{}
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -29,8 +29,10 @@
 		// pass accepts a response that is too long to be held whole, nil if there is nobody who could take it in parts.
 		pass passFunc
 		// gone ends when nobody waits for the response any more. The deadline does not end it.
-		gone    context.Context
-		passing bool // pass has been called, so that no other response can follow
+		gone context.Context
+		// arriving counts bytes that are held for a response while it arrives from another daemon, nil to count nothing.
+		arriving func(bytes int64)
+		passing  bool // pass has been called, so that no other response can follow
 	}
 
 	// passFunc passes on a long response; its body is read as fast as the receiver takes it. The length is -1 if it is
