--- a/internal/root/relay/longrequest.go
+++ b/internal/root/relay/longrequest.go
@@ -39,12 +39,11 @@
 	return nil
 }
 
-// expectCredit prepares for the credits of a long request body. The channel is closed with the first one.
-func (s *peerStream) expectCredit(pending *pendingReply) chan struct{} {
+// expectCredit prepares for the credits of a long request body.
+func (s *peerStream) expectCredit(pending *pendingReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pending.credit, pending.credited, pending.mayCredit = newCreditCounter(), make(chan struct{}), true
-	return pending.credited
 }
 
 // sendBody sends a long request body until the exchange ends.
