--- a/internal/field/field.go
+++ b/internal/field/field.go
@@ -19,6 +19,15 @@
 	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
+// Count returns the number of fields of a header.
+func Count(header http.Header) int {
+	count := 0
+	for _, values := range header {
+		count += len(values)
+	}
+	return count
+}
+
 // FromHeader returns the fields of a header.
 func FromHeader(header http.Header) []Field {
 	fields := make([]Field, 0, len(header))
--- a/internal/root/ctrl/disk/record.go
+++ b/internal/root/ctrl/disk/record.go
@@ -83,7 +83,7 @@
 
 // encodeRecord appends a stored record with the encoding of m to buf.
 func encodeRecord[T any, M wire.Message[T]](buf []byte, m M) ([]byte, error) {
-	body, err := wire.Encode[T](m)
+	body, err := wire.Marshal[T](m)
 	if err != nil {
 		return buf, err
 	}
--- a/internal/root/ctrl/state/snapshot.go
+++ b/internal/root/ctrl/state/snapshot.go
@@ -56,7 +56,7 @@
 
 // Encode returns the bytes of the snapshot.
 func (f *FrozenMachine) Encode() ([]byte, error) {
-	body, err := wire.Encode(&f.Image)
+	body, err := wire.Marshal(&f.Image)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -143,6 +143,9 @@
 	if errors.Is(err, errNoLongBodies) {
 		return notRun{failure: retry.Overload{}}, nil
 	}
+	if errors.Is(err, errNotEncoded) {
+		return notRun{failure: invalidRequestFailure(err)}, nil
+	}
 	if err != nil {
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) && sent {
 			return unknown{failure: retry.DeadlineAfter{}}, nil
@@ -154,13 +157,15 @@
 
 // sendRequest returns the message for the daemon of a server, without the header.
 func (f *Forwarder) sendRequest(now time.Time, state *forwardState) *SendRequest {
-	return &SendRequest{
-		ID: state.request.ID, Service: state.service, Route: state.route.Name, Account: state.accountName(),
+	send := &SendRequest{
+		ID: state.request.ID, Service: state.service, Route: rules.ShortName(state.route.Name, maxLabel),
 		Caller: f.LocalBackend.Service(), Nested: state.nested, Rank: uint32(max(state.rank, 0)),
 		Age: now.Sub(state.started), Objective: state.route.Objective, Left: state.deadline.Sub(now),
 		LongResponses: state.request.pass != nil, Method: state.request.Method, Target: state.request.Target,
 		Host: state.request.Host, Fingerprint: state.fingerprint,
 	}
+	send.setAccount(state.accountName())
+	return send
 }
 
 // abandon decides whether a request gives up on the daemon that it was sent to, which has fallen silent, because
@@ -290,6 +295,9 @@
 			return false
 		}
 	case notRun:
+		if isInvalidRequest(result.failure) {
+			return false
+		}
 		if !result.reached {
 			// This needs no retry budget, because no server received the request.
 			return len(state.tried) < maxServersTried(result.failure) && svc.balancer.Untried(state.tried, f.reach(state)) > 0
--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -163,6 +163,9 @@
 	state := &forwardState{request: r, started: now}
 	snapshot := f.awaitConfig(ctx, state)
 	state.lastContact = snapshot.LastContact
+	if !r.fitsMessage() {
+		return state, &notRun{failure: retry.HeaderTooLarge{}}
+	}
 	if snapshot.Rules == nil {
 		return state, &notRun{failure: retry.StaleConfig{}, retryAfter: noServerRetryAfter}
 	}
--- a/internal/root/relay/framewriter.go
+++ b/internal/root/relay/framewriter.go
@@ -128,12 +128,15 @@
 	return nil
 }
 
-// encodeFrame encodes a message of a peer stream.
+// encodeFrame encodes a message of a peer stream. The error reports a message that the receiver would not accept.
 func encodeFrame[T any, M wire.Message[T]](kind wire.Kind, m M) (wire.Frame, error) {
 	body, err := wire.Encode[T](m)
 	if err != nil {
 		return wire.Frame{}, err
 	}
+	if len(body) > maxPeerFrame {
+		return wire.Frame{}, fmt.Errorf("%w: %d bytes of %T, limit %d", wire.ErrFrameTooLarge, len(body), m, maxPeerFrame)
+	}
 	return wire.Frame{Kind: kind, Body: body}, nil
 }
 
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -212,7 +212,7 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, errHeaderLimit, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -246,6 +246,8 @@
 	case err == nil:
 		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed), errors.Is(err, errBodyBroken), errors.Is(err, errNotTaken):
+	case errors.Is(err, errHeaderLimit): // the server has responded
+		s.unanswered = 0
 	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && epoch.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
 		b.suspectRestart(now, s)
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -215,6 +216,7 @@
 	}
 }
 
+// reply sends the outcome of a request. One that no message can hold is replaced by a refusal of this request.
 func (p *peerStreamServer) reply(number uint64, result outcome, report Report) {
 	message := encodeReply(number, result, report)
 	first, rest := splitBody(message.Body)
@@ -222,8 +224,10 @@
 	frames, err := encodeFrames(kindReply, message, number, rest)
 	if err != nil {
 		p.server.Log.Error().Err(err).Msg("reply-not-encoded")
-		p.writer.close()
-		return
+		refusal := encodeReply(number, unknown{failure: retry.BackendLost{}}, Report{})
+		if frames, err = encodeFrames(kindReply, refusal, number, nil); err != nil {
+			return // this refusal is valid
+		}
 	}
 	p.writer.enqueue(cross.Home, frames...)
 }
@@ -235,9 +239,8 @@
 	if err := p.server.LocalBackend.Notice(ctx, request.notice()); err != nil {
 		noticeReply.Problem = err.Error()
 	}
-	if frame, err := encodeFrame(kindNoticeReply, noticeReply); err == nil {
-		p.writer.enqueue(cross.Home, frame)
-	}
+	noticeReply.Problem = noticeReply.Problem[:min(len(noticeReply.Problem), maxText)]
+	_ = writeMessage(p, kindNoticeReply, noticeReply)
 }
 
 // writeMessage queues a message.
@@ -253,7 +256,7 @@
 func decodeJob(now time.Time, send *SendRequest) *job {
 	arrived := now.Add(-send.Age)
 	j := &job{
-		service: send.Service, route: send.Route, caller: send.Caller, account: send.Account,
+		service: send.Service, route: send.Route, caller: send.Caller, account: cmp.Or(send.LongAccount, send.Account),
 		fingerprint: send.Fingerprint, nested: send.Nested, rank: int(send.Rank),
 		arrived: arrived, deadline: now.Add(send.Left),
 		request: &Request{
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -132,7 +132,7 @@
 	}
 	frames, err := encodeFrames(kindSend, send, number, rest)
 	if err != nil {
-		return nil, false, err
+		return nil, false, fmt.Errorf("%w: %w", errNotEncoded, err)
 	}
 	if !stream.writer.enqueue(cause, frames...) {
 		p.remove(stream)
@@ -202,7 +202,7 @@
 		State: n.State, Sequence: n.Sequence, StartUnixMilli: n.StartUnixMilli, ColdFor: n.ColdFor,
 	})
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", errNotice, err)
 	}
 	if !stream.writer.enqueue(cross.Control, frame) {
 		p.remove(stream)
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -290,6 +290,9 @@
 	got.response = Response{Status: first.Status, Header: first.Header, Body: held.data}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
+	if count := field.Count(got.response.Header); count > maxFields {
+		return got, fmt.Errorf("%w: %d fields, limit %d", errHeaderLimit, count, maxFields)
+	}
 	got.reusable, got.unframed = !first.Close, first.Unframed
 	if long {
 		return got, p.passLong(conn, ex, first, &got, held)
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -457,6 +457,11 @@
 		case "large":
 			size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
 			_, _ = io.WriteString(conn, formatResponse(id, strings.Repeat("x", size)))
+		case "fields":
+			count, _ := strconv.Atoi(r.URL.Query().Get("count"))
+			size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
+			response := formatResponse(id, strings.Repeat("x", size))
+			_, _ = io.WriteString(conn, strings.Replace(response, "Seal: s\r\n", "Seal: s\r\n"+headerFields(count), 1))
 		case "slow":
 			pause, _ := strconv.Atoi(r.URL.Query().Get("ms"))
 			time.Sleep(time.Duration(pause) * time.Millisecond)
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -18,8 +18,17 @@
 	Check() error
 }
 
-// Encode returns the protobuf encoding of m.
+// Encode checks m and returns its protobuf encoding. A message that its receiver would not accept is an error here, so that
+// it fails alone and not the stream.
 func Encode[T any, M Message[T]](m M) ([]byte, error) {
+	if err := m.Check(); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", m, err)
+	}
+	return Marshal[T](m)
+}
+
+// Marshal returns the protobuf encoding of a message that is stored and not sent. It is checked when it is read.
+func Marshal[T any, M Message[T]](m M) ([]byte, error) {
 	body, err := proto.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", m, err)
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,10 +21,24 @@
 		Inline   leaf     `protobuf:"bytes,5,opt,name=inline"`
 		Body     []byte   `protobuf:"bytes,6,opt,name=body"`
 	}
+
+	// bounded accepts numbers up to 1.
+	bounded struct {
+		Number uint64 `protobuf:"varint,1,opt,name=number"`
+	}
 )
 
+var errBound = errors.New("number above its bound")
+
 func (*tree) Check() error { return nil }
 
+func (b *bounded) Check() error {
+	if b.Number > 1 {
+		return errBound
+	}
+	return nil
+}
+
 // Guards against the fault of the protobuf codec that prepare avoids: it reads through an invalid pointer when
 // a repeated field has more than ten elements. The message has repeated fields at every level of nesting.
 func TestRepeatedRoundTrip(t *testing.T) {
@@ -49,6 +64,16 @@
 	}
 }
 
+// Guards against a message that its receiver does not accept and that is sent all the same.
+func TestEncodeChecks(t *testing.T) {
+	_, err := Encode(&bounded{Number: 2})
+	assert.ErrorIs(t, err, errBound)
+	body, err := Encode(&bounded{Number: 1})
+	assert.NilError(t, err)
+	_, err = Decode[bounded](body)
+	assert.NilError(t, err)
+}
+
 // Guards against a panic on malformed input and against decoded messages that cannot be encoded.
 func FuzzDecode(f *testing.F) {
 	body, err := Encode(&tree{Numbers: []uint64{1}, Leaves: []leaf{{Name: "l", Words: []string{"w"}}}})
