--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -41,6 +41,7 @@
 	evacuationRefusals     prometheus.Counter
 	displacedConnections   *prometheus.CounterVec
 	budgetRefusals         *prometheus.CounterVec
+	invalidMessages        *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -85,7 +86,8 @@
 	m.evacuationRefusals = newCounter("evacuation_refusals_total", "Requests refused at the daemon of their backend server because its availability zone is under evacuation.")
 	m.displacedConnections = newCounterVec("connections_displaced_total", "Connections that were closed because a listener had no room for another one.", "listener")
 	m.budgetRefusals = newCounterVec("budget_refusals_total", "Requests refused and connections closed because the memory for clients was taken, by what it was needed for.", "use")
-	m.Registry.MustRegister(m.displacedConnections, m.budgetRefusals, m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.invalidMessages = newCounterVec("invalid_messages_total", "Messages of other processes of the system that are invalid and were ignored, by stream.", "stream")
+	m.Registry.MustRegister(m.invalidMessages, m.displacedConnections, m.budgetRefusals, m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -165,6 +167,9 @@
 // BudgetRefused counts a request that was refused, or a connection that was closed, for lack of memory for clients.
 func (m *Meter) BudgetRefused(use string) { m.budgetRefusals.WithLabelValues(use).Inc() }
 
+// InvalidMessage counts an invalid message of another process of the system that was ignored.
+func (m *Meter) InvalidMessage(stream string) { m.invalidMessages.WithLabelValues(stream).Inc() }
+
 // WatchZones registers a gauge of the availability zones under evacuation, whose number read returns at each scrape.
 func (m *Meter) WatchZones(read func() int) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -220,7 +220,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peerStreams := &relay.PeerStreams{Clock: b.clock, Dialer: b.trafficDialer, Log: b.log}
+	peerStreams := &relay.PeerStreams{Clock: b.clock, Dialer: b.trafficDialer, Log: b.log, Meter: b.meter}
 	handler := &platform.RPCHandler{
 		Registrar: &relay.NoticeForwarder{PeerStreams: peerStreams, Port: b.settings.PeerAdvertise.Port()},
 		Configs:   b.loop, Orders: b.loop, Bodies: budget.NewBytes(budget.ConfigLimit(int64(b.settings.Fleet.Memory), rules.MaxFile)),
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -113,7 +113,7 @@
 		Clock: clk, Control: control, Dialect: dialect, Meter: m, Log: log, Requests: requests, Suspects: suspects,
 		MaxBody: maxBody, KeptBody: o.MemoryLimit / keptBodyDivisor, Bodies: bodies, Zone: o.Zone, expected: Expected{Service: o.Service, Address: o.BackendAddress},
 	}
-	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log}
+	streams := &PeerStreams{Clock: clk, Dialer: dialer, Log: log, Meter: m}
 	forwarder := &Forwarder{
 		Clock: clk, Control: control, Dialect: dialect, PeerStreams: streams, LocalBackend: backend, Meter: m,
 		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Seed: o.Seed, Started: clk.Now(),
