--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -90,8 +90,8 @@
 		waiting          map[*gate.Ticket]chan admission
 		leaving          bool
 		unreachableUntil time.Time
-		unanswered       int // consecutive runs that ended without a response
-		probing          bool
+		unanswered       int          // consecutive runs that ended without a response
+		probe            *gate.Ticket // of the one request that shows whether the server responds again, nil without one
 		epoch            atomic.Int64 // latest epoch that the limiter knows of; changes under the lock of the backend
 	}
 )
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -74,6 +74,7 @@
 		Account: j.account, CallerService: j.caller,
 	}}
 	ex.overdue = func() { b.releaseOverdue(s, ticket, ex) }
+	ex.responding = func() { b.recordResponding(s) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
 	if errors.Is(err, errNotConfirmed) {
 		b.endSuspect(s, j, false)
@@ -139,7 +140,9 @@
 	ticket = j.ticket()
 	switch decision := s.controller.Offer(now, ticket).(type) {
 	case gate.Admitted:
-		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
+		if s.unanswered >= maxUnanswered {
+			s.probe = ticket
+		}
 	case gate.Refused:
 		b.countColdStart(decision.Cold, meter.ColdRefused)
 		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
@@ -166,7 +169,7 @@
 		return notRun{failure: retry.Draining{}}
 	case now.Before(s.unreachableUntil):
 		return notRun{failure: retry.Unreached{}}
-	case s.unanswered >= maxUnanswered && s.probing:
+	case s.unanswered >= maxUnanswered && s.probe != nil:
 		return notRun{failure: retry.Unreached{}}
 	}
 	if failure := b.zoneFailure(); failure != nil {
@@ -241,7 +244,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.controller.Done(now, t, gateResult)
-	s.probing = false
+	if s.probe == t {
+		s.probe = nil
+	}
 	switch {
 	case err == nil:
 		s.unanswered = 0
@@ -264,6 +269,13 @@
 	b.admitWaiting(now, s)
 }
 
+// recordResponding records that the server has begun a long response, which its caller may read for any time.
+func (b *LocalBackend) recordResponding(s *serverProcess) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.unanswered, s.probe = 0, nil
+}
+
 // releaseOverdue gives the slot of a run to others at its deadline, because its caller may read a long response for any
 // time.
 func (b *LocalBackend) releaseOverdue(s *serverProcess, t *gate.Ticket, ex *exchange) {
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -54,6 +54,7 @@
 			<-overdue
 		}
 	}()
+	ex.responding()
 	got.response.Body, got.response.Passed = nil, true
 	body := &longResponse{conn: conn, ex: ex, head: first, held: held}
 	err := ex.request.pass(got.response, first.Length, body)
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -92,8 +92,10 @@
 		// outlast lets a long response take longer than the deadline. It returns false if the exchange has ended.
 		outlast func() bool
 		// overdue is called at the deadline if a long response is still being passed on. It sets released.
-		overdue  func()
-		released atomic.Bool
+		overdue func()
+		// responding is called once a long response has begun.
+		responding func()
+		released   atomic.Bool
 	}
 
 	// received is one complete response of the server.
