--- a/internal/root/ctrl/client.go
+++ b/internal/root/ctrl/client.go
@@ -60,6 +60,7 @@
 
 // TakeToken takes one rate token of the client account; if there is none, it waits for a grant until ctx ends.
 func (l *Loop) TakeToken(ctx context.Context, account string) call.TokenVerdict {
+	account = tokenAccount(account)
 	pool := (*l.tokenPools.Load())[account]
 	if pool == nil {
 		return call.TokenUnavailable{}
@@ -83,7 +84,7 @@
 
 // TokenState returns the state of the client account's rate tokens, and takes none.
 func (l *Loop) TokenState(account string) call.TokenState {
-	pool := (*l.tokenPools.Load())[account]
+	pool := (*l.tokenPools.Load())[tokenAccount(account)]
 	if pool == nil {
 		return call.TokenState{}
 	}
@@ -93,7 +94,7 @@
 
 // ReturnToken returns a token of the client account whose request was not sent to any backend server.
 func (l *Loop) ReturnToken(account string) {
-	if pool := (*l.tokenPools.Load())[account]; pool != nil {
+	if pool := (*l.tokenPools.Load())[tokenAccount(account)]; pool != nil {
 		pool.Return()
 	}
 }
--- a/internal/root/ctrl/codec.go
+++ b/internal/root/ctrl/codec.go
@@ -140,6 +140,9 @@
 	if err != nil {
 		return wire.Frame{}, err
 	}
+	if len(body) > maxControlFrame {
+		return wire.Frame{}, fmt.Errorf("%w: %d bytes of %T, limit %d", wire.ErrFrameTooLarge, len(body), m, maxControlFrame)
+	}
 	return wire.Frame{Kind: kind, Body: body}, nil
 }
 
--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -207,6 +207,9 @@
 	}
 }
 
+// tokenAccount returns the name of a client account in the messages about its tokens.
+func tokenAccount(name string) string { return rules.ShortName(name, limit.MaxAccount) }
+
 // limitsOf returns the rate limits of all client accounts.
 func limitsOf(set *rules.Set) []limit.Limit {
 	limits := make([]limit.Limit, 0, len(set.Accounts))
@@ -215,7 +218,7 @@
 			continue // the account has no limit
 		}
 		limits = append(limits, limit.Limit{
-			Account: name,
+			Account: tokenAccount(name),
 			Rate:    uint32(min(account.Rate.Count, limit.MaxRate)),
 			Per:     account.Rate.Per,
 			Burst:   uint32(min(max(account.Burst, 1), limit.MaxRate)),
--- a/internal/root/ctrl/daemon.go
+++ b/internal/root/ctrl/daemon.go
@@ -289,7 +289,9 @@
 	case connectionRefused:
 		d.localInstances.MarkRefused(event.address)
 	case crashReported:
-		l.sendToLeader(event.report)
+		for fingerprints := range slices.Chunk(event.report.Fingerprints, maxFingerprints) {
+			l.sendToLeader(&CrashReport{Incarnation: event.report.Incarnation, Fingerprints: fingerprints, Cleared: event.report.Cleared})
+		}
 	case drainRequested:
 		l.drain()
 	}
@@ -359,6 +361,10 @@
 
 func (l *Loop) requestEndpoints(event endpointsRequested) {
 	d := l.daemon
+	if !member.ValidService(event.service) {
+		event.reply <- &snap.Endpoints{} // no server can have announced itself
+		return
+	}
 	if instances := d.views.Services[event.service]; len(instances) > 0 {
 		event.reply <- &snap.Endpoints{Version: d.endpointVersions[event.service], Instances: instances}
 		return
@@ -373,11 +379,21 @@
 func (l *Loop) sendSubscriptions() {
 	if len(l.daemon.subscriptions) > 0 {
 		l.sendToLeader(subscriptionMessage{&member.Subscription{
-			Services: slices.Sorted(maps.Keys(l.daemon.subscriptions)), Regions: l.daemon.rules.regions(),
+			Services: l.daemon.subscribedServices(), Regions: l.daemon.rules.regions(),
 		}})
 	}
 }
 
+// subscribedServices returns the services that this daemon calls. If they are more than a message holds, those that the
+// rules no longer have are left out.
+func (d *daemonState) subscribedServices() []string {
+	services := slices.Sorted(maps.Keys(d.subscriptions))
+	if len(services) > member.MaxServices && d.rules.set != nil {
+		services = slices.DeleteFunc(services, func(name string) bool { return d.rules.set.Services[name] == nil })
+	}
+	return services[:min(len(services), member.MaxServices)]
+}
+
 func (l *Loop) applyChange(change *member.Change) {
 	d := l.daemon
 	if err := change.DropInvalid(); err != nil {
--- a/internal/root/ctrl/draft.go
+++ b/internal/root/ctrl/draft.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 type (
@@ -113,7 +114,7 @@
 	}
 	hash := sha256.Sum256(draft.Text)
 	command := &state.ProposeConfig{
-		Number: draft.Number, Text: draft.Text, Author: draft.Author, Origin: l.cfg.PeerAddress,
+		Number: draft.Number, Text: draft.Text, Author: rules.ShortName(draft.Author, state.MaxAuthor), Origin: l.cfg.PeerAddress,
 		Hash: hash[:], At: l.voter.machine.CommandTime(now), Based: true, Base: draft.Base,
 	}
 	l.replaceByDifference(command, draft.Base)
--- a/internal/root/ctrl/leader.go
+++ b/internal/root/ctrl/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/member"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
@@ -135,6 +137,9 @@
 
 func (l *Loop) sendToDaemon(s *session, message LeaderMessage) {
 	frame, err := encodeLeaderMessage(message)
+	if report, ok := message.(*QueryReply); ok && errors.Is(err, wire.ErrFrameTooLarge) {
+		frame, err = encodeLeaderMessage(&QueryReply{ID: report.ID, TooLong: true})
+	}
 	if err != nil {
 		l.log.Error().Err(err).Msg("control-message-not-sent")
 		return
@@ -276,7 +281,7 @@
 		return
 	}
 	command := &state.ProposeConfig{
-		Number: message.Number, Text: message.Text, Author: message.Author,
+		Number: message.Number, Text: message.Text, Author: rules.ShortName(message.Author, state.MaxAuthor),
 		Origin: s.peer, Hash: message.Hash, At: l.voter.machine.CommandTime(now),
 	}
 	l.replaceByDifference(command, message.Number-1)
--- a/internal/root/ctrl/loop.go
+++ b/internal/root/ctrl/loop.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/disk"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/limit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
@@ -65,10 +66,12 @@
 		log    zerolog.Logger
 		dialer *link.Dialer
 
-		events           chan Event                                  // queue of the loop
-		stopped          chan struct{}                               // closed when the loop has ended
-		configured       chan struct{}                               // closed after the first configuration and lease
-		snapshot         atomic.Pointer[snap.Snapshot]               // published by the loop
+		events           chan Event                    // queue of the loop
+		stopped          chan struct{}                 // closed when the loop has ended
+		configured       chan struct{}                 // closed after the first configuration and lease
+		snapshot         atomic.Pointer[snap.Snapshot] // published by the loop
+		invalidMessages  atomic.Uint64                 // received and ignored
+		invalidLogged    logs.Repeat
 		tokenPools       atomic.Pointer[map[string]*limit.TokenPool] // published by the loop
 		controlAddresses atomic.Pointer[[]string]                    // peer addresses of control instances, the latest first
 		lastWaiterID     atomic.Uint64                               // number of the latest token wait
--- a/internal/root/ctrl/message.go
+++ b/internal/root/ctrl/message.go
@@ -154,6 +154,8 @@
 	QueryReply struct {
 		ID   uint64 `protobuf:"varint,1,opt,name=id"`
 		Body []byte `protobuf:"bytes,2,opt,name=body"`
+		// TooLong is set if there is a report that is longer than a frame.
+		TooLong bool `protobuf:"varint,3,opt,name=too_long"`
 	}
 )
 
--- a/internal/root/ctrl/oncequeue.go
+++ b/internal/root/ctrl/oncequeue.go
@@ -78,7 +78,15 @@
 	}
 }
 
+// add sends a command until it has a verdict. One that no leader accepts has no effect.
 func (q *onceQueue) add(l *Loop, c *pendingOnce) {
+	if err := c.message.Check(); err != nil {
+		l.log.Warn().Err(err).Msg("once-command-invalid")
+		if c.reply != nil {
+			c.reply <- onceResult{attempt: c.attempt}
+		}
+		return
+	}
 	q.lastNumber++
 	c.message.ID = q.lastNumber
 	q.pending[c.message.ID] = c
--- a/internal/root/ctrl/report.go
+++ b/internal/root/ctrl/report.go
@@ -20,6 +20,7 @@
 
 var (
 	errNoLeader      = errors.New("no leader is reachable")
+	errReportTooLong = errors.New("the report is too long for a message of the leader")
 	errNoEvacuations = errors.New("the leader runs an earlier version, which has no evacuations")
 
 	// ErrNotFound reports a revision or rule that does not exist.
@@ -92,6 +93,9 @@
 }
 
 func queryResult(message *QueryReply) reportResult {
+	if message.TooLong {
+		return reportResult{err: errReportTooLong}
+	}
 	if len(message.Body) == 0 {
 		return reportResult{err: ErrNotFound}
 	}
@@ -304,6 +308,7 @@
 			{"pending-once", strconv.Itoa(len(d.onceQueue.pending))},
 			{"bytes-to-leader", strconv.FormatUint(l.bytesSent, 10)},
 			{"bytes-from-leader", strconv.FormatUint(l.bytesReceived.Load(), 10)},
+			{"invalid-messages", strconv.FormatUint(l.invalidMessages.Load(), 10)},
 			{"draining", strconv.FormatBool(d.draining)},
 		}},
 	}
--- a/internal/root/ctrl/state/command.go
+++ b/internal/root/ctrl/state/command.go
@@ -19,9 +19,13 @@
 	// MaxQuarantine is the longest quarantine of a fingerprint by one command.
 	MaxQuarantine = 24 * time.Hour
 
+	// MaxAuthor is the longest name of the author of a configuration in bytes, and MaxRoute that of a route in an
+	// OnceScope.
+	MaxAuthor = maxName
+	MaxRoute  = 512
+
 	hashSize       = 32
 	maxName        = 128
-	maxRoute       = 512
 	maxKey         = 256
 	maxFingerprint = 64
 	maxHeaders     = 64
@@ -254,7 +258,7 @@
 
 // Check returns an error that names the first invalid field.
 func (s *OnceScope) Check() error {
-	return firstError(checkLength("account", s.Account, 0, maxName), checkLength("route", s.Route, 1, maxRoute), checkLength("key", s.Key, 1, maxKey))
+	return firstError(checkLength("account", s.Account, 0, maxName), checkLength("route", s.Route, 1, MaxRoute), checkLength("key", s.Key, 1, maxKey))
 }
 
 // Check returns an error that names the first invalid field.
--- a/internal/root/ctrl/transport.go
+++ b/internal/root/ctrl/transport.go
@@ -94,6 +94,9 @@
 			frame, err := encodeRaft(message, decompresses.Load())
 			if err == nil {
 				err = wire.WriteFrame(writer, frame.Kind, frame.Body)
+			} else { // consensus tolerates the loss of a message
+				r.loop.log.Error().Str("peer", r.name).Err(err).Msg("raft-message-not-sent")
+				err = nil
 			}
 			if err == nil && len(r.queue) == 0 {
 				err = writer.Flush()
@@ -151,14 +154,13 @@
 			return
 		}
 		frame, err := wire.Decompress(received, wire.MaxFrame)
-		if err != nil {
-			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("raft-message-refused")
-			return
+		message := raft.Message(nil)
+		if err == nil {
+			message, err = codec.Decode(frame)
 		}
-		message, err := codec.Decode(frame)
-		if err != nil {
-			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("raft-message-refused")
-			return
+		if err != nil { // consensus tolerates the loss of a message
+			l.ignoreMessage(stream.Peer, err)
+			continue
 		}
 		if !l.post(ctx, raftEvent{input: raft.MessageReceived{Message: message}}) {
 			return
--- a/internal/root/ctrl/uplink.go
+++ b/internal/root/ctrl/uplink.go
@@ -67,18 +67,11 @@
 		return false, ctx.Err()
 	}
 	err = s.serve(ctx, func(received wire.Frame) error {
-		frame, err := wire.Decompress(received, wire.MaxFrame)
+		message, err := decodeReceived(received)
 		if err != nil {
-			return err
-		}
-		message, err := decodeLeaderMessage(frame)
-		if errors.Is(err, errUnknownKind) {
-			l.log.Debug().Str("address", address).Err(err).Msg("control-message-ignored")
+			l.ignoreMessage(address, err)
 			return nil
 		}
-		if err != nil {
-			return err
-		}
 		if redirect, ok := message.(*Redirect); ok {
 			*leaderHint = redirect.Leader
 			return errRedirected
@@ -104,17 +97,13 @@
 	}
 	err := s.serve(ctx, func(frame wire.Frame) error {
 		message, err := decodeDaemonMessage(frame)
-		if err != nil && frame.Kind == kindAnnounce {
-			// The daemon would send the same announcement on its next stream.
-			l.log.Warn().Str("peer", stream.Peer).Err(err).Msg("announcement-unreadable")
-			return nil
-		}
-		if errors.Is(err, errUnknownKind) {
-			l.log.Debug().Str("peer", stream.Peer).Err(err).Msg("control-message-ignored")
-			return nil
+		if err != nil && frame.Kind == kindJoin {
+			return err // the leader cannot use the stream without it
 		}
 		if err != nil {
-			return err
+			l.ignoreMessage(stream.Peer, err)
+			s.refuseInvalid(frame)
+			return nil
 		}
 		l.notify(daemonMessageReceived{session: s, message: message})
 		return nil
