--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -251,8 +251,11 @@
 	if err != nil {
 		cancel()
 		attempt := attemptResult{failure: retry.BackendLost{}}
-		if errors.Is(err, errNotSent) {
-			// The request has not run, so none of the lent retries is spent.
+		// Of a request that has not run, none of the lent retries is spent.
+		switch {
+		case errors.Is(err, errNotEncoded):
+			attempt = attemptResult{failure: invalidCallFailure(err), report: Report{Unspent: retries}}
+		case errors.Is(err, errNotSent):
 			attempt = attemptResult{failure: retry.Unreached{}, report: Report{Unspent: retries}}
 		}
 		attempt.feedback = pickerFeedback(ctx, r, attempt)
--- a/internal/root/call/once.go
+++ b/internal/root/call/once.go
@@ -9,12 +9,13 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/ctrl/state"
+	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
 )
 
 // runOnce runs a non-idempotent request with an Idempotency-Key at most once, even when the caller sends
 // it again through another daemon.
 func (h *Handler) runOnce(ctx context.Context, w http.ResponseWriter, request *Request, key string) result {
-	scope := state.OnceScope{Account: request.Account, Route: request.Route.Name, Key: key}
+	scope := state.OnceScope{Account: request.Account, Route: rules.ShortName(request.Route.Name, state.MaxRoute), Key: key}
 	waitCtx, cancel := context.WithTimeout(ctx, recordTimeout)
 	attempt, verdict := h.Control.BeginOnce(waitCtx, scope, requestHash(request))
 	cancel()
--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -62,8 +62,13 @@
 func (endMessage) responseMessage()          {}
 
 // open opens a call stream and sends the head and, unless the head sets WaitAdmitted, the body, which is
-// the prefix. An error that wraps errNotSent means that no byte was sent.
+// the prefix. An error that wraps errNotSent means that no byte was sent, and one that wraps errNotEncoded that no daemon
+// would accept the head.
 func (s *Sender) open(ctx context.Context, choice *picker.Choice, head *RequestHead, prefix []byte) (*outgoingCall, error) {
+	encoded, err := encode(head)
+	if err != nil {
+		return nil, err
+	}
 	stream, err := s.connect(ctx, choice.Daemon)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
@@ -75,7 +80,7 @@
 	writer := headWriterPool.Get().(*bufio.Writer)
 	defer headWriterPool.Put(writer)
 	writer.Reset(stream)
-	err = wire.WriteMessage(writer, kindRequestHead, head)
+	err = wire.WriteFrame(writer, kindRequestHead, encoded)
 	if err == nil && !head.WaitAdmitted {
 		err = writeBody(writer, prefix, nil)
 	}
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -19,6 +19,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/logs"
 	"github.com/buckthornpitch/buckthornpitch/internal/meter"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/admit"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
@@ -55,6 +56,7 @@
 		parents  *parentRequests
 		calls    activity
 		leaving  atomic.Bool // new calls are refused
+		invalid  logs.Repeat // lines about invalid calls
 	}
 
 	// incomingCall is the serving side of one call stream, at the daemon next to the backend server.
@@ -85,6 +87,7 @@
 	head, err := readHead(reader)
 	if err != nil {
 		readerPool.Put(reader)
+		s.refuseInvalid(stream, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, head.Timeout)
@@ -132,6 +135,20 @@
 	_ = stream.SetWriteDeadline(limit)
 }
 
+// refuseInvalid refuses a call whose head is invalid. A stream that ended, or began with another frame, gets no reply.
+func (s *Server) refuseInvalid(stream *link.Stream, cause error) {
+	if !errors.Is(cause, wire.ErrDecode) {
+		return
+	}
+	s.Meter.InvalidMessage("call")
+	if others, ok := s.invalid.Allow(time.Now()); ok {
+		s.Log.Warn().Str("peer", stream.Peer).Err(cause).Int("others", others).Msg("call-invalid")
+	}
+	row := retry.Describe(invalidCallFailure(cause))
+	_ = stream.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_ = wire.WriteMessage(stream, kindRefusal, &Refusal{Reason: row.Reason, Outcome: row.Outcome})
+}
+
 func readHead(reader io.Reader) (*RequestHead, error) {
 	frame, err := wire.ReadFrame(reader, maxFrame)
 	if err != nil {
@@ -334,6 +351,10 @@
 func (c *incomingCall) relayFailed(ctx context.Context, started time.Time, err error) admit.Result {
 	nothingSent := errors.Is(err, errNoBody)
 	switch {
+	case errors.Is(err, errNotEncoded): // nothing has been sent
+		c.endSuspect(true)
+		c.refuseResponse(err)
+		return admit.Completed{}
 	case errors.Is(err, head.ErrMalformed):
 		return c.malformed(err, nothingSent)
 	case nothingSent:
@@ -414,7 +435,7 @@
 		Report:        c.report(failed),
 	}
 	first.Report.BackendLatency = backendLatency
-	if err := wire.WriteMessage(c.writer, kindResponseHead, first); err != nil {
+	if err := c.sendHead(first); err != nil {
 		return fmt.Errorf("send response head: %w", err)
 	}
 	for ; ; n, err = response.Body.Read(buf[wire.HeaderSize:]) {
@@ -442,6 +463,14 @@
 	return wire.WriteMessage(c.writer, kindResponseEnd, end)
 }
 
+func (c *incomingCall) sendHead(first *ResponseHead) error {
+	body, err := encode(first)
+	if err != nil {
+		return err
+	}
+	return wire.WriteFrame(c.writer, kindResponseHead, body)
+}
+
 func (c *incomingCall) roundTripFailed(ctx context.Context, started time.Time, err error) admit.Result {
 	now := c.server.Clock.Now()
 	switch {
