--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -75,6 +75,7 @@
 		Account: j.account, CallerService: j.caller,
 	}}
 	ex.overdue = func() { b.releaseOverdue(s, ticket, ex) }
+	ex.responding = func() { b.recordResponding(s) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
 	if errors.Is(err, errNotConfirmed) {
 		b.endSuspect(s, j, false)
@@ -140,7 +141,9 @@
 	ticket = j.ticket()
 	switch decision := s.controller.Offer(now, ticket).(type) {
 	case gate.Admitted:
-		s.probing = s.unanswered >= maxUnanswered // this request shows whether the server responds again
+		if s.unanswered >= maxUnanswered {
+			s.probe = ticket
+		}
 	case gate.Refused:
 		b.countColdStart(decision.Cold, meter.ColdRefused)
 		b.Requests.Info().Str("request", j.request.ID).Str("route", j.route).Int("rank", j.rank).Bool("nested", j.nested).
@@ -167,7 +170,7 @@
 		return notRun{failure: retry.Draining{}}
 	case now.Before(s.unreachableUntil):
 		return notRun{failure: retry.Unreached{}}
-	case s.unanswered >= maxUnanswered && s.probing:
+	case s.unanswered >= maxUnanswered && s.probe != nil:
 		return notRun{failure: retry.Unreached{}}
 	}
 	if failure := b.zoneFailure(); failure != nil {
@@ -213,7 +216,7 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, errHeaderLimit, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -242,11 +245,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.controller.Done(now, t, gateResult)
-	s.probing = false
+	if s.probe == t {
+		s.probe = nil
+	}
 	switch {
 	case err == nil:
 		s.unanswered = 0
 	case errors.Is(err, errNotConfirmed), errors.Is(err, errBodyBroken), errors.Is(err, errNotTaken):
+	case errors.Is(err, errHeaderLimit): // the server has responded
+		s.unanswered = 0
 	case errors.Is(err, errNotSent) && !errors.Is(err, errRequestEnded) && epoch.Refused(err):
 		s.unreachableUntil = now.Add(unreachablePeriod)
 		b.suspectRestart(now, s)
@@ -263,6 +270,13 @@
 	b.admitWaiting(now, s)
 }
 
+// recordResponding records that the server has begun a long response, which its caller may read for any time.
+func (b *LocalBackend) recordResponding(s *serverProcess) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.unanswered, s.probe = 0, nil
+}
+
 // releaseOverdue gives the slot of a run to others at its deadline, because its caller may read a long response for any
 // time.
 func (b *LocalBackend) releaseOverdue(s *serverProcess, t *gate.Ticket, ex *exchange) {
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -94,8 +94,10 @@
 		// outlast lets a long response take longer than the deadline. It returns false if the exchange has ended.
 		outlast func() bool
 		// overdue is called at the deadline if a long response is still being passed on. It sets released.
-		overdue  func()
-		released atomic.Bool
+		overdue func()
+		// responding is called once a long response has begun.
+		responding func()
+		released   atomic.Bool
 	}
 
 	// received is one complete response of the server.
@@ -292,6 +294,9 @@
 	got.response = Response{Status: first.Status, Header: first.Header, Body: held.data}
 	field.RemoveHopByHop(got.response.Header)
 	got.response.Header.Del("Content-Length") // encodeResponse sets it
+	if count := field.Count(got.response.Header); count > maxFields {
+		return got, fmt.Errorf("%w: %d fields, limit %d", errHeaderLimit, count, maxFields)
+	}
 	got.reusable, got.unframed = !first.Close, first.Unframed
 	if long {
 		return got, p.passLong(conn, ex, first, &got, held)
