--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -192,7 +192,6 @@
 // non-idempotent route that has an Idempotency-Key is run at most once.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, request *Request, started time.Time) result {
 	timed := &timeoutBody{body: request.body, control: http.NewResponseController(w), stallTimeout: h.BodyTimeout}
-	defer func() { timed.stop(request.upload) }()
 	body := &limitedBody{body: timed, remaining: h.MaxBody}
 	if request.ContentLength > h.MaxBody {
 		return h.finish(w, request, failed{Failure: retry.BodyTooLarge{}, Final: true})
@@ -206,7 +205,9 @@
 	}
 	if request.Rest != nil {
 		// Without full duplex, net/http reads and discards the rest of the body when the response starts.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = timed.control.EnableFullDuplex()
+		w = &uploadWriter{ResponseWriter: w, body: timed}
+		defer func() { timed.stop(request.upload) }()
 	}
 	if h.Control.Snapshot().Quarantined(request.Fingerprint, started) {
 		return h.finish(w, request, failed{Failure: retry.Quarantined{}, Final: true})
--- a/internal/root/call/request.go
+++ b/internal/root/call/request.go
@@ -99,6 +99,7 @@
 	mu       sync.Mutex // guards the fields below and the read deadline of the connection
 	deadline time.Time
 	stopped  bool
+	ended    bool // the end of the body has been read
 }
 
 // Read reads the next part of the body.
@@ -108,7 +109,7 @@
 	}
 	n, err := b.body.Read(p)
 	if err != nil {
-		b.clear()
+		b.clear(errors.Is(err, io.EOF))
 	}
 	return n, err
 }
@@ -126,32 +127,59 @@
 
 // clear removes the deadline after the body. From then on the HTTP server reads from the connection to detect a
 // caller that disconnects, and would treat a passed deadline as such.
-func (b *timeoutBody) clear() {
+func (b *timeoutBody) clear(ended bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.ended = ended
 	if !b.stopped {
 		_ = b.control.SetReadDeadline(time.Time{})
 	}
 }
 
-// stop ends reads of the body and waits for the goroutine that streams it, so that no read consumes bytes
-// of the next request on the connection.
+// atEnd reports whether the end of the body has been read.
+func (b *timeoutBody) atEnd() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// stop ends reads of the body and waits for the goroutine that streams it, if there is one. If the end of the body has
+// not been read, the connection cannot carry another request, as uploadWriter has announced.
 func (b *timeoutBody) stop(upload <-chan struct{}) {
-	if upload == nil {
-		return
-	}
-	select {
-	case <-upload:
-		return
-	default:
-	}
 	b.mu.Lock()
 	b.stopped = true
-	_ = b.control.SetReadDeadline(time.Unix(1, 0))
+	if !b.ended {
+		_ = b.control.SetReadDeadline(time.Unix(1, 0))
+	}
 	b.mu.Unlock()
-	<-upload
+	if upload != nil {
+		<-upload
+	}
+	if !b.atEnd() {
+		// The HTTP server discards the rest, because a close with unread bytes could reset the response.
+		_ = b.control.SetReadDeadline(time.Now().Add(b.stallTimeout))
+	}
+}
+
+// uploadWriter announces the close of the connection if a response begins before the end of the request's body has been
+// read. The HTTP server would otherwise take the rest of the body for the next request, and a read that stop has ended
+// for the end of the connection.
+type uploadWriter struct {
+	http.ResponseWriter
+	body *timeoutBody
 }
 
+// WriteHeader writes the header of the response.
+func (w *uploadWriter) WriteHeader(status int) {
+	if !w.body.atEnd() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer of the connection for http.ResponseController.
+func (w *uploadWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // limitedBody fails with errBodyTooLarge when the body is longer than remaining.
 type limitedBody struct {
 	body      io.Reader
