--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -194,36 +194,6 @@
 	}
 }
 
-// awaitRequest waits for the first byte of the next request.
-func (c *callerConn) awaitRequest() error {
-	for {
-		limit := c.frontend.limits().IdleTimeout
-		c.mu.Lock()
-		broken := c.broken
-		if !broken {
-			_ = c.conn.SetReadDeadline(time.Now().Add(limit))
-		}
-		c.mu.Unlock()
-		if broken {
-			return &readStopped{"the last response is written"}
-		}
-		if _, err := c.reader.Peek(1); err == nil {
-			if !c.frontend.idle.remove(c) {
-				return net.ErrClosed
-			}
-			return nil
-		} else if netErr := net.Error(nil); !errors.As(err, &netErr) || !netErr.Timeout() {
-			return err
-		}
-		c.mu.Lock()
-		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
-		c.mu.Unlock()
-		if idle {
-			return &readStopped{"idle"}
-		}
-	}
-}
-
 // readBody reads the body of a request, or the beginning of one that is too long to be held whole. The caller releases
 // it once the request has ended.
 func (c *callerConn) readBody(r *http.Request, limits rules.Limits) (body *bodyBuffer, whole bool, err error) {
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -70,6 +70,8 @@
 	open     atomic.Int64 // connections
 	closing  atomic.Bool
 	refusing atomic.Bool // every further request is refused
+
+	finishing atomic.Bool // connections without a request are closed
 }
 
 // Run accepts connections until ctx ends. Those that wait then are still accepted and served; Finish waits for them.
@@ -100,15 +102,15 @@
 }
 
 // Finish waits for the connections that were accepted last, after Run has returned: their requests get a response
-// before the process ends. It closes connections without a request.
+// before the process ends. Connections on which no request has arrived are closed.
 func (f *Frontend) Finish() {
+	f.finishing.Store(true)
 	timer := time.NewTimer(maxFinishTime)
 	defer timer.Stop()
 	ticker := time.NewTicker(finishPollInterval)
 	defer ticker.Stop()
 	for f.open.Load() > 0 {
-		for f.idle.evict(time.Now(), finishIdleTime) {
-		}
+		f.idle.wake(time.Now(), finishIdleTime)
 		select {
 		case <-ticker.C:
 		case <-timer.C:
@@ -148,6 +150,14 @@
 // RefuseRequests makes the frontend refuse every further request as not run.
 func (f *Frontend) RefuseRequests() { f.refusing.Store(true) }
 
+// idleTimeout returns how long a connection may be idle, and whether that is so short because Finish has been called.
+func (f *Frontend) idleTimeout() (limit time.Duration, finishing bool) {
+	if f.finishing.Load() {
+		return finishIdleTime, true
+	}
+	return f.limits().IdleTimeout, false
+}
+
 func (f *Frontend) draining() bool { return f.closing.Load() }
 
 // Active returns the number of requests in progress.
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -2,7 +2,10 @@
 
 import (
 	"container/list"
+	"errors"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -68,3 +71,70 @@
 	_ = c.conn.Close()
 	return true
 }
+
+// wake ends the reads of the connections that have been idle for minIdle, so that their readers see whether to close
+// them. A reader that has not had the processor may have a request to read.
+func (i *idleConns) wake(now time.Time, minIdle time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for element := i.conns.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*callerConn)
+		if now.Sub(c.idle.since) < minIdle {
+			return
+		}
+		_ = c.conn.SetReadDeadline(now)
+	}
+}
+
+// awaitRequest waits for the first byte of the next request.
+func (c *callerConn) awaitRequest() error {
+	for {
+		limit, finishing := c.frontend.idleTimeout()
+		c.mu.Lock()
+		broken := c.broken
+		if !broken {
+			_ = c.conn.SetReadDeadline(time.Now().Add(limit))
+		}
+		c.mu.Unlock()
+		if broken {
+			return &readStopped{"the last response is written"}
+		}
+		if _, err := c.reader.Peek(1); err == nil {
+			if !c.frontend.idle.remove(c) {
+				return net.ErrClosed
+			}
+			return nil
+		} else if netErr := net.Error(nil); !errors.As(err, &netErr) || !netErr.Timeout() {
+			return err
+		}
+		c.mu.Lock()
+		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
+		c.mu.Unlock()
+		switch {
+		case !idle || c.inputWaits():
+		case finishing:
+			return net.ErrClosed
+		default:
+			return &readStopped{"idle"}
+		}
+	}
+}
+
+// inputWaits reports whether the caller has sent bytes that have not been read.
+func (c *callerConn) inputWaits() bool {
+	raw, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = control.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err == nil && n > 0
+	})
+	return err == nil && waits
+}
