--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -89,7 +89,8 @@
 	// Restore replaces the state machine by the snapshot's Data.
 	Restore struct{ Snapshot Snapshot }
 
-	// TakeSnapshot requests the state after the latest Apply; SnapshotTaken returns it.
+	// TakeSnapshot requests the state after the latest Apply; SnapshotTaken returns it. No Apply of the same step
+	// follows it.
 	TakeSnapshot struct{}
 
 	// Dropped reports that the proposal ID was not appended, or that its outcome is unknown.
--- a/internal/root/ctrl/raft/member_test.go
+++ b/internal/root/ctrl/raft/member_test.go
@@ -155,3 +155,36 @@
 		assert.Assert(t, count >= 3 && count <= 5, "%d hellos to %s", count, name)
 	}
 }
+
+// Guards against a snapshot that lacks acknowledged changes: a request for the state that comes before the last Apply of
+// a step would label the state with the index of that Apply. The removal of a voter commits more entries in one step.
+func TestSnapshotIsRequestedAfterTheLastApply(t *testing.T) {
+	h := newOpenHarness(t, func(*Membership) {})
+	reply := func(name string, match uint64) *AppendReply {
+		return &AppendReply{Header: h.headerFrom(name, 2), Match: match, SentAt: h.node.sinceElection()}
+	}
+	stopping := reply("c", 2)
+	stopping.Stopping = true
+	h.receive(stopping)
+	hello := &Hello{Header: h.headerFrom("d", 0)}
+	hello.Header.Group = ""
+	h.receive(hello)
+	h.receive(reply("d", 2))
+	h.step(Propose{ID: 1, Data: []byte("change")})
+	h.receive(reply("b", 4))
+	assert.Equal(t, h.node.Status().Commit, uint64(2))
+	h.node.cfg.SnapshotEvery, h.actions = 1, nil
+	h.receive(reply("d", 3))
+	assert.DeepEqual(t, h.voterNames(), []string{"a", "b", "d"})
+	isRequested, isApplied := false, false
+	for _, action := range h.actions {
+		switch action.(type) {
+		case TakeSnapshot:
+			isRequested = true
+		case Apply:
+			isApplied = true
+			assert.Assert(t, !isRequested, "an Apply follows the request")
+		}
+	}
+	assert.Assert(t, isRequested && isApplied)
+}
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -228,6 +228,7 @@
 			}
 			n.apply()
 		}
+		n.requestSnapshot()
 	}
 	n.submitWrites()
 	n.releaseHeldSends()
--- a/internal/root/ctrl/raft/write.go
+++ b/internal/root/ctrl/raft/write.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// apply returns the committed entries to the control loop in order, and requests a snapshot when one is due.
+// apply returns the committed entries to the control loop in order.
 func (n *Node) apply() {
 	for n.applied < n.commit {
 		batch := n.log.entriesFrom(n.applied + 1)
@@ -139,6 +139,11 @@
 	if n.role == Leader && !n.membership().HasDisk(n.self.Disk) && n.membership().Index <= n.commit {
 		n.stepDown() // the committed membership no longer contains this member
 	}
+}
+
+// requestSnapshot requests a snapshot when one is due. It comes after the last Apply of a step, because the control
+// loop takes the state and the applied index when it executes the request.
+func (n *Node) requestSnapshot() {
 	snapshotIndex := uint64(0)
 	if n.snapshot != nil {
 		snapshotIndex = n.snapshot.Index
