--- a/internal/root/ctrl/raft/member.go
+++ b/internal/root/ctrl/raft/member.go
@@ -16,8 +16,10 @@
 
 // changeMembership appends the next step of a replacement. Voters are added and removed one at a time, each
 // step after the previous one is committed, so that any two majorities overlap. A responsive voter is
-// removed after its replacement has been added. An unresponsive voter is removed first: in a larger group it
-// would not contribute to a majority, and losing the new disk as well would then stop the group.
+// removed after its replacement has been added. An unresponsive voter whose name has a new disk is removed first: in a
+// larger group it would not contribute to a majority, and losing the new disk as well would then stop the group. An
+// unresponsive voter that may still have its disk is removed after a spare has been added: without it, a smaller group
+// would stop when another disk is lost.
 func (n *Node) changeMembership() {
 	current := n.membership()
 	switch {
@@ -87,9 +89,9 @@
 }
 
 // admit appends the next step towards making a learner of an open group a voter, and reports false if there is no
-// place for it. A member replaces the voter of the same name, takes a free place, or replaces an unreachable voter. A
-// new member with Extends set increases the target size up to MaxVoters. Any other member is added as a spare: once
-// another voter stops or becomes unreachable, that voter is removed.
+// place for it. A member replaces the voter of the same name or takes a free place. A new member with Extends set
+// increases the target size up to MaxVoters. Any other member is added as a spare: once another voter stops or is
+// unreachable, that voter is removed.
 func (n *Node) admit(current *Membership, learner Voter) bool {
 	size := uint64(len(current.Voters))
 	replaced, unreachable := n.voterReplacedBy(learner.Name), n.unreachableVoter(current)
@@ -107,7 +109,7 @@
 			addVoter(m, learner)
 			m.TargetSize++
 		})
-	case size >= current.TargetSize && unreachable != nil:
+	case unreachable != nil && (size > current.TargetSize || size == current.TargetSize && extends):
 		n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
 	case size < current.TargetSize || size == current.TargetSize && !extends:
 		n.appendMembership(func(m *Membership) { addVoter(m, learner) })
--- a/internal/root/ctrl/raft/member_test.go
+++ b/internal/root/ctrl/raft/member_test.go
@@ -188,3 +188,18 @@
 	}
 	assert.Assert(t, isRequested && isApplied)
 }
+
+// Guards against a group that ends with one lost disk: a silent voter that may return with its disk must not be removed
+// before its successor votes, because fewer voters than the target size bear fewer losses.
+func TestSilentVoterStaysUntilItsSuccessorVotes(t *testing.T) {
+	h := newOpenHarness(t, func(*Membership) {})
+	for range 10 {
+		h.advance(unreachableAfter / 5)
+		h.replyAll("b")
+	}
+	h.join(false)
+	assert.DeepEqual(t, h.voterNames(), []string{"a", "b", "d"})
+	for _, m := range h.node.memberships {
+		assert.Assert(t, len(m.Voters) >= 3, "%v vote", m.Voters)
+	}
+}
