--- a/internal/root/budget/budget_test.go
+++ b/internal/root/budget/budget_test.go
@@ -145,3 +145,17 @@
 	m.Collected()
 	assert.Assert(t, m.Take(Claim{Urgent: true}, 11))
 }
+
+// Guards against a claim of no bytes, such as that of a refusal, that stays counted as a holder and makes the shares of
+// all others smaller.
+func TestNoBytesHaveNoHolder(t *testing.T) {
+	b := NewBytes(120, nil)
+	for i := range 100 {
+		claim := Claim{Address: netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})}
+		assert.Assert(t, b.Take(claim, 0))
+		b.Release(claim, 0)
+	}
+	assert.Equal(t, len(b.holders), 0)
+	assert.Assert(t, b.Take(crowd, 60))
+	assert.Assert(t, b.Take(other, 40))
+}
--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -61,7 +61,7 @@
 
 // Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. A nil budget grants all.
 func (b *Bytes) Take(c Claim, n int64) bool {
-	if b == nil {
+	if b == nil || n == 0 { // a holder of no bytes would lower the shares of others
 		return true
 	}
 	b.mu.Lock()
