--- a/internal/root/budget/budget_test.go
+++ b/internal/root/budget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -159,3 +160,32 @@
 	assert.Assert(t, b.Take(crowd, 60))
 	assert.Assert(t, b.Take(other, 40))
 }
+
+// Guards against a garbage collection during which nobody else can take or release bytes of the same use.
+func TestCollectionKeepsBudgetUsable(t *testing.T) {
+	collecting, finish := make(chan struct{}), make(chan struct{})
+	m := NewMemory(128, func() {
+		close(collecting)
+		<-finish
+	})
+	b := NewBytes(128, m)
+	assert.Assert(t, b.Take(crowd, 60))
+	b.Release(crowd, 60)
+	granted := make(chan bool)
+	go func() { granted <- b.Take(crowd, 60) }()
+	<-collecting
+	used := make(chan bool)
+	go func() {
+		taken := b.Take(other, 10)
+		b.Release(other, 10)
+		used <- taken
+	}()
+	select {
+	case taken := <-used:
+		assert.Assert(t, taken)
+	case <-time.After(time.Second):
+		t.Error("the budget waits for the garbage collector")
+	}
+	close(finish)
+	assert.Assert(t, <-granted)
+}
--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -64,15 +64,27 @@
 	if b == nil || n == 0 { // a holder of no bytes would lower the shares of others
 		return true
 	}
+	granted, memoryFull := b.take(c, n)
+	if memoryFull && b.memory.collectGarbage() {
+		granted, _ = b.take(c, n)
+	}
+	return granted
+}
+
+// take counts n bytes if they are granted. memoryFull reports that only the memory has no room for them.
+func (b *Bytes) take(c Claim, n int64) (granted, memoryFull bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	by := c.holder()
-	if !b.mayTake(c, by, n) || !b.memory.Take(c, n) {
-		return false
+	if !b.mayTake(c, by, n) {
+		return false, false
+	}
+	if !b.memory.take(c, n) {
+		return false, true
 	}
 	b.used += n
 	b.holders[by] += n
-	return true
+	return true, false
 }
 
 func (b *Bytes) mayTake(c Claim, by holder, n int64) bool {
--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -41,13 +41,14 @@
 // Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. If released bytes stand in the
 // way, it waits for the garbage collector.
 func (m *Memory) Take(c Claim, n int64) bool {
-	if m == nil || m.take(c, n) {
-		return true
-	}
-	return m.collectGarbage() && m.take(c, n)
+	return m.take(c, n) || m.collectGarbage() && m.take(c, n)
 }
 
+// take counts n bytes if there is room for them now.
 func (m *Memory) take(c Claim, n int64) bool {
+	if m == nil {
+		return true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.held+m.recent+m.older+n > c.available(m.limit) {
@@ -89,7 +90,8 @@
 	m.older, m.recent = m.recent, 0
 }
 
-// collectGarbage frees what has been released, and reports whether it may be worth to ask for bytes once more.
+// collectGarbage frees what has been released, and reports whether it may be worth asking for bytes once more. The caller
+// holds no lock that others need in order to take or release bytes.
 func (m *Memory) collectGarbage() bool {
 	m.mu.Lock()
 	before := m.collections
