--- a/internal/root/budget/budget_test.go
+++ b/internal/root/budget/budget_test.go
@@ -189,3 +189,25 @@
 	close(finish)
 	assert.Assert(t, <-granted)
 }
+
+// Guards against a claim that is refused because it waited for a collection that had begun before the bytes in its way
+// were released.
+func TestCollectionBeganBeforeRelease(t *testing.T) {
+	const startWait = 50 * time.Millisecond // for the second claim to begin to wait
+	collections := 0
+	second := make(chan bool, 1)
+	var m *Memory
+	m = NewMemory(128, func() {
+		collections++
+		if collections > 1 {
+			return
+		}
+		m.Release(50)
+		go func() { second <- m.Take(Claim{Urgent: true}, 60) }()
+		time.Sleep(startWait)
+	})
+	assert.Assert(t, m.Take(Claim{Urgent: true}, 100))
+	m.Release(50)
+	assert.Assert(t, m.Take(Claim{Urgent: true}, 50))
+	assert.Assert(t, <-second)
+}
--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -28,7 +28,7 @@
 	recent      int64 // released since the last collection ended
 	older       int64 // released before it, perhaps too late for it
 	released    int64 // in all
-	collections int   // that Take waited for
+	collections int   // that have begun because there was no room
 }
 
 // MemoryLimit returns the limit for all that a process with the given memory in bytes holds for its clients.
@@ -90,8 +90,8 @@
 	m.older, m.recent = m.recent, 0
 }
 
-// collectGarbage frees what has been released, and reports whether it may be worth asking for bytes once more. The caller
-// holds no lock that others need in order to take or release bytes.
+// collectGarbage frees what was released before the call, and reports whether it may be worth asking for bytes once more.
+// The caller holds no lock that others need in order to take or release bytes.
 func (m *Memory) collectGarbage() bool {
 	m.mu.Lock()
 	before := m.collections
@@ -100,14 +100,17 @@
 	defer m.collecting.Unlock()
 	m.mu.Lock()
 	released, garbage, done := m.released, m.recent+m.older, m.collections != before
+	worthwhile := !done && garbage >= m.limit/garbageDivisor
+	if worthwhile {
+		m.collections++
+	}
 	m.mu.Unlock()
-	if done || garbage < m.limit/garbageDivisor {
-		return done // another one has collected meanwhile
+	if !worthwhile {
+		return done // another collection has begun since the call, and has ended
 	}
 	m.collect()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.collections++
 	m.older, m.recent = 0, m.released-released
 	return true
 }
