--- a/internal/root/relay/memory_test.go
+++ b/internal/root/relay/memory_test.go
@@ -91,3 +91,36 @@
 	arriving.add(1000)
 	assert.Equal(t, memory.Used(), int64(0))
 }
+
+// Guards against large bodies of requests of lower rank, or without a valid key, that take what is reserved.
+func TestBodiesTakeReserve(t *testing.T) { checkReserve(t, 2*freeBodySize) }
+
+// checkReserve checks who finds room for a body of size bytes once all that is not reserved is taken.
+func checkReserve(t *testing.T, size int) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	f.control.mu.Lock()
+	for _, route := range f.control.set.Routes {
+		if route.Prefix == "/once/" {
+			route.Rank = 1
+		}
+	}
+	f.control.mu.Unlock()
+	limit := budget.MemoryLimit(d.relay.MemoryLimit)
+	taken := limit - limit/8
+	d.relay.Memory.Add(taken)
+	body := strings.Repeat("x", size)
+	for path, status := range map[string]int{
+		"/open/echo":  http.StatusOK,
+		"/once/echo":  http.StatusServiceUnavailable,
+		"/keyed/echo": http.StatusServiceUnavailable,
+	} {
+		response := f.request(d, "r"+path, path, "", body)
+		assert.Equal(t, response.StatusCode, status, path)
+		if status != http.StatusOK {
+			assert.Equal(t, response.Header.Get("Outcome"), "not-run", path)
+		}
+	}
+	d.relay.Memory.Release(taken)
+	f.checkBudget()
+}
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -44,12 +44,21 @@
 
 // claim says for whom a body of the request is held.
 func (c *callerConn) claim(r *Request) budget.Claim {
-	claim := budget.Claim{Account: c.accountOf(r.APIKey), Address: c.address}
-	if set := c.frontend.Forwarder.Control.Snapshot().Rules; set != nil {
-		route, ok := set.MatchHost(r.Host, r.Path)
-		claim.Urgent = ok && route.Rank == 0
+	return budget.Claim{Account: c.accountOf(r.APIKey), Address: c.address, Urgent: c.urgent(r)}
+}
+
+// urgent reports whether the request is of rank 0 and its client may use the route.
+func (c *callerConn) urgent(r *Request) bool {
+	set := c.frontend.Forwarder.Control.Snapshot().Rules
+	if set == nil {
+		return false
+	}
+	route, ok := set.MatchHost(r.Host, r.Path)
+	if !ok {
+		return false
 	}
-	return claim
+	state := forwardState{route: route, rank: route.Rank}
+	return state.authenticate(set, r.APIKey) == nil && state.rank == 0
 }
 
 // requestCost returns about the number of bytes that a request whose header has the given size takes while it is in
