--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -81,8 +81,9 @@
 		ready    bool
 		method   string
 		response Response
-		close    bool  // the connection closes after this response
-		cost     int64 // bytes that are counted for the request
+		close    bool         // the connection closes after this response
+		claim    budget.Claim // for whom cost is counted
+		cost     int64        // bytes that are counted for the request
 
 		turn    chan struct{} // closed when the slot is the first one, nil if nobody waits for that
 		started bool          // the head of a long response is being written or has been
@@ -311,7 +312,7 @@
 			end()
 		}
 	}()
-	slot, err := c.reserveSlot(last, in.cost)
+	slot, err := c.reserveSlot(last, c.slotClaim(in), in.cost)
 	if errors.Is(err, errRequestBudget) {
 		c.frontend.Forwarder.Meter.BudgetRefused("requests")
 		return c.refuse(in, retry.Overload{})
@@ -367,7 +368,7 @@
 
 // reserveSlot appends a slot to the pipeline for a request that takes about cost bytes. It waits while the pipeline is
 // full, or while the requests in progress leave no room for one that was sent ahead.
-func (c *callerConn) reserveSlot(last bool, cost int64) (*responseSlot, error) {
+func (c *callerConn) reserveSlot(last bool, claim budget.Claim, cost int64) (*responseSlot, error) {
 	for {
 		c.mu.Lock()
 		if c.broken {
@@ -378,7 +379,7 @@
 			c.mu.Unlock()
 			return nil, &readStopped{"a response has announced that the connection closes"}
 		}
-		slot := c.newSlot(cost)
+		slot := c.newSlot(claim, cost)
 		if slot == nil && len(c.pipeline) == 0 {
 			c.mu.Unlock()
 			return nil, errRequestBudget
@@ -403,7 +404,7 @@
 
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
-	c.frontend.Requests.Release(budget.Claim{Address: c.address}, slot.cost)
+	c.frontend.Requests.Release(slot.claim, slot.cost)
 	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -495,7 +496,7 @@
 
 // refuse sends a refusal for a request that cannot be served, and ends the connection.
 func (c *callerConn) refuse(in *incoming, failure retry.Failure) error {
-	slot, err := c.reserveSlot(true, 0)
+	slot, err := c.reserveSlot(true, budget.Claim{}, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/root/relay/memory_test.go
+++ b/internal/root/relay/memory_test.go
@@ -95,6 +95,10 @@
 // Guards against large bodies of requests of lower rank, or without a valid key, that take what is reserved.
 func TestBodiesTakeReserve(t *testing.T) { checkReserve(t, 2*freeBodySize) }
 
+// Guards against urgent requests that are refused because others have taken all that is not reserved, while the reserve
+// is free.
+func TestRequestsTakeReserve(t *testing.T) { checkReserve(t, freeBodySize/2) }
+
 // checkReserve checks who finds room for a body of size bytes once all that is not reserved is taken.
 func checkReserve(t *testing.T, size int) {
 	f := newTestFleet(t, 1)
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -47,6 +47,11 @@
 	return budget.Claim{Account: c.accountOf(r.APIKey), Address: c.address, Urgent: c.urgent(r)}
 }
 
+// slotClaim says for whom the request is counted while it is in progress. An ordinary one needs no reserve.
+func (c *callerConn) slotClaim(in *incoming) budget.Claim {
+	return budget.Claim{Address: c.address, Urgent: in.cost > ordinaryRequest && c.urgent(&in.request)}
+}
+
 // urgent reports whether the request is of rank 0 and its client may use the route.
 func (c *callerConn) urgent(r *Request) bool {
 	set := c.frontend.Forwarder.Control.Snapshot().Rules
@@ -82,12 +87,12 @@
 
 // newSlot returns a slot for a request that takes about cost bytes, or nil while there is no room; c.mu is held. An
 // ordinary request always has room if it was not sent ahead.
-func (c *callerConn) newSlot(cost int64) *responseSlot {
+func (c *callerConn) newSlot(claim budget.Claim, cost int64) *responseSlot {
 	switch {
 	case len(c.pipeline) >= maxPipelined:
 		return nil
-	case c.frontend.Requests.Take(budget.Claim{Address: c.address}, cost):
-		return &responseSlot{cost: cost}
+	case c.frontend.Requests.Take(claim, cost):
+		return &responseSlot{claim: claim, cost: cost}
 	case len(c.pipeline) == 0 && cost <= ordinaryRequest:
 		return &responseSlot{}
 	}
