--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -25,6 +25,9 @@
 	noticeTimeout = 900 * time.Millisecond
 )
 
+// errFramePanic reports a frame that caused a panic.
+var errFramePanic = errors.New("panic while a frame was handled")
+
 type (
 	// PeerServer serves the peer streams of other daemons.
 	PeerServer struct {
@@ -87,7 +90,9 @@
 	p.requests.Wait()
 }
 
-func (p *peerStreamServer) read(ctx context.Context, reader *bufio.Reader) error {
+// read handles frames until the stream ends. A panic, which a frame may cause, ends it.
+func (p *peerStreamServer) read(ctx context.Context, reader *bufio.Reader) (err error) {
+	defer super.Recover(&p.server.Log, "peer-stream", func() { err = errFramePanic })
 	for {
 		frame, err := wire.ReadFrame(reader, maxPeerFrame)
 		if err != nil {
