--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -8,6 +9,7 @@
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/relay/place"
 	"github.com/buckthornpitch/buckthornpitch/pkg/rules"
@@ -280,6 +282,14 @@
 	}
 }
 
+// accountName returns the name of the client account, empty if it is not known.
+func (s *SendRequest) accountName() string { return cmp.Or(s.LongAccount, s.Account) }
+
+// claim says for whom a body of the request is held.
+func (s *SendRequest) claim() budget.Claim {
+	return budget.Claim{Account: s.accountName(), Urgent: s.Nested || s.Rank == 0}
+}
+
 func decodeHeader(fields []field.Field) http.Header {
 	header := make(http.Header, len(fields))
 	field.Add(header, fields)
--- a/internal/root/relay/peerinvalid_test.go
+++ b/internal/root/relay/peerinvalid_test.go
@@ -316,3 +316,14 @@
 		assert.Assert(t, !ok, "%x", body)
 	}
 }
+
+// Guards against a client account with a long name that has one share of the memory for its requests and another one for
+// their responses.
+func TestLongAccountHasOneShare(t *testing.T) {
+	for _, name := range []string{"", "short", strings.Repeat("long", maxLabel)} {
+		send := sendOf(1, "/once/echo")
+		send.Rank = 1
+		send.setAccount(name)
+		assert.Equal(t, send.claim(), decodeJob(time.Now(), send).claim())
+	}
+}
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -192,9 +191,7 @@
 
 // receiveRequest starts a request, or waits for the rest of its body.
 func (p *peerStreamServer) receiveRequest(ctx context.Context, send *SendRequest) {
-	held := &heldBody{
-		budget: p.server.LocalBackend.Bodies, claim: budget.Claim{Account: send.Account, Urgent: send.Nested || send.Rank == 0},
-	}
+	held := &heldBody{budget: p.server.LocalBackend.Bodies, claim: send.claim()}
 	size := len(send.Body)
 	if send.Streamed {
 		size = streamReserve
@@ -350,7 +347,7 @@
 func decodeJob(now time.Time, send *SendRequest) *job {
 	arrived := now.Add(-send.Age)
 	j := &job{
-		service: send.Service, route: send.Route, caller: send.Caller, account: cmp.Or(send.LongAccount, send.Account),
+		service: send.Service, route: send.Route, caller: send.Caller, account: send.accountName(),
 		fingerprint: send.Fingerprint, nested: send.Nested, rank: int(send.Rank),
 		arrived: arrived, deadline: now.Add(send.Left),
 		request: &Request{
