--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -233,6 +233,12 @@
 
 // startRequest serves a request in its own goroutine. It is complete, or its long body follows as it is read.
 func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest, held *heldBody) {
+	started := false
+	defer func() {
+		if !started { // after a panic
+			held.release()
+		}
+	}()
 	j := decodeJob(p.server.Clock.Now(), send)
 	var long *partQueue
 	if send.Streamed {
@@ -254,29 +260,40 @@
 		j.request.pass = p.passResponse(ctx, send.Number, j.claim(), credit)
 	}
 	p.mu.Unlock()
+	started = true
 	p.requests.Add(1)
 	p.server.workers.Go(func() {
 		defer p.requests.Done()
 		defer func() {
-			p.mu.Lock()
-			delete(p.cancels, send.Number)
-			delete(p.long, send.Number)
-			delete(p.credits, send.Number)
-			p.mu.Unlock()
-			cancel()
-			if long != nil {
-				_ = long.Close()
-			}
+			p.endRequest(send.Number, cancel, long)
 			held.release()
 		}()
-		defer super.Recover(&p.server.Log, "peer-request", func() {
-			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
-		})
-		result, report := p.server.LocalBackend.serve(ctx, j)
-		if ctx.Err() == nil { // otherwise nobody waits for the reply
-			p.reply(send.Number, result, report)
-		}
+		p.serveRequest(ctx, send.Number, j)
+	})
+}
+
+// serveRequest serves a request and replies to it.
+func (p *peerStreamServer) serveRequest(ctx context.Context, number uint64, j *job) {
+	defer super.Recover(&p.server.Log, "peer-request", func() {
+		p.reply(number, unknown{failure: retry.BackendLost{}}, Report{})
 	})
+	result, report := p.server.LocalBackend.serve(ctx, j)
+	if ctx.Err() == nil { // otherwise nobody waits for the reply
+		p.reply(number, result, report)
+	}
+}
+
+// endRequest forgets a request that has ended. Its long body is nil if it had none.
+func (p *peerStreamServer) endRequest(number uint64, cancel context.CancelFunc, long *partQueue) {
+	p.mu.Lock()
+	delete(p.cancels, number)
+	delete(p.long, number)
+	delete(p.credits, number)
+	p.mu.Unlock()
+	cancel()
+	if long != nil {
+		_ = long.Close()
+	}
 }
 
 func (p *peerStreamServer) cancel(number uint64) {
