--- a/internal/root/relay/queuedresponses.go
+++ b/internal/root/relay/queuedresponses.go
@@ -29,14 +29,14 @@
 	return &queuedResponses{queues: budget.NewQueues[*callerConn](limit, memory)}
 }
 
-// add counts a response of n bytes. If the callers have left too much unread, it closes the connection of the one with
-// the most.
+// add counts a response of n bytes. If the callers have left too much unread, it closes a connection of the
+// client address with the most.
 func (q *queuedResponses) add(c *callerConn, n int64) {
 	if q == nil {
 		return
 	}
 	q.mu.Lock()
-	victim, exceeded := q.queues.Add(c, n)
+	victim, exceeded := q.queues.Add(c, c.address, n)
 	q.mu.Unlock()
 	if !exceeded {
 		return
