--- a/internal/root/relay/memory_test.go
+++ b/internal/root/relay/memory_test.go
@@ -128,3 +128,20 @@
 	d.relay.Memory.Release(taken)
 	f.checkBudget()
 }
+
+// Guards against the buffer of a body that arrives in parts from another daemon and takes more memory than is counted.
+func TestIncompleteBodyCounts(t *testing.T) {
+	backend := &LocalBackend{Bodies: budget.NewBytes(64<<20, nil)}
+	p := &peerStreamServer{
+		server: &PeerServer{LocalBackend: backend, MaxBody: 16 << 20}, incomplete: map[uint64]*incompleteRequest{},
+	}
+	send := sendOf(1, "/once/echo")
+	send.Body, send.More = make([]byte, maxBodyPart), true
+	p.receiveRequest(t.Context(), send)
+	for range 16 {
+		assert.NilError(t, p.handleBodyPart(t.Context(), &BodyPart{Number: 1, Body: make([]byte, maxBodyPart), More: true}))
+		assert.Equal(t, backend.Bodies.Used(), int64(cap(send.Body)))
+	}
+	p.dropIncomplete(1)
+	assert.Equal(t, backend.Bodies.Used(), int64(0))
+}
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -176,12 +176,13 @@
 		p.reply(part.Number, notRun{failure: retry.BodyTooLarge{}}, Report{})
 		return nil
 	}
-	if !unfinished.held.take(len(part.Body)) {
+	before := cap(send.Body)
+	send.Body = append(send.Body, part.Body...)
+	if !unfinished.held.take(cap(send.Body) - before) {
 		delete(p.incomplete, part.Number)
 		p.refuse(send.Number, unfinished.held)
 		return nil
 	}
-	send.Body = append(send.Body, part.Body...)
 	if !part.More {
 		delete(p.incomplete, part.Number)
 		p.startRequest(ctx, send, unfinished.held)
@@ -192,7 +193,7 @@
 // receiveRequest starts a request, or waits for the rest of its body.
 func (p *peerStreamServer) receiveRequest(ctx context.Context, send *SendRequest) {
 	held := &heldBody{budget: p.server.LocalBackend.Bodies, claim: send.claim()}
-	size := len(send.Body)
+	size := cap(send.Body)
 	if send.Streamed {
 		size = streamReserve
 	}
@@ -213,7 +214,7 @@
 	p.reply(number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
 }
 
-// take counts bytes of the body and reports whether there is room for them.
+// take counts bytes of the body's buffer and reports whether there is room for them.
 func (h *heldBody) take(bytes int) bool {
 	if bytes == 0 {
 		return true
