--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -25,9 +25,9 @@
 
 	mu          sync.Mutex
 	held        int64
-	recent      int64 // released since the last collection ended
-	older       int64 // released before it, perhaps too late for it
-	released    int64 // in all
+	recent      int64 // released since the last collection was reported
+	older       int64 // released before that, perhaps too late for that collection
+	released    int64 // sum of all that was ever released
 	collections int   // that have begun because there was no room
 }
 
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -361,7 +361,7 @@
 
 func stopAfter(last bool) error {
 	if last {
-		return &readStopped{"the caller ponged to close the connection"}
+		return &readStopped{"the caller asked to close the connection"}
 	}
 	return nil
 }
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -222,7 +222,7 @@
 // passResponse passes on a long response that arrives from another daemon.
 func (s *peerStream) passResponse(reply *Reply, body *partQueue, request *Request) error {
 	decoded, ok := reply.decodeResponse().(completed)
-	if !ok || request.pass == nil { // the peer was not ponged for a response in parts
+	if !ok || request.pass == nil { // the peer was not asked for a response in parts
 		return head.ErrMalformed
 	}
 	stop := context.AfterFunc(request.gone, func() { body.fail(errNotTaken) })
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -63,7 +63,7 @@
 
 		mu         sync.Mutex
 		cancels    map[uint64]context.CancelFunc
-		incomplete map[uint64]*incompleteRequest // used by the reader only
+		incomplete map[uint64]*incompleteRequest // used by the reader only, without mu
 		long       map[uint64]*partQueue         // long bodies of requests in progress
 		credits    map[uint64]*creditCounter     // of requests in progress whose sender takes long responses
 	}
@@ -73,7 +73,8 @@
 func (s *PeerServer) ServeStream(ctx context.Context, stream *link.Stream) {
 	p := &peerStreamServer{
 		server: s, peer: stream.Peer, writer: newFrameWriter(stream, s.Memory),
-		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*incompleteRequest{}, long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
+		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*incompleteRequest{},
+		long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
 	}
 	go p.writer.run()
 	stop := context.AfterFunc(ctx, p.writer.close) // the daemon has drained and stops
@@ -103,7 +104,8 @@
 	}
 }
 
-// handleFrame handles a frame. After one of an unknown kind the stream is not read any further.
+// handleFrame handles a frame. An invalid message costs only its own request; after a frame of an unknown kind the stream
+// is not read any further.
 func (p *peerStreamServer) handleFrame(ctx context.Context, frame wire.Frame) error {
 	err := p.handleMessage(ctx, frame)
 	if err == nil || errors.Is(err, errFrameKind) {
--- a/internal/root/relay/stop_test.go
+++ b/internal/root/relay/stop_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against a planned stop that cuts off requests which the daemon has accepted late in the time that it has: in
-// a short time to stop all of it was spent on accepting, and a route that allows much time was not ponged about.
+// a short time to stop all of it was spent on accepting, and a route that allows much time was not asked about.
 func TestStopEndsNoAcceptedRequest(t *testing.T) {
 	for _, c := range []struct{ stopWithin, routeTime, run time.Duration }{
 		{2 * time.Second, 700 * time.Millisecond, 600 * time.Millisecond},
