--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -25,10 +25,10 @@
 
 	mu          sync.Mutex
 	held        int64
-	recent      int64 // released since the last collection ended
-	older       int64 // released before it, perhaps too late for it
-	released    int64 // in all
-	collections int   // that Take waited for
+	recent      int64 // released since the last collection was reported
+	older       int64 // released before that, perhaps too late for that collection
+	released    int64 // sum of all that was ever released
+	collections int   // that have begun because there was no room
 }
 
 // MemoryLimit returns the limit for all that a process with the given memory in bytes holds for its clients.
@@ -41,13 +41,14 @@
 // Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. If released bytes stand in the
 // way, it waits for the garbage collector.
 func (m *Memory) Take(c Claim, n int64) bool {
-	if m == nil || m.take(c, n) {
-		return true
-	}
-	return m.collectGarbage() && m.take(c, n)
+	return m.take(c, n) || m.collectGarbage() && m.take(c, n)
 }
 
+// take counts n bytes if there is room for them now.
 func (m *Memory) take(c Claim, n int64) bool {
+	if m == nil {
+		return true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.held+m.recent+m.older+n > c.available(m.limit) {
@@ -89,7 +90,8 @@
 	m.older, m.recent = m.recent, 0
 }
 
-// collectGarbage frees what has been released, and reports whether it may be worth to ask for bytes once more.
+// collectGarbage frees what was released before the call, and reports whether it may be worth asking for bytes once more.
+// The caller holds no lock that others need in order to take or release bytes.
 func (m *Memory) collectGarbage() bool {
 	m.mu.Lock()
 	before := m.collections
@@ -98,14 +100,17 @@
 	defer m.collecting.Unlock()
 	m.mu.Lock()
 	released, garbage, done := m.released, m.recent+m.older, m.collections != before
+	worthwhile := !done && garbage >= m.limit/garbageDivisor
+	if worthwhile {
+		m.collections++
+	}
 	m.mu.Unlock()
-	if done || garbage < m.limit/garbageDivisor {
-		return done // another one has collected meanwhile
+	if !worthwhile {
+		return done // another collection has begun since the call, and has ended
 	}
 	m.collect()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.collections++
 	m.older, m.recent = 0, m.released-released
 	return true
 }
--- a/internal/root/relay/memory_test.go
+++ b/internal/root/relay/memory_test.go
@@ -91,3 +91,57 @@
 	arriving.add(1000)
 	assert.Equal(t, memory.Used(), int64(0))
 }
+
+// Guards against large bodies of requests of lower rank, or without a valid key, that take what is reserved.
+func TestBodiesTakeReserve(t *testing.T) { checkReserve(t, 2*freeBodySize) }
+
+// Guards against urgent requests that are refused because others have taken all that is not reserved, while the reserve
+// is free.
+func TestRequestsTakeReserve(t *testing.T) { checkReserve(t, freeBodySize/2) }
+
+// checkReserve checks who finds room for a body of size bytes once all that is not reserved is taken.
+func checkReserve(t *testing.T, size int) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	f.control.mu.Lock()
+	for _, route := range f.control.set.Routes {
+		if route.Prefix == "/once/" {
+			route.Rank = 1
+		}
+	}
+	f.control.mu.Unlock()
+	limit := budget.MemoryLimit(d.relay.MemoryLimit)
+	taken := limit - limit/8
+	d.relay.Memory.Add(taken)
+	body := strings.Repeat("x", size)
+	for path, status := range map[string]int{
+		"/open/echo":  http.StatusOK,
+		"/once/echo":  http.StatusServiceUnavailable,
+		"/keyed/echo": http.StatusServiceUnavailable,
+	} {
+		response := f.request(d, "r"+path, path, "", body)
+		assert.Equal(t, response.StatusCode, status, path)
+		if status != http.StatusOK {
+			assert.Equal(t, response.Header.Get("Outcome"), "not-run", path)
+		}
+	}
+	d.relay.Memory.Release(taken)
+	f.checkBudget()
+}
+
+// Guards against the buffer of a body that arrives in parts from another daemon and takes more memory than is counted.
+func TestIncompleteBodyCounts(t *testing.T) {
+	backend := &LocalBackend{Bodies: budget.NewBytes(64<<20, nil)}
+	p := &peerStreamServer{
+		server: &PeerServer{LocalBackend: backend, MaxBody: 16 << 20}, incomplete: map[uint64]*incompleteRequest{},
+	}
+	send := sendOf(1, "/once/echo")
+	send.Body, send.More = make([]byte, maxBodyPart), true
+	p.receiveRequest(t.Context(), send)
+	for range 16 {
+		assert.NilError(t, p.handleBodyPart(t.Context(), &BodyPart{Number: 1, Body: make([]byte, maxBodyPart), More: true}))
+		assert.Equal(t, backend.Bodies.Used(), int64(cap(send.Body)))
+	}
+	p.dropIncomplete(1)
+	assert.Equal(t, backend.Bodies.Used(), int64(0))
+}
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +24,9 @@
 	noticeTimeout = 900 * time.Millisecond
 )
 
+// errFramePanic reports a frame that caused a panic.
+var errFramePanic = errors.New("panic while a frame was handled")
+
 type (
 	// PeerServer serves the peer streams of other daemons.
 	PeerServer struct {
@@ -61,7 +63,7 @@
 
 		mu         sync.Mutex
 		cancels    map[uint64]context.CancelFunc
-		incomplete map[uint64]*incompleteRequest // used by the reader only
+		incomplete map[uint64]*incompleteRequest // used by the reader only, without mu
 		long       map[uint64]*partQueue         // long bodies of requests in progress
 		credits    map[uint64]*creditCounter     // of requests in progress whose sender takes long responses
 	}
@@ -71,7 +73,8 @@
 func (s *PeerServer) ServeStream(ctx context.Context, stream *link.Stream) {
 	p := &peerStreamServer{
 		server: s, peer: stream.Peer, writer: newFrameWriter(stream, s.Memory),
-		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*incompleteRequest{}, long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
+		cancels: map[uint64]context.CancelFunc{}, incomplete: map[uint64]*incompleteRequest{},
+		long: map[uint64]*partQueue{}, credits: map[uint64]*creditCounter{},
 	}
 	go p.writer.run()
 	stop := context.AfterFunc(ctx, p.writer.close) // the daemon has drained and stops
@@ -87,7 +90,9 @@
 	p.requests.Wait()
 }
 
-func (p *peerStreamServer) read(ctx context.Context, reader *bufio.Reader) error {
+// read handles frames until the stream ends. A panic, which a frame may cause, ends it.
+func (p *peerStreamServer) read(ctx context.Context, reader *bufio.Reader) (err error) {
+	defer super.Recover(&p.server.Log, "peer-stream", func() { err = errFramePanic })
 	for {
 		frame, err := wire.ReadFrame(reader, maxPeerFrame)
 		if err != nil {
@@ -99,7 +104,8 @@
 	}
 }
 
-// handleFrame handles a frame. After one of an unknown kind the stream is not read any further.
+// handleFrame handles a frame. An invalid message costs only its own request; after a frame of an unknown kind the stream
+// is not read any further.
 func (p *peerStreamServer) handleFrame(ctx context.Context, frame wire.Frame) error {
 	err := p.handleMessage(ctx, frame)
 	if err == nil || errors.Is(err, errFrameKind) {
@@ -172,12 +178,13 @@
 		p.reply(part.Number, notRun{failure: retry.BodyTooLarge{}}, Report{})
 		return nil
 	}
-	if !unfinished.held.take(len(part.Body)) {
+	before := cap(send.Body)
+	send.Body = append(send.Body, part.Body...)
+	if !unfinished.held.take(cap(send.Body) - before) {
 		delete(p.incomplete, part.Number)
 		p.refuse(send.Number, unfinished.held)
 		return nil
 	}
-	send.Body = append(send.Body, part.Body...)
 	if !part.More {
 		delete(p.incomplete, part.Number)
 		p.startRequest(ctx, send, unfinished.held)
@@ -187,10 +194,8 @@
 
 // receiveRequest starts a request, or waits for the rest of its body.
 func (p *peerStreamServer) receiveRequest(ctx context.Context, send *SendRequest) {
-	held := &heldBody{
-		budget: p.server.LocalBackend.Bodies, claim: budget.Claim{Account: send.Account, Urgent: send.Nested || send.Rank == 0},
-	}
-	size := len(send.Body)
+	held := &heldBody{budget: p.server.LocalBackend.Bodies, claim: send.claim()}
+	size := cap(send.Body)
 	if send.Streamed {
 		size = streamReserve
 	}
@@ -211,7 +216,7 @@
 	p.reply(number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
 }
 
-// take counts bytes of the body and reports whether there is room for them.
+// take counts bytes of the body's buffer and reports whether there is room for them.
 func (h *heldBody) take(bytes int) bool {
 	if bytes == 0 {
 		return true
@@ -231,6 +236,12 @@
 
 // startRequest serves a request in its own goroutine. It is complete, or its long body follows as it is read.
 func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest, held *heldBody) {
+	started := false
+	defer func() {
+		if !started { // after a panic
+			held.release()
+		}
+	}()
 	j := decodeJob(p.server.Clock.Now(), send)
 	var long *partQueue
 	if send.Streamed {
@@ -252,29 +263,40 @@
 		j.request.pass = p.passResponse(ctx, send.Number, j.claim(), credit)
 	}
 	p.mu.Unlock()
+	started = true
 	p.requests.Add(1)
 	p.server.workers.Go(func() {
 		defer p.requests.Done()
 		defer func() {
-			p.mu.Lock()
-			delete(p.cancels, send.Number)
-			delete(p.long, send.Number)
-			delete(p.credits, send.Number)
-			p.mu.Unlock()
-			cancel()
-			if long != nil {
-				_ = long.Close()
-			}
+			p.endRequest(send.Number, cancel, long)
 			held.release()
 		}()
-		defer super.Recover(&p.server.Log, "peer-request", func() {
-			p.reply(send.Number, unknown{failure: retry.BackendLost{}}, Report{})
-		})
-		result, report := p.server.LocalBackend.serve(ctx, j)
-		if ctx.Err() == nil { // otherwise nobody waits for the reply
-			p.reply(send.Number, result, report)
-		}
+		p.serveRequest(ctx, send.Number, j)
+	})
+}
+
+// serveRequest serves a request and replies to it.
+func (p *peerStreamServer) serveRequest(ctx context.Context, number uint64, j *job) {
+	defer super.Recover(&p.server.Log, "peer-request", func() {
+		p.reply(number, unknown{failure: retry.BackendLost{}}, Report{})
 	})
+	result, report := p.server.LocalBackend.serve(ctx, j)
+	if ctx.Err() == nil { // otherwise nobody waits for the reply
+		p.reply(number, result, report)
+	}
+}
+
+// endRequest forgets a request that has ended. Its long body is nil if it had none.
+func (p *peerStreamServer) endRequest(number uint64, cancel context.CancelFunc, long *partQueue) {
+	p.mu.Lock()
+	delete(p.cancels, number)
+	delete(p.long, number)
+	delete(p.credits, number)
+	p.mu.Unlock()
+	cancel()
+	if long != nil {
+		_ = long.Close()
+	}
 }
 
 func (p *peerStreamServer) cancel(number uint64) {
@@ -345,7 +367,7 @@
 func decodeJob(now time.Time, send *SendRequest) *job {
 	arrived := now.Add(-send.Age)
 	j := &job{
-		service: send.Service, route: send.Route, caller: send.Caller, account: cmp.Or(send.LongAccount, send.Account),
+		service: send.Service, route: send.Route, caller: send.Caller, account: send.accountName(),
 		fingerprint: send.Fingerprint, nested: send.Nested, rank: int(send.Rank),
 		arrived: arrived, deadline: now.Add(send.Left),
 		request: &Request{
