--- a/internal/root/relay/limits_test.go
+++ b/internal/root/relay/limits_test.go
@@ -135,3 +135,17 @@
 		})
 	}
 }
+
+// Guards against a notice with a long name, which anyone can send to a control instance, that ends the other requests to
+// the daemon that it is forwarded to.
+func TestNoticeAboveMessageLimit(t *testing.T) {
+	t.Parallel()
+	f, front, remote := newRemoteFleet(t)
+	held := f.holdRequest(front, remote, "held")
+	notice := remote.notice(StateReady)
+	notice.Instance = strings.Repeat("i", maxLabel+1)
+	assert.ErrorIs(t, front.relay.PeerStreams.SendNotice(t.Context(), remote.peerAddress, notice), errNotice)
+	assert.NilError(t, front.relay.PeerStreams.SendNotice(t.Context(), remote.peerAddress, remote.notice(StateReady)))
+	close(remote.server.hold)
+	assert.Equal(t, (<-held).StatusCode, http.StatusOK)
+}
