--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -291,7 +291,7 @@
 		}
 	} else {
 		due = n.now.Add(min(maxTimeStep, max(n.electionTimeout-n.electionElapsed, 0)))
-		if !n.mayVoteIn(n.membership()) || n.isOnlyVoter() {
+		if n.isDiskStalled() || !n.mayVoteIn(n.membership()) || n.isOnlyVoter() {
 			due = n.now.Add(maxTimeStep)
 		}
 	}
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -385,3 +385,22 @@
 	assert.Assert(t, count()-before <= int(received*time.Millisecond/interval)+1, "%d hellos for %d", count()-before, received)
 	assert.Assert(t, count() > before, "a peer that may have missed the earlier ones gets a hello")
 }
+
+// Guards against a control loop that spins: a follower with a stalled disk starts no election, so that its deadline must
+// not be the end of its election timeout.
+func TestStalledDiskDoesNotSpin(t *testing.T) {
+	h := newHarness(t)
+	h.holdWrites = true
+	for last := uint64(1); last <= MaxPendingWrites; last++ {
+		h.receive(&Append{
+			Header: h.headerFrom("b", 1), Prev: last, PrevTerm: 1, Entries: []Entry{{Index: last + 1, Term: 1, Kind: EntryEmpty}},
+		})
+	}
+	assert.Assert(t, h.node.isDiskStalled())
+	for range 40 {
+		h.now = h.now.Add(maxTimeStep)
+		h.step(Tick{})
+		assert.Assert(t, h.node.Deadline().After(h.now), "the deadline has passed after a tick")
+	}
+	assert.Equal(t, h.node.Status().Role, Follower)
+}
