--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -48,8 +48,20 @@
 // mayVoteIn reports whether this member is a voter of m and a majority of the voters of m, including this
 // member, has accepted its boot number.
 func (n *Node) mayVoteIn(m *Membership) bool {
-	return m != nil && !n.hardState.Fenced && m.HasDisk(n.self.Disk) &&
-		m.majority(func(v Voter) bool { return v == n.self || n.acceptedBy[v.Name] == v.Disk })
+	return m != nil && m.HasDisk(n.self.Disk) && n.isAcceptedBy(m)
+}
+
+// mayCampaign reports whether this member may start an election. A member whose removal is not committed may: its log
+// can be the longest one, so that the voters elect no other member.
+func (n *Node) mayCampaign() bool {
+	committed := n.committedMembership()
+	isVoter := func(m Membership) bool { return m.Index >= committed.Index && m.HasDisk(n.self.Disk) }
+	return committed != nil && slices.ContainsFunc(n.memberships, isVoter) && n.isAcceptedBy(n.membership())
+}
+
+// isAcceptedBy reports whether a majority of the voters of m has accepted this member's boot number.
+func (n *Node) isAcceptedBy(m *Membership) bool {
+	return !n.hardState.Fenced && m.majority(func(v Voter) bool { return v == n.self || n.acceptedBy[v.Name] == v.Disk })
 }
 
 // needsHello reports whether a peer has not accepted this start yet, or this member belongs to no group yet or has
--- a/internal/root/ctrl/raft/node.go
+++ b/internal/root/ctrl/raft/node.go
@@ -263,7 +263,7 @@
 			n.stepDown()
 		}
 	}
-	if n.role != Leader && !n.isDiskStalled() && n.mayVoteIn(n.membership()) {
+	if n.role != Leader && !n.isDiskStalled() && n.mayCampaign() {
 		if n.isOnlyVoter() {
 			if n.role == Follower {
 				n.campaign()
@@ -291,7 +291,7 @@
 		}
 	} else {
 		due = n.now.Add(min(maxTimeStep, max(n.electionTimeout-n.electionElapsed, 0)))
-		if n.isDiskStalled() || !n.mayVoteIn(n.membership()) || n.isOnlyVoter() {
+		if n.isDiskStalled() || !n.mayCampaign() || n.isOnlyVoter() {
 			due = n.now.Add(maxTimeStep)
 		}
 	}
--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -404,3 +404,25 @@
 	}
 	assert.Equal(t, h.node.Status().Role, Follower)
 }
+
+// Guards against a group that ends while it removes a voter: only the member with the longest log can be elected, and
+// that may be the leader that has appended its own removal, until the removal is committed.
+func TestMemberCampaignsUntilItsRemovalIsCommitted(t *testing.T) {
+	removal := &Membership{Group: "da", Index: 2, Voters: voters[1:], Removed: []string{"da"}}
+	h := newHarness(t, Entry{Index: 2, Term: 1, Kind: EntryMembership, Membership: removal})
+	h.receive(&HelloReply{Header: h.headerFrom("c", 1), Boot: 1, Start: 1, Accepted: true})
+	h.advance(850 * time.Millisecond)
+	for _, term := range []uint64{1, 2} {
+		for _, name := range []string{"b", "c"} {
+			h.receive(&VoteReply{Header: h.headerFrom(name, term), PreVote: term == 1, RequestedTerm: 2, Granted: true})
+		}
+	}
+	assert.Equal(t, h.node.Status().Role, Leader)
+	for _, name := range []string{"b", "c"} {
+		h.receive(&AppendReply{Header: h.headerFrom(name, 2), Match: 3})
+	}
+	assert.Equal(t, h.node.Status().Commit, uint64(3))
+	assert.Equal(t, h.node.Status().Role, Follower)
+	h.advance(5 * time.Second)
+	assert.Equal(t, h.node.Status().Role, Follower)
+}
