--- a/internal/root/ctrl/raft/node_test.go
+++ b/internal/root/ctrl/raft/node_test.go
@@ -385,3 +385,44 @@
 	assert.Assert(t, count()-before <= int(received*time.Millisecond/interval)+1, "%d hellos for %d", count()-before, received)
 	assert.Assert(t, count() > before, "a peer that may have missed the earlier ones gets a hello")
 }
+
+// Guards against a control loop that spins: a follower with a stalled disk starts no election, so that its deadline must
+// not be the end of its election timeout.
+func TestStalledDiskDoesNotSpin(t *testing.T) {
+	h := newHarness(t)
+	h.holdWrites = true
+	for last := uint64(1); last <= MaxPendingWrites; last++ {
+		h.receive(&Append{
+			Header: h.headerFrom("b", 1), Prev: last, PrevTerm: 1, Entries: []Entry{{Index: last + 1, Term: 1, Kind: EntryEmpty}},
+		})
+	}
+	assert.Assert(t, h.node.isDiskStalled())
+	for range 40 {
+		h.now = h.now.Add(maxTimeStep)
+		h.step(Tick{})
+		assert.Assert(t, h.node.Deadline().After(h.now), "the deadline has passed after a tick")
+	}
+	assert.Equal(t, h.node.Status().Role, Follower)
+}
+
+// Guards against a group that ends while it removes a voter: only the member with the longest log can be elected, and
+// that may be the leader that has appended its own removal, until the removal is committed.
+func TestMemberCampaignsUntilItsRemovalIsCommitted(t *testing.T) {
+	removal := &Membership{Group: "da", Index: 2, Voters: voters[1:], Removed: []string{"da"}}
+	h := newHarness(t, Entry{Index: 2, Term: 1, Kind: EntryMembership, Membership: removal})
+	h.receive(&HelloReply{Header: h.headerFrom("c", 1), Boot: 1, Start: 1, Accepted: true})
+	h.advance(850 * time.Millisecond)
+	for _, term := range []uint64{1, 2} {
+		for _, name := range []string{"b", "c"} {
+			h.receive(&VoteReply{Header: h.headerFrom(name, term), PreVote: term == 1, RequestedTerm: 2, Granted: true})
+		}
+	}
+	assert.Equal(t, h.node.Status().Role, Leader)
+	for _, name := range []string{"b", "c"} {
+		h.receive(&AppendReply{Header: h.headerFrom(name, 2), Match: 3})
+	}
+	assert.Equal(t, h.node.Status().Commit, uint64(3))
+	assert.Equal(t, h.node.Status().Role, Follower)
+	h.advance(5 * time.Second)
+	assert.Equal(t, h.node.Status().Role, Follower)
+}
