--- a/internal/root/relay/stop_test.go
+++ b/internal/root/relay/stop_test.go
@@ -10,8 +10,94 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
 )
 
+// steppedClock is a fake clock that reports each timer, so that a test moves it only while somebody waits.
+type steppedClock struct {
+	*clock.Fake
+	waits chan struct{}
+}
+
+// NewTimer returns a timer and waits until the test has taken the report.
+func (c steppedClock) NewTimer(d time.Duration) clock.Timer {
+	timer := c.Fake.NewTimer(d)
+	c.waits <- struct{}{}
+	return timer
+}
+
+// requestClosing sends one request and checks that its response announces that the connection closes.
+func (f *testFleet) requestClosing(d *testDaemon, id, path string) *http.Response {
+	f.t.Helper()
+	response := f.request(d, id, path, "", "")
+	assert.Check(f.t, response.Close, "the connection stays open")
+	return response
+}
+
+// requestAccepted sends a request that a draining daemon has to pass on. It is sent again while it is refused, because
+// the other daemon may not be reached in time on a busy machine.
+func (f *testFleet) requestAccepted(d *testDaemon, id, path string) *http.Response {
+	f.t.Helper()
+	const maxRefusals = 100
+	response := f.requestClosing(d, id, path)
+	for i := 0; i < maxRefusals && response.Header.Get("Outcome") == "not-run"; i++ {
+		time.Sleep(10 * time.Millisecond)
+		response = f.requestClosing(d, id, path)
+	}
+	return response
+}
+
+// Guards against a draining daemon that refuses a request early, accepts one too late to finish it before it stops, or
+// stops with a request in progress.
+func TestDrainingDaemonRefusesLateRequests(t *testing.T) {
+	const releaseAt = drainAcceptPeriod + 4*drainPollInterval // of a request that is still running
+	f := newTestFleet(t, 2, func(o *Options) { o.StopWithin = time.Hour })
+	for _, route := range f.control.set.Routes {
+		route.Deadline = time.Minute // the requests use the system clock
+	}
+	d, other := f.daemons[0], f.daemons[1].server // the local server gets no requests during the drain
+	clk := steppedClock{Fake: clock.NewFake(time.Now()), waits: make(chan struct{})}
+	d.relay.Clock = clk
+	started, drained := clk.Now(), make(chan time.Duration, 1)
+	go func() {
+		d.relay.drain()
+		drained <- clk.Now().Sub(started)
+	}()
+	held := make(chan *http.Response, 1)
+	for elapsed := time.Duration(0); ; elapsed += drainPollInterval {
+		select {
+		case <-clk.waits:
+		case took := <-drained:
+			assert.Equal(t, took, releaseAt+drainQuietPeriod)
+			return
+		}
+		switch elapsed {
+		case drainAcceptPeriod - drainPollInterval:
+			go func() { held <- f.requestAccepted(d, "held", "/once/hold") }()
+			for other.runs("held") == 0 {
+				assert.Equal(t, len(held), 0, "the request was refused")
+				time.Sleep(time.Millisecond)
+			}
+		case releaseAt:
+			close(other.hold)
+			assert.Equal(t, (<-held).StatusCode, http.StatusOK)
+			for d.relay.Frontend.Active() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		if id := fmt.Sprint("d", elapsed); elapsed < drainAcceptPeriod {
+			response := f.requestAccepted(d, id, "/once/echo")
+			assert.Equal(t, response.StatusCode, http.StatusOK, "after %s: %v", elapsed, response.Header)
+		} else {
+			response := f.requestClosing(d, id, "/once/echo")
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable, "after %s", elapsed)
+			assert.Equal(t, response.Header.Get("Outcome"), "not-run")
+		}
+		clk.Advance(drainPollInterval)
+	}
+}
+
 // Guards against a planned stop that cuts off requests which the daemon has accepted late in the time that it has: in
 // a short time to stop all of it was spent on accepting, and a route that allows much time was not ponged about.
 func TestStopEndsNoAcceptedRequest(t *testing.T) {
