--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -57,6 +57,7 @@
 		list        []snap.Endpoint
 		version     uint64
 		noTokens    bool // no tokens are granted
+		replies     bool // the last contact with the leader is always now
 		returned    int
 		taken       int // tokens
 		crashes     [][]string
@@ -147,6 +148,9 @@
 func (f *fakeControl) Snapshot() *snap.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.replies {
+		f.lastContact = time.Now()
+	}
 	s := &snap.Snapshot{
 		Rules: f.set, Quarantine: f.quarantined, LastContact: f.lastContact, LeaseExpiry: f.lastContact.Add(time.Minute),
 		Endpoints: map[string]*snap.Endpoints{"shop": {Version: f.version, Instances: f.list}},
