--- a/internal/opctl/trace.go
+++ b/internal/opctl/trace.go
@@ -20,7 +20,7 @@
 var contextEvents = []string{
 	"backend-server-ready", "backend-server-leaving", "backend-server-asked", "config-in-force", "config-decided",
 	"control-instance-silent", "became-leader", "stepped-down", "daemon-started", "daemon-stopping", "daemon-gone",
-	"lane-silent", "lane-closed", "request-quarantined", "disk-failed", "storage-reopened", "settings-reloaded",
+	"peer-stream-silent", "peer-stream-closed", "request-quarantined", "disk-failed", "storage-reopened", "settings-reloaded",
 }
 
 type (
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -81,7 +81,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	err := p.read(ctx, bufio.NewReaderSize(stream, peerBufferSize))
-	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("lane-ended")
+	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("peer-stream-ended")
 	cancel() // the responses can no longer be delivered
 	p.writer.close()
 	for _, unfinished := range p.incomplete {
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -275,7 +275,7 @@
 	close(stream.ready)
 	go stream.writer.run()
 	err = stream.read(p, bufio.NewReaderSize(conn, peerBufferSize))
-	p.Log.Info().Str("daemon", stream.address).Err(err).Msg("lane-closed")
+	p.Log.Info().Str("daemon", stream.address).Err(err).Msg("peer-stream-closed")
 	p.remove(stream)
 }
 
@@ -372,7 +372,7 @@
 	case waiting == 0:
 		return false
 	case idle >= peerTimeout && !detached:
-		p.Log.Warn().Str("daemon", stream.address).Dur("silent", idle).Int("waiting", waiting).Msg("lane-silent")
+		p.Log.Warn().Str("daemon", stream.address).Dur("silent", idle).Int("waiting", waiting).Msg("peer-stream-silent")
 		p.detach(stream)
 	}
 	if frame, err := encodeFrame(kindPing, &Cancel{}); err != nil || idle >= pingInterval && !stream.writer.enqueue(cross.KeepAlive, frame) {
