--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -231,7 +231,7 @@
 	}
 	return &super.Group{Name: "calls", Log: b.log, Children: []super.Child{
 		{Name: "calls-server", Run: server.Runner()},
-		{Name: "lanes", Run: peerStreams.Run},
+		{Name: "peer-streams", Run: peerStreams.Run},
 	}}, nil
 }
 
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -152,9 +152,9 @@
 		{Name: "front", Run: r.runFrontend},
 		{Name: "ready", Run: r.httpServer("ready", r.Options.Ready, r.ready)},
 		{Name: "calls", Run: r.httpServer("calls", r.Calls, r.calls)},
-		{Name: "greet", Run: r.checkHealth},
+		{Name: "health-check", Run: r.checkHealth},
 		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
-		{Name: "lanes", Run: r.PeerStreams.Run},
+		{Name: "peer-streams", Run: r.PeerStreams.Run},
 	}}
 }
 
