--- a/internal/opctl/trace.go
+++ b/internal/opctl/trace.go
@@ -18,7 +18,7 @@
 
 // contextEvents lists the events that change a daemon's state; they are shown together with a request's lines.
 var contextEvents = []string{
-	"backend-server-ready", "backend-server-leaving", "backend-server-asked", "config-in-force", "config-decided",
+	"backend-server-ready", "backend-server-leaving", "backend-server-checked", "config-in-force", "config-decided",
 	"control-instance-silent", "became-leader", "stepped-down", "daemon-started", "daemon-stopping", "daemon-gone",
 	"peer-stream-silent", "peer-stream-closed", "request-quarantined", "disk-failed", "storage-reopened", "settings-reloaded",
 }
--- a/internal/root/relay/localbackend_health.go
+++ b/internal/root/relay/localbackend_health.go
@@ -69,7 +69,7 @@
 	_ = response.Body.Close()
 	health := b.Dialect.DecodeHealth(response.StatusCode, response.Header)
 	b.Log.Info().Str("address", address).Str("instance", health.Instance).Int("status", response.StatusCode).Bool("ready", health.Ready).
-		Bool("cold-known", health.ColdKnown).Dur("cold-for", health.ColdFor).Msg("backend-server-ponged")
+		Bool("cold-known", health.ColdKnown).Dur("cold-for", health.ColdFor).Msg("backend-server-checked")
 	if b.Dialect.DecodeResponseMetadata(response.StatusCode, response.Header).NotRun {
 		health.Instance = ""
 	}
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -165,7 +165,7 @@
 		if set := r.Control.Snapshot().Rules; set != nil && set.Services[r.Service] != nil {
 			n := Notice{Service: r.Service, Address: r.BackendAddress, Slots: r.estimateSlots(ctx)}
 			if err := r.LocalBackend.CheckHealth(ctx, n, set.Services[r.Service].HealthPath); err != nil {
-				r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-ponged")
+				r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-checked")
 			}
 			return nil
 		}
