--- a/internal/root/ctrl/invalidmessage.go
+++ b/internal/root/ctrl/invalidmessage.go
@@ -1,16 +1,12 @@
 package ctrl
 
 import (
-	"encoding/binary"
 	"errors"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-// idTag is the encoded tag of field 1, which begins each message with an ID.
-const idTag = 1 << 3
-
 // decodeReceived returns the message in a frame of the leader, which may be compressed.
 func decodeReceived(received wire.Frame) (LeaderMessage, error) {
 	frame, err := wire.Decompress(received, wire.MaxFrame)
@@ -35,7 +31,7 @@
 
 // refuseInvalid replies to an invalid request of a daemon, if its ID can be read: the request had no effect.
 func (s *session) refuseInvalid(received wire.Frame) {
-	id, ok := messageID(received.Body)
+	id, ok := wire.FirstNumber(received.Body)
 	if !ok {
 		return
 	}
@@ -54,12 +50,3 @@
 		s.send(frame)
 	}
 }
-
-// messageID returns the ID of an invalid message; ok is false if it cannot be read.
-func messageID(body []byte) (id uint64, ok bool) {
-	if len(body) < 2 || body[0] != idTag {
-		return 0, false
-	}
-	id, size := binary.Uvarint(body[1:])
-	return id, size > 0 && id > 0
-}
--- a/internal/root/relay/invalidmessage.go
+++ b/internal/root/relay/invalidmessage.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"encoding/binary"
 	"errors"
 	"time"
 
@@ -14,9 +13,6 @@
 	"github.com/buckthornpitch/buckthornpitch/pkg/wire"
 )
 
-// numberTag is the encoded tag of field 1, which begins each message with a number.
-const numberTag = 1 << 3
-
 var (
 	errNotEncoded     = errors.New("the request does not fit into a message")
 	errInvalidMessage = errors.New("a message about the request is invalid")
@@ -34,15 +30,6 @@
 	}
 }
 
-// messageNumber returns the number of an invalid message; ok is false if it cannot be read.
-func messageNumber(body []byte) (number uint64, ok bool) {
-	if len(body) < 2 || body[0] != numberTag {
-		return 0, false
-	}
-	number, size := binary.Uvarint(body[1:])
-	return number, size > 0 && number > 0
-}
-
 // invalidRequestFailure returns the failure of a request that does not fit into a message.
 func invalidRequestFailure(cause error) retry.Failure {
 	if errors.Is(cause, errHeaderLimit) || errors.Is(cause, wire.ErrFrameTooLarge) {
@@ -63,7 +50,7 @@
 // handleInvalid handles an invalid message in an intact frame. It costs only the request whose number it carries.
 func (p *peerStreamServer) handleInvalid(frame wire.Frame, cause error) {
 	p.server.invalid.record(p.server.LocalBackend.Meter, &p.server.Log, p.peer, frame.Kind, cause)
-	number, ok := messageNumber(frame.Body)
+	number, ok := wire.FirstNumber(frame.Body)
 	switch frame.Kind {
 	case kindSend:
 		if ok && !p.inUse(number) {
@@ -112,7 +99,7 @@
 // costs only the request whose number it carries.
 func (s *peerStream) handleInvalid(p *PeerStreams, frame wire.Frame, cause error) cross.Cause {
 	p.invalid.record(p.Meter, &p.Log, s.address, frame.Kind, cause)
-	number, ok := messageNumber(frame.Body)
+	number, ok := wire.FirstNumber(frame.Body)
 	switch {
 	case frame.Kind == kindPart && !ok:
 		for _, incomplete := range s.incompleteBodies() {
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"reflect"
@@ -8,6 +9,9 @@
 	"github.com/segmentio/encoding/proto"
 )
 
+// firstFieldTag is the encoded tag of field 1 with a number.
+const firstFieldTag = 1 << 3
+
 // ErrDecode reports bytes that are not a valid message.
 var ErrDecode = errors.New("invalid message")
 
@@ -56,3 +60,13 @@
 	}
 	return value, nil
 }
+
+// FirstNumber returns the number in field 1 of an encoded message, which need not be valid otherwise. ok is false if the
+// message does not begin with this field or the number is zero.
+func FirstNumber(body []byte) (number uint64, ok bool) {
+	if len(body) < 2 || body[0] != firstFieldTag {
+		return 0, false
+	}
+	number, size := binary.Uvarint(body[1:])
+	return number, size > 0 && number > 0
+}
