--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
@@ -69,11 +70,7 @@
 // requestCost returns about the number of bytes that a request whose header has the given size takes while it is in
 // progress, without its body.
 func requestCost(r *http.Request, header int64) int64 {
-	fields := 0
-	for _, values := range r.Header {
-		fields += len(values)
-	}
-	return requestOverhead + header + int64(fields)*fieldOverhead
+	return requestOverhead + header + int64(field.Count(r.Header))*fieldOverhead
 }
 
 // refusalRetryAfter returns the advised delay before a request that was refused for a lack of room is sent again, and
