--- a/internal/root/relay/longrequest.go
+++ b/internal/root/relay/longrequest.go
@@ -12,7 +12,7 @@
 // awaitLongBodies returns an error unless the peer understands requests with long bodies. It asks once for each stream.
 func (p *PeerStreams) awaitLongBodies(ctx context.Context, stream *peerStream) error {
 	select {
-	case <-stream.ponged:
+	case <-stream.pongReceived:
 	default:
 		frame, err := encodeFrame(kindPing, &Cancel{})
 		if err != nil {
@@ -24,7 +24,7 @@
 		}
 		p.startChecks(stream)
 		select {
-		case <-stream.ponged:
+		case <-stream.pongReceived:
 		case <-stream.writer.closed:
 			return fmt.Errorf("%w: %s", errPeerStreamClosed, stream.address)
 		case <-stream.detached:
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -63,14 +63,14 @@
 	// stream is detached: later requests use a new connection, and those in progress may go on waiting, because
 	// a daemon that was paused replies when it runs again.
 	peerStream struct {
-		address  string
-		ready    chan struct{} // closed when writer or err is set
-		writer   *frameWriter
-		err      error
-		detached chan struct{} // closed when the stream is detached
-		ponged   chan struct{} // closed when the peer has replied to a ping
+		address      string
+		ready        chan struct{} // closed when writer or err is set
+		writer       *frameWriter
+		err          error
+		detached     chan struct{} // closed when the stream is detached
+		pongReceived chan struct{} // closed when the peer has replied to a ping
 
-		longBodies atomic.Bool // the peer understands requests with long bodies; valid once ponged is closed
+		longBodies atomic.Bool // the peer understands requests with long bodies; valid once pongReceived is closed
 
 		mu           sync.Mutex
 		next         uint64
@@ -216,7 +216,7 @@
 			p.streams = map[string]*peerStream{}
 		}
 		stream = &peerStream{
-			address: address, ready: make(chan struct{}), detached: make(chan struct{}), ponged: make(chan struct{}),
+			address: address, ready: make(chan struct{}), detached: make(chan struct{}), pongReceived: make(chan struct{}),
 			pending: map[uint64]*pendingReply{},
 		}
 		p.streams[address] = stream
@@ -435,10 +435,10 @@
 // handlePong records what the peer understands; only the reader calls it.
 func (s *peerStream) handlePong(pong *Pong) {
 	select {
-	case <-s.ponged:
+	case <-s.pongReceived:
 	default:
 		s.longBodies.Store(pong.LongBodies)
-		close(s.ponged)
+		close(s.pongReceived)
 	}
 }
 
