--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -87,6 +87,7 @@
 	return true, false
 }
 
+// mayTake reports whether the limit and the share of the holder leave room for n bytes; b.mu is held.
 func (b *Bytes) mayTake(c Claim, by holder, n int64) bool {
 	if b.used+n > c.available(b.limit) {
 		return false
@@ -135,6 +136,7 @@
 	return limit - c.Spare
 }
 
+// holder returns the holder that the bytes are counted for.
 func (c Claim) holder() holder {
 	if c.Account != "" {
 		return holder{account: c.Account}
--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -25,10 +25,10 @@
 
 	mu          sync.Mutex
 	held        int64
-	recent      int64 // released since the last collection was reported
-	older       int64 // released before that, perhaps too late for that collection
-	released    int64 // sum of all that was ever released
-	collections int   // that have begun because there was no room
+	recent      int64 // bytes released since the last collection was reported
+	older       int64 // bytes released before that, perhaps too late for that collection
+	released    int64 // bytes released since the start
+	collections int   // number of collections that collectGarbage has begun
 }
 
 // MemoryLimit returns the limit for all that a process with the given memory in bytes holds for its clients.
@@ -58,7 +58,7 @@
 	return true
 }
 
-// Add counts n bytes that the process already holds, also beyond the limit. They leave less to those who ask before.
+// Add counts n bytes that the process already holds, also beyond the limit. They leave less to those who call Take.
 func (m *Memory) Add(n int64) {
 	if m == nil {
 		return
@@ -91,15 +91,16 @@
 }
 
 // collectGarbage frees what was released before the call, and reports whether it may be worth asking for bytes once more.
+// It does not run the garbage collector if another call has begun a collection since, or if little would be freed.
 // The caller holds no lock that others need in order to take or release bytes.
 func (m *Memory) collectGarbage() bool {
 	m.mu.Lock()
-	before := m.collections
+	begunBefore := m.collections
 	m.mu.Unlock()
 	m.collecting.Lock()
 	defer m.collecting.Unlock()
 	m.mu.Lock()
-	released, garbage, done := m.released, m.recent+m.older, m.collections != before
+	releasedBefore, garbage, done := m.released, m.recent+m.older, m.collections != begunBefore
 	worthwhile := !done && garbage >= m.limit/garbageDivisor
 	if worthwhile {
 		m.collections++
@@ -111,7 +112,7 @@
 	m.collect()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.older, m.recent = 0, m.released-released
+	m.older, m.recent = 0, m.released-releasedBefore
 	return true
 }
 
--- a/internal/root/call/serve.go
+++ b/internal/root/call/serve.go
@@ -463,6 +463,7 @@
 	return wire.WriteMessage(c.writer, kindResponseEnd, end)
 }
 
+// sendHead sends the head of a response. An error that wraps errNotEncoded means that nothing was sent.
 func (c *incomingCall) sendHead(first *ResponseHead) error {
 	body, err := encode(first)
 	if err != nil {
--- a/internal/root/relay/invalidmessage.go
+++ b/internal/root/relay/invalidmessage.go
@@ -23,6 +23,7 @@
 // invalidMessages counts and logs the invalid messages that a daemon receives on its peer streams.
 type invalidMessages struct{ logged logs.Repeat }
 
+// record counts an invalid message and logs it, unless another one was logged a moment ago.
 func (i *invalidMessages) record(m *meter.Meter, log *zerolog.Logger, peer string, kind wire.Kind, cause error) {
 	m.InvalidMessage("relay")
 	if others, ok := i.logged.Allow(time.Now()); ok {
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -115,6 +115,7 @@
 	return nil
 }
 
+// handleMessage decodes and handles the message in a frame. The error wraps errFrameKind if the kind is unknown.
 func (p *peerStreamServer) handleMessage(ctx context.Context, frame wire.Frame) error {
 	switch frame.Kind {
 	case kindSend:
@@ -299,6 +300,7 @@
 	}
 }
 
+// cancel ends a request for whose response nobody waits.
 func (p *peerStreamServer) cancel(number uint64) {
 	p.dropIncomplete(number)
 	p.mu.Lock()
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -169,6 +169,7 @@
 	}
 }
 
+// giveUp returns the error of a request that no longer waits for its reply.
 func (s *peerStream) giveUp(cause error) error {
 	return fmt.Errorf("%w: wait for %s: %w", errGivenUp, s.address, cause)
 }
@@ -392,6 +393,7 @@
 	return s.handleInvalid(p, frame, err), nil
 }
 
+// handleMessage decodes and handles the message in a frame. The error wraps errFrameKind if the kind is unknown.
 func (s *peerStream) handleMessage(frame wire.Frame) (cross.Cause, error) {
 	switch frame.Kind {
 	case kindReply:
@@ -442,6 +444,7 @@
 	}
 }
 
+// handleCredit lets a long request body be sent further.
 func (s *peerStream) handleCredit(credit *Credit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/root/relay/pendingreply.go
+++ b/internal/root/relay/pendingreply.go
@@ -35,6 +35,7 @@
 	}
 )
 
+// handleReply delivers a complete reply. For one whose body follows it prepares to receive the parts.
 func (s *peerStream) handleReply(reply *Reply) error {
 	if !reply.More && !reply.Streamed {
 		s.deliver(reply.Number, peerReply{reply: reply})
@@ -89,6 +90,7 @@
 	})
 }
 
+// handleBodyPart adds a part to a response, and delivers the reply once it is complete.
 func (s *peerStream) handleBodyPart(part *BodyPart) error {
 	s.mu.Lock()
 	pending := s.pending[part.Number]
@@ -109,6 +111,7 @@
 	return nil
 }
 
+// deliver ends the wait for a reply; it does nothing if nobody waits.
 func (s *peerStream) deliver(number uint64, result peerReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,12 +135,14 @@
 	return number, pending
 }
 
+// unregister ends the wait for a reply; one that still arrives is dropped.
 func (s *peerStream) unregister(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.pending, number)
 }
 
+// failPending fails all requests that wait for a reply, because the stream is lost.
 func (s *peerStream) failPending() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
