--- a/internal/root/ctrl/raft/simul/fault_test.go
+++ b/internal/root/ctrl/raft/simul/fault_test.go
@@ -33,7 +33,7 @@
 	maxWrite  = 2 * time.Second
 	maxDelay  = 300 * time.Millisecond
 
-	// maxClockStep is the largest step of a clock in either direction. The lease bears one step of a clock during its
+	// maxClockStep is the largest step of a clock in either direction. The lease tolerates one step of a clock during its
 	// time, so that the next one follows after minClockStepInterval.
 	maxClockStep         = 5 * time.Second
 	minClockStepInterval = time.Second
@@ -137,7 +137,7 @@
 	return g.now + d
 }
 
-// mayLoseDisk counts one more lost disk, or reports false if the group need not bear it: fewer than half of the voters
+// mayLoseDisk counts one more lost disk, or reports false if the group need not tolerate it: fewer than half of the voters
 // may lose their disks at the same time.
 func (g *group) mayLoseDisk() bool {
 	if 2*(g.faults.lost+1) >= g.targetSize {
