--- a/internal/root/relay/framewriter.go
+++ b/internal/root/relay/framewriter.go
@@ -48,7 +48,10 @@
 }
 
 func newFrameWriter(stream *link.Stream, memory *budget.Memory) *frameWriter {
-	return &frameWriter{conn: stream, bytes: stream.Bytes, memory: memory, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+	return &frameWriter{
+		conn: stream, bytes: stream.Bytes, memory: memory,
+		wake: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
 }
 
 // enqueue queues all frames. It returns false if the peer stream is closed. If they don't fit into maxQueuedBytes with what
--- a/internal/root/relay/localbackend_serve.go
+++ b/internal/root/relay/localbackend_serve.go
@@ -70,10 +70,13 @@
 		return s, refused
 	}
 	b.Suspects.Begin(s.incarnation, j.fingerprint)
-	ex := &exchange{request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, claim: j.claim(), requestMeta: RequestMetadata{
-		ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.instance,
-		Account: j.account, CallerService: j.caller,
-	}}
+	ex := &exchange{
+		request: j.request, deadline: j.deadline, linger: b.linger(s, j), start: startCheck{b, s, ticket}, claim: j.claim(),
+		requestMeta: RequestMetadata{
+			ID: j.request.ID, TimeLeft: j.deadline.Sub(b.Clock.Now()), Instance: s.instance,
+			Account: j.account, CallerService: j.caller,
+		},
+	}
 	ex.overdue = func() { b.releaseOverdue(s, ticket, ex) }
 	ex.responding = func() { b.recordResponding(s) }
 	response, responseMeta, err := s.pool.do(ctx, ex)
@@ -216,7 +219,10 @@
 // isRejected reports whether the daemon itself ended the exchange because of the bytes that it received, so
 // that the error does not mean that the server has crashed.
 func isRejected(err error) bool {
-	for _, cause := range []error{errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, errHeaderLimit, head.ErrMalformed, errHeaderSize, errBodySize, errBodyBudget, errExchangePanic} {
+	for _, cause := range []error{
+		errInvalidResponse, errUploadBroken, errBodyBroken, errNotTaken, errHeaderLimit, head.ErrMalformed, errHeaderSize,
+		errBodySize, errBodyBudget, errExchangePanic,
+	} {
 		if errors.Is(err, cause) {
 			return true
 		}
