--- a/internal/root/relay/message.go
+++ b/internal/root/relay/message.go
@@ -141,7 +141,7 @@
 
 		// Streamed is set in the head of a long response: its body follows in parts, and then another Reply with Passed,
 		// or one that says how the exchange has failed.
-		Streamed bool  `protobuf:"varint,12,opt,name=streamed,proto3"`
+		Streamed bool `protobuf:"varint,12,opt,name=streamed,proto3"`
 		// Length is that of a body in parts, in bytes; -1 for a streamed one whose length is not known.
 		Length int64 `protobuf:"varint,13,opt,name=length,proto3"`
 		Passed bool  `protobuf:"varint,14,opt,name=passed,proto3"` // the body was sent before, in parts
