--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -81,7 +81,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	err := p.read(ctx, bufio.NewReaderSize(stream, peerBufferSize))
-	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("lane-ended")
+	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("peer-stream-ended")
 	cancel() // the responses can no longer be delivered
 	p.writer.close()
 	for _, unfinished := range p.incomplete {
@@ -115,6 +115,7 @@
 	return nil
 }
 
+// handleMessage decodes and handles the message in a frame. The error wraps errFrameKind if the kind is unknown.
 func (p *peerStreamServer) handleMessage(ctx context.Context, frame wire.Frame) error {
 	switch frame.Kind {
 	case kindSend:
@@ -299,6 +300,7 @@
 	}
 }
 
+// cancel ends a request for whose response nobody waits.
 func (p *peerStreamServer) cancel(number uint64) {
 	p.dropIncomplete(number)
 	p.mu.Lock()
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -152,9 +152,9 @@
 		{Name: "front", Run: r.runFrontend},
 		{Name: "ready", Run: r.httpServer("ready", r.Options.Ready, r.ready)},
 		{Name: "calls", Run: r.httpServer("calls", r.Calls, r.calls)},
-		{Name: "greet", Run: r.checkHealth},
+		{Name: "health-check", Run: r.checkHealth},
 		{Name: "evacuation", Run: r.LocalBackend.watchEvacuations},
-		{Name: "lanes", Run: r.PeerStreams.Run},
+		{Name: "peer-streams", Run: r.PeerStreams.Run},
 	}}
 }
 
@@ -165,7 +165,7 @@
 		if set := r.Control.Snapshot().Rules; set != nil && set.Services[r.Service] != nil {
 			n := Notice{Service: r.Service, Address: r.BackendAddress, Slots: r.estimateSlots(ctx)}
 			if err := r.LocalBackend.CheckHealth(ctx, n, set.Services[r.Service].HealthPath); err != nil {
-				r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-ponged")
+				r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-checked")
 			}
 			return nil
 		}
