--- a/internal/root/call/backend.go
+++ b/internal/root/call/backend.go
@@ -153,7 +153,8 @@
 
 // applyIdleTimeout applies the idle timeout that the server announces with a response. A call on a connection that the
 // server is about to close would have an unknown outcome, and the end of the connection would look like that of the
-// server. The shortest timeout that an incarnation has announced applies to later calls.
+// server. The shortest timeout that an incarnation has announced applies to later calls. The idle connections of the
+// transport before stay open until they expire, because calls in progress may be about to use them.
 func (b *backends) applyIdleTimeout(server *backend, header http.Header, conns *connTracker) {
 	idle := epoch.IdleTimeout(header, idleConnTimeout)
 	if idle >= idleConnTimeout || !server.returnsAttempt {
@@ -167,10 +168,7 @@
 		return
 	}
 	if server.shortIdle.CompareAndSwap(short, b.newTransport(server, idle)) {
-		server.transport.CloseIdleConnections()
-		if short != nil {
-			short.CloseIdleConnections()
-		}
+		server.watch.LimitIdleAll(max(idle-idleTimerSkew, 0))
 	}
 }
 
--- a/internal/root/call/idle_test.go
+++ b/internal/root/call/idle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -60,3 +61,20 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+// Guards against calls that are lost because the daemon closes the connection that they are about to use: another call's
+// response has just announced a short idle timeout.
+func TestAnnouncedIdleTimeoutClosesNoConnection(t *testing.T) {
+	c := newAnnouncingFleet(t, "")
+	assert.Equal(t, c.burst(1), 1)
+	c.nodes[0].handler.backends.applyIdleTimeout(c.backend, http.Header{"Keep-Alive": {"timeout=1"}}, &connTracker{})
+	assert.Assert(t, c.backend.reused().DisableKeepAlives)
+	reused := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodGet, "http://"+c.backend.endpoint.Address+"/x", nil)
+	assert.NilError(t, err)
+	response, err := c.backend.transport.RoundTrip(request) // as a call does that has chosen its transport before
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Assert(t, reused)
+}
--- a/internal/root/epoch/idle.go
+++ b/internal/root/epoch/idle.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// LimitIdleAll records that no connection is kept for longer than timeout while it is idle.
+func (w *Watch) LimitIdleAll(timeout time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.conns {
+		c.idleTimeout = min(c.idleTimeout, timeout)
+	}
+}
+
 // Used records that a request uses the connection, and returns the number of the use.
 func (w *Watch) Used(conn net.Conn) int {
 	w.mu.Lock()
