--- a/internal/root/budget/bytes.go
+++ b/internal/root/budget/bytes.go
@@ -59,7 +59,8 @@
 	return &Bytes{limit: limit, memory: memory, holders: map[holder]int64{}}
 }
 
-// Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. A nil budget grants all.
+// Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. If released bytes stand in the
+// way, it waits for the garbage collector. A nil budget grants all.
 func (b *Bytes) Take(c Claim, n int64) bool {
 	if b == nil || n == 0 { // a holder of no bytes would lower the shares of others
 		return true
--- a/internal/root/budget/memory.go
+++ b/internal/root/budget/memory.go
@@ -38,12 +38,6 @@
 // once.
 func NewMemory(limit int64, collect func()) *Memory { return &Memory{limit: limit, collect: collect} }
 
-// Take counts n bytes and reports whether they are granted. Nothing is counted otherwise. If released bytes stand in the
-// way, it waits for the garbage collector.
-func (m *Memory) Take(c Claim, n int64) bool {
-	return m.take(c, n) || m.collectGarbage() && m.take(c, n)
-}
-
 // take counts n bytes if there is room for them now.
 func (m *Memory) take(c Claim, n int64) bool {
 	if m == nil {
@@ -58,7 +52,7 @@
 	return true
 }
 
-// Add counts n bytes that the process already holds, also beyond the limit. They leave less to those who call Take.
+// Add counts n bytes that the process already holds, also beyond the limit. They leave less to the claims that follow.
 func (m *Memory) Add(n int64) {
 	if m == nil {
 		return
--- a/internal/root/epoch/watch.go
+++ b/internal/root/epoch/watch.go
@@ -1,11 +1,11 @@
 package epoch
 
 import (
-	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/peek"
 )
 
 type (
@@ -26,14 +26,6 @@
 		idleSince   time.Time // zero while a request uses it, or if that is not recorded
 		idleTimeout time.Duration
 	}
-
-	state uint8
-)
-
-const (
-	open    state = iota // the peer has not closed it, and no bytes wait to be read
-	ended                // the peer has closed or reset it
-	unknown              // bytes wait to be read, or it is closed at this end
 )
 
 // Opened records a new connection and returns its epoch. A restart is suspected, so that an epoch begins, if the server
@@ -56,10 +48,10 @@
 func (w *Watch) mayHaveRestarted(now time.Time) bool {
 	someEnded := w.ended
 	for conn, c := range w.conns {
-		switch stateOf(conn) {
-		case open:
+		switch peek.StateOf(conn) {
+		case peek.Quiet:
 			return false
-		case ended:
+		case peek.Ended:
 			someEnded = someEnded || c.epoch == w.epoch && !c.expired(now)
 		}
 	}
@@ -74,7 +66,7 @@
 	defer w.mu.Unlock()
 	c := w.conns[conn]
 	delete(w.conns, conn)
-	if c != nil && c.epoch == w.epoch && !c.expired(now) && stateOf(conn) == ended && !w.someOpen() {
+	if c != nil && c.epoch == w.epoch && !c.expired(now) && peek.StateOf(conn) == peek.Ended && !w.someOpen() {
 		w.ended = true
 	}
 }
@@ -88,7 +80,7 @@
 
 func (w *Watch) someOpen() bool {
 	for conn, c := range w.conns {
-		if c.epoch == w.epoch && stateOf(conn) == open {
+		if c.epoch == w.epoch && peek.StateOf(conn) == peek.Quiet {
 			return true
 		}
 	}
@@ -102,28 +94,3 @@
 	defer w.mu.Unlock()
 	delete(w.conns, conn)
 }
-
-// stateOf returns the state of a connection. It does not wait for a read in progress.
-func stateOf(conn net.Conn) state {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return unknown
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return unknown
-	}
-	found := unknown
-	_ = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EAGAIN):
-			found = open
-		case err == nil && n > 0, errors.Is(err, syscall.EINTR):
-		default:
-			found = ended
-		}
-	})
-	return found
-}
--- a/internal/root/relay/bodybuffer.go
+++ b/internal/root/relay/bodybuffer.go
@@ -22,14 +22,21 @@
 	errBodyBudget = errors.New("the bodies in progress exceed the memory limit")
 )
 
-// bodyBuffer holds one body and counts its buffer in the budget until release.
-type bodyBuffer struct {
-	budget  *budget.Bytes
-	claim   budget.Claim
-	limit   int // of this body in bytes
-	counted int64
-	data    []byte
-}
+type (
+	// heldBody counts a body in the budget until release.
+	heldBody struct {
+		budget  *budget.Bytes
+		claim   budget.Claim
+		counted int64
+	}
+
+	// bodyBuffer holds one body and counts its buffer.
+	bodyBuffer struct {
+		heldBody
+		limit int // of this body in bytes
+		data  []byte
+	}
+)
 
 // read reads the next part of the body; the error is io.EOF at its end.
 func (b *bodyBuffer) read(r io.Reader) error {
@@ -75,20 +82,20 @@
 	return nil
 }
 
-// reserve counts n bytes in addition to the buffer, until release.
-func (b *bodyBuffer) reserve(n int64) bool {
-	if !b.budget.Take(b.claim, n) {
+// reserve counts n more bytes and reports whether there is room for them.
+func (h *heldBody) reserve(n int64) bool {
+	if !h.budget.Take(h.claim, n) {
 		return false
 	}
-	b.counted += n
+	h.counted += n
 	return true
 }
 
 // uncounted returns the bytes of the buffer that the budget does not count.
 func (b *bodyBuffer) uncounted() int64 { return max(int64(cap(b.data))-b.counted, 0) }
 
-// release ends the counting of the buffer.
-func (b *bodyBuffer) release() {
-	b.budget.Release(b.claim, b.counted)
-	b.counted = 0
+// release ends the counting.
+func (h *heldBody) release() {
+	h.budget.Release(h.claim, h.counted)
+	h.counted = 0
 }
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -202,7 +202,7 @@
 // it once the request has ended.
 func (c *callerConn) readBody(in *incoming, limits rules.Limits) (body *bodyBuffer, whole bool, err error) {
 	r, kept := in.parsed, min(limits.BodySize, c.frontend.KeptBody)
-	body = &bodyBuffer{budget: c.frontend.Bodies, limit: int(kept)}
+	body = &bodyBuffer{heldBody: heldBody{budget: c.frontend.Bodies}, limit: int(kept)}
 	if r.ContentLength > limits.BodySize {
 		return nil, false, errBodySize
 	}
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -5,8 +5,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/peek"
 )
 
 type (
@@ -111,7 +112,7 @@
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
 		switch {
-		case !idle || c.inputWaits():
+		case !idle || peek.StateOf(c.conn) == peek.Waiting:
 		case finishing:
 			return net.ErrClosed
 		default:
@@ -119,22 +120,3 @@
 		}
 	}
 }
-
-// inputWaits reports whether the caller has sent bytes that have not been read.
-func (c *callerConn) inputWaits() bool {
-	raw, ok := c.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	err = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waits = err == nil && n > 0
-	})
-	return err == nil && waits
-}
--- a/internal/root/relay/peerserver.go
+++ b/internal/root/relay/peerserver.go
@@ -47,13 +47,6 @@
 		held *heldBody
 	}
 
-	// heldBody counts the body of a request of another daemon until release.
-	heldBody struct {
-		budget *budget.Bytes
-		claim  budget.Claim
-		bytes  int64
-	}
-
 	// peerStreamServer is the receiving end of one peer stream.
 	peerStreamServer struct {
 		server   *PeerServer
@@ -84,8 +77,8 @@
 	s.Log.Debug().Str("peer", stream.Peer).Err(err).Msg("peer-stream-ended")
 	cancel() // the responses can no longer be delivered
 	p.writer.close()
-	for _, unfinished := range p.incomplete {
-		unfinished.held.release()
+	for number := range p.incomplete {
+		p.dropIncomplete(number)
 	}
 	p.requests.Wait()
 }
@@ -181,7 +174,7 @@
 	}
 	before := cap(send.Body)
 	send.Body = append(send.Body, part.Body...)
-	if !unfinished.held.take(cap(send.Body) - before) {
+	if !unfinished.held.reserve(int64(cap(send.Body) - before)) {
 		delete(p.incomplete, part.Number)
 		p.refuse(send.Number, unfinished.held)
 		return nil
@@ -201,7 +194,7 @@
 		size = streamReserve
 	}
 	switch {
-	case !held.take(size):
+	case !held.reserve(int64(size)):
 		p.refuse(send.Number, held)
 	case send.More:
 		p.incomplete[send.Number] = &incompleteRequest{send: send, held: held}
@@ -217,24 +210,6 @@
 	p.reply(number, notRun{failure: retry.Overload{}, retryAfter: noServerRetryAfter}, Report{})
 }
 
-// take counts bytes of the body's buffer and reports whether there is room for them.
-func (h *heldBody) take(bytes int) bool {
-	if bytes == 0 {
-		return true
-	}
-	if !h.budget.Take(h.claim, int64(bytes)) {
-		return false
-	}
-	h.bytes += int64(bytes)
-	return true
-}
-
-// release ends the counting of the body.
-func (h *heldBody) release() {
-	h.budget.Release(h.claim, h.bytes)
-	h.bytes = 0
-}
-
 // startRequest serves a request in its own goroutine. It is complete, or its long body follows as it is read.
 func (p *peerStreamServer) startRequest(ctx context.Context, send *SendRequest, held *heldBody) {
 	started := false
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -11,13 +11,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/field"
 	"github.com/buckthornpitch/buckthornpitch/internal/head"
+	"github.com/buckthornpitch/buckthornpitch/internal/peek"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/budget"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/epoch"
 	"github.com/buckthornpitch/buckthornpitch/internal/super"
@@ -323,7 +323,7 @@
 // once the body is longer than the size up to which it is held, and errBodyBudget once there is no room to hold more of
 // it. The caller releases the buffer.
 func (p *pool) readBody(response *head.Response, ex *exchange) (*bodyBuffer, error) {
-	held := &bodyBuffer{budget: p.bodies, claim: ex.claim, limit: int(p.maxBody)}
+	held := &bodyBuffer{heldBody: heldBody{budget: p.bodies, claim: ex.claim}, limit: int(p.maxBody)}
 	if ex.request.pass != nil {
 		// What is held of responses leaves room for those that pass through.
 		held.limit, held.claim.Spare = int(p.kept), p.bodies.Limit()/heldResponseSpare
@@ -409,7 +409,6 @@
 
 func (p *pool) put(conn *backendConn) {
 	now := time.Now()
-	_ = conn.SetDeadline(time.Time{}) // once it has passed, stillIdle could not look at the connection
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -464,23 +463,5 @@
 // stillIdle reports whether an idle connection is open and has received no bytes, which would belong to no
 // request.
 func (c *backendConn) stillIdle() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	stillIdle := false
-	err = control.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stillIdle = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && stillIdle
+	return c.reader.Buffered() == 0 && peek.StateOf(c.Conn) == peek.Quiet
 }
