--- a/review/_kit-2/main.go
+++ b/review/_kit-2/main.go
@@ -15,6 +15,7 @@
 
 // cases are the cases by name; each returns whether the rule held.
 var cases = map[string]func(r *record, trouble bool) bool{
+	"left":  leftCase,
 	"reset": resetCase,
 }
 
--- a/review/_kit-2/server.go
+++ b/review/_kit-2/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,6 +31,9 @@
 	sequence atomic.Int64
 	listener net.Listener
 	stopBeat context.CancelFunc
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // listen starts the server and its heartbeats.
@@ -57,7 +61,18 @@
 
 // serve serves one request at a time on a connection.
 func (s *server) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = map[net.Conn]bool{}
+	}
+	s.conns[conn] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		_ = conn.Close()
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -130,9 +145,15 @@
 	return response.StatusCode
 }
 
+// stop ends the server like the exit of its process.
 func (s *server) stop() {
 	s.stopBeat()
 	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
 }
 
 // newServer returns a server for the machine of a daemon.
