--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review-2 ] && [ -x target/buckthornd ] || exit 2
-exec target/review-2 reset "$folder"
+exec target/review-2 copies "$folder"
--- a/review/_kit-2/main.go
+++ b/review/_kit-2/main.go
@@ -15,8 +15,9 @@
 
 // cases are the cases by name; each returns whether the rule held.
 var cases = map[string]func(r *record, trouble bool) bool{
-	"left":  leftCase,
-	"reset": resetCase,
+	"copies": copiesCase,
+	"left":   leftCase,
+	"reset":  resetCase,
 }
 
 func main() {
