--- a/review/_kit-2/main.go
+++ b/review/_kit-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(r *record, trouble bool) bool{
 	"copies": copiesCase,
 	"left":   leftCase,
+	"odd":    oddCase,
 	"reset":  resetCase,
 }
 
