--- a/review/_kit-2/fleet.go
+++ b/review/_kit-2/fleet.go
@@ -143,9 +143,6 @@
 		n.signal(syscall.SIGKILL)
 		n.awaitExit(5 * time.Second)
 	}
-	if folder := os.Getenv("KEEP_LOGS"); folder != "" {
-		_ = exec.Command("cp", "-r", f.dir, folder).Run()
-	}
 	_ = os.RemoveAll(f.dir)
 }
 
