peek: a look at a connection leaves the report of its reset

Cause: the system reports a reset once, to the first call that reads or writes. StateOf looked with MSG_PEEK, which takes the report; the read of the response then sees the end of the stream. epoch.Watch looks at all connections of a server when one of them ends.

Ruled out: the write of the request takes the report (the requests have no body).

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the state of a connection.
@@ -20,7 +22,9 @@
 	Ended
 )
 
-// StateOf returns the state of a connection. It neither waits for a read in progress nor heeds a deadline.
+// StateOf returns the state of a connection. It neither waits for a read in progress nor heeds a deadline, and it takes
+// nothing from the connection: the system reports a reset once, to the first call that reads or writes, and that call
+// must be one that handles a message.
 func StateOf(conn net.Conn) State {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
@@ -31,18 +35,30 @@
 		return Unknown
 	}
 	found := Unknown
-	_ = control.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, syscall.EAGAIN):
-			found = Quiet
-		case err == nil && n > 0:
-			found = Waiting
-		case errors.Is(err, syscall.EINTR):
-		default:
-			found = Ended
-		}
-	})
+	_ = control.Control(func(fd uintptr) { found = stateOf(int(fd)) })
 	return found
 }
+
+func stateOf(fd int) State {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	_, err := unix.Poll(polled, 0)
+	if errors.Is(err, unix.EINTR) {
+		return Unknown
+	}
+	if err != nil {
+		return Ended
+	}
+	events := polled[0].Revents
+	if events == 0 {
+		return Quiet
+	}
+	// Bytes that arrived before the end can still be read.
+	unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	switch {
+	case err == nil && unread > 0:
+		return Waiting
+	case events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0:
+		return Ended
+	}
+	return Quiet // a read in progress has taken the bytes
+}
--- /dev/null
+++ b/internal/peek/peek_test.go
@@ -0,0 +1,101 @@
+package peek
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// pair returns both ends of a TCP connection.
+func pair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = dialed.Close(), accepted.Close() })
+	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+func reset(t *testing.T, conn *net.TCPConn) {
+	t.Helper()
+	assert.NilError(t, conn.SetLinger(0))
+	assert.NilError(t, conn.Close())
+}
+
+func awaitState(t *testing.T, conn net.Conn, want State) {
+	t.Helper()
+	for start := time.Now(); StateOf(conn) != want; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(start) < 10*time.Second, "state %d, want %d", StateOf(conn), want)
+	}
+}
+
+// Guards against a cut response without a length that is passed on as whole: the system reports a reset only once, and a
+// look at the state of the connection took that report from the read of the response.
+func TestReadSeesResetAfterLook(t *testing.T) {
+	for name, sent := range map[string]string{"no bytes": "", "unread bytes": "part"} {
+		t.Run(name, func(t *testing.T) {
+			client, server := pair(t)
+			_, err := io.WriteString(server, sent)
+			assert.NilError(t, err)
+			got := make([]byte, len(sent))
+			if sent != "" {
+				awaitState(t, client, Waiting)
+			}
+			reset(t, server)
+			if sent != "" {
+				time.Sleep(10 * time.Millisecond) // the reset arrives behind the bytes
+				assert.Equal(t, StateOf(client), Waiting)
+				_, err = io.ReadFull(client, got)
+				assert.NilError(t, err)
+			}
+			awaitState(t, client, Ended)
+			awaitState(t, client, Ended)
+			_, err = client.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
+			assert.Equal(t, StateOf(client), Ended)
+		})
+	}
+}
+
+// Guards against a connection that is used again although its peer has closed it or bytes wait on it, and against an open
+// one that counts as closed.
+func TestStateOf(t *testing.T) {
+	client, server := pair(t)
+	assert.Equal(t, StateOf(client), Quiet)
+	_, err := io.WriteString(server, "ab")
+	assert.NilError(t, err)
+	awaitState(t, client, Waiting)
+	_, err = io.ReadFull(client, make([]byte, 2))
+	assert.NilError(t, err)
+	assert.Equal(t, StateOf(client), Quiet)
+	_, err = io.WriteString(server, "a")
+	assert.NilError(t, err)
+	assert.NilError(t, server.Close())
+	time.Sleep(10 * time.Millisecond) // the end arrives behind the byte
+	assert.Equal(t, StateOf(client), Waiting)
+	_, err = io.ReadFull(client, make([]byte, 1))
+	assert.NilError(t, err)
+	awaitState(t, client, Ended)
+	assert.NilError(t, client.Close())
+	assert.Equal(t, StateOf(client), Unknown)
+}
+
+// Guards against a connection whose end is not seen because this end has closed its own direction, or because a read is
+// in progress.
+func TestStateOfHalfClosedConnection(t *testing.T) {
+	client, server := pair(t)
+	assert.NilError(t, client.CloseWrite())
+	assert.Equal(t, StateOf(client), Quiet)
+	go func() { _, _ = client.Read(make([]byte, 1)) }()
+	assert.NilError(t, server.Close())
+	awaitState(t, client, Ended)
+}
