peek: a signal does not make an open connection look closed

Change: an interrupted poll is repeated. Measured: TestSignalDoesNotHideState failed without the repetition and passes with it.

--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -42,8 +42,8 @@
 func stateOf(fd int) State {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 	_, err := unix.Poll(polled, 0)
-	if errors.Is(err, unix.EINTR) {
-		return Unknown
+	for errors.Is(err, unix.EINTR) { // the runtime's signals interrupt a poll, even one that does not wait
+		_, err = unix.Poll(polled, 0)
 	}
 	if err != nil {
 		return Ended
--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -1,9 +1,13 @@
 package peek
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
+	"os"
+	"os/signal"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -99,3 +103,25 @@
 	assert.NilError(t, server.Close())
 	awaitState(t, client, Ended)
 }
+
+// Guards against an open connection that counts as closed because a signal of the runtime interrupts the look at it.
+func TestSignalDoesNotHideState(t *testing.T) {
+	client, _ := pair(t)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(t.Context())
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for ctx.Err() == nil {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGUSR1)
+		}
+	})
+	for range 200_000 {
+		if !assert.Check(t, StateOf(client) == Quiet) {
+			break
+		}
+	}
+	cancel()
+	sending.Wait()
+}
