--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,10 @@
 	// servers close idle connections later.
 	defaultIdleTimeout = 8 * time.Second
 
+	// maxRetryable bounds the requests on one connection that may be sent again. Their ids are held, so that the
+	// connection is closed when there are as many.
+	maxRetryable = 32
+
 	// maxSkippedResponses bounds the responses to other requests that are skipped on one connection.
 	maxSkippedResponses = 4
 
@@ -78,6 +83,7 @@
 		reader    *bufio.Reader
 		idleUntil time.Time // when an idle connection expires
 		epoch     int       // of the server when the connection was opened
+		retryable []string  // ids of the requests that the server has refused or failed on this connection
 	}
 
 	// exchange is one request that is sent to the server.
@@ -118,7 +124,7 @@
 // do sends a request on one connection and returns the complete response. Errors wrap errNotSent if the server
 // cannot have run the request.
 func (p *pool) do(ctx context.Context, ex *exchange) (Response, ResponseMetadata, error) {
-	conn, err := p.get(ctx)
+	conn, err := p.get(ctx, ex.requestMeta.ID)
 	if err != nil {
 		return Response{}, ResponseMetadata{}, fmt.Errorf("%w: %w", errNotSent, err)
 	}
@@ -196,6 +202,10 @@
 		// request: a second copy of it could not be told from the refusal of the next request.
 		got.reusable = false
 	}
+	if got.metadata.NotRun || got.response.failed() {
+		conn.retryable = append(conn.retryable, ex.requestMeta.ID)
+		got.reusable = got.reusable && len(conn.retryable) < maxRetryable
+	}
 	return got.response, got.metadata, got.reusable, nil
 }
 
@@ -370,9 +380,8 @@
 	return buf.Bytes()
 }
 
-// get returns an idle connection or a new one. It prefers the most recently used connection, because the
-// server may have closed the others.
-func (p *pool) get(ctx context.Context) (*backendConn, error) {
+// get returns an idle connection or a new one for the request with the given id.
+func (p *pool) get(ctx context.Context, id string) (*backendConn, error) {
 	now := time.Now()
 	for {
 		p.mu.Lock()
@@ -381,10 +390,7 @@
 			return nil, net.ErrClosed
 		}
 		expired := p.takeExpired(now)
-		var conn *backendConn
-		if last := len(p.idle) - 1; last >= 0 {
-			conn, p.idle = p.idle[last], p.idle[:last]
-		}
+		conn := p.takeIdle(id)
 		p.mu.Unlock()
 		closeAll(expired)
 		if conn == nil {
@@ -407,6 +413,20 @@
 	}, nil
 }
 
+// takeIdle removes an idle connection for the request with the given id and returns it, nil if there is none; p.mu is
+// held. It prefers the most recently used connection, because the server may have closed the others. A connection on
+// which the server has refused or failed the same request is passed over: a second copy of that response may still
+// arrive there, and could not be told from the response to the request that is sent again.
+func (p *pool) takeIdle(id string) *backendConn {
+	for i, conn := range slices.Backward(p.idle) {
+		if !slices.Contains(conn.retryable, id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return conn
+		}
+	}
+	return nil
+}
+
 func (p *pool) put(conn *backendConn) {
 	now := time.Now()
 	p.mu.Lock()
--- a/internal/root/relay/refusal_test.go
+++ b/internal/root/relay/refusal_test.go
@@ -34,3 +34,42 @@
 		}
 	}
 }
+
+// Guards against the copy of a refusal that is taken for the response to the same request, sent to the same server again:
+// the request ran and was sent a third time, or its caller was told that it had not run. Guards also against the copy of a
+// failure that takes the place of the response to the request that is sent again.
+func TestRepeatedResponseToRequestThatIsSentAgain(t *testing.T) {
+	for _, path := range []string{"/once/shed-first-again", "/open/fail-first-again"} {
+		t.Run(path, func(t *testing.T) {
+			f := newTestFleet(t, 1, func(o *Options) { o.RetryRatio = 100 })
+			d := f.daemons[0]
+			for i := range 20 {
+				id := fmt.Sprint("first", i)
+				response := f.request(d, id, path, "", "")
+				assert.Equal(t, d.server.runs(id), 2, "refused or failed once, run once; its caller got %d", response.StatusCode)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				assert.Equal(t, bodyOf(t, response), "ran")
+			}
+		})
+	}
+}
+
+// Guards against a connection that holds the ids of requests without bound, and against one that is closed after
+// each refusal.
+func TestRefusedRequestsOfConnectionAreBounded(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	const requests = 3 * maxRetryable
+	for i := range requests {
+		f.request(d, fmt.Sprint("refused", i), "/once/shed-with-id", "", "")
+	}
+	d.server.mu.Lock()
+	defer d.server.mu.Unlock()
+	assert.Assert(t, len(d.server.received) >= requests)
+	assert.Assert(t, len(d.server.conns) <= 2*(len(d.server.received)/maxRetryable+1), "%d connections", len(d.server.conns))
+	d.relay.LocalBackend.mu.Lock()
+	defer d.relay.LocalBackend.mu.Unlock()
+	for _, conn := range d.relay.LocalBackend.current.pool.idle {
+		assert.Assert(t, len(conn.retryable) < maxRetryable)
+	}
+}
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -436,6 +436,8 @@
 			return
 		case "shed":
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		case "shed-with-id":
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Full\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case "shed-again":
 			again = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 			_, _ = io.WriteString(conn, again)
@@ -445,6 +447,16 @@
 			if kind == "shed-often-with-id" {
 				again = strings.Repeat(again, maxSkippedResponses)
 			}
+		case "shed-first-again", "fail-first-again":
+			if s.runs(id) > 1 {
+				_, _ = io.WriteString(conn, formatResponse(id, "ran"))
+				break
+			}
+			again = "HTTP/1.1 503 Full\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			if kind == "fail-first-again" {
+				again = "HTTP/1.1 500 Bad\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = io.WriteString(conn, again)
 		case "cut":
 			for name, whole := range cutHeads {
 				if cut, err := strconv.Atoi(r.URL.Query().Get(name)); err == nil {
