--- a/internal/root/relay/localbackend.go
+++ b/internal/root/relay/localbackend.go
@@ -61,7 +61,8 @@
 		expected Expected
 		current  *serverProcess // nil before the first notice
 		draining bool           // the daemon is draining
-		unready  string         // ID of the server that said at the start of the daemon that it accepts no requests
+		pending  Notice         // latest notice that no health check has confirmed; used while current is nil
+		leaves   int            // number of servers that have left while current was nil
 		wake     *time.Timer
 
 		cold       warmup.Limiter
@@ -100,26 +101,44 @@
 // Notice processes a notice of the server. The error wraps errNotice if the notice does not identify a usable
 // server.
 func (b *LocalBackend) Notice(ctx context.Context, n Notice) error {
-	if err := n.check(b.Clock.Now()); err != nil {
+	use, err := b.accept(n)
+	if err != nil || !use {
 		return err
 	}
-	b.mu.Lock()
-	err := b.checkSender(n)
-	outdated := err == nil && b.current != nil && isOutdated(n, b.current.notice)
-	if err == nil && n.State == StateReady {
-		b.recordCold(b.Clock.Now(), n)
+	if n.State != StateReady {
+		return b.handleLeaving(ctx, n)
 	}
-	b.mu.Unlock()
-	switch {
-	case err != nil:
-		return err
-	case outdated:
-		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-outdated")
+	leaves, confirmed := b.confirmNotice(ctx, n)
+	if !confirmed {
+		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-not-confirmed")
 		return nil
 	}
-	if n.State != StateReady {
-		return b.handleLeaving(ctx, n)
+	return b.register(ctx, n, leaves)
+}
+
+// accept checks a notice and reports whether it is to be used: an outdated one is not.
+func (b *LocalBackend) accept(n Notice) (use bool, err error) {
+	now := b.Clock.Now()
+	if err := n.check(now); err != nil {
+		return false, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.checkSender(n); err != nil {
+		return false, err
 	}
+	if n.State == StateReady {
+		b.recordCold(now, n)
+	}
+	if b.current != nil && isOutdated(n, b.current.notice) {
+		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-outdated")
+		return false, nil
+	}
+	return true, nil
+}
+
+// register announces the server of a notice and uses it, unless a server has left since leaves was read.
+func (b *LocalBackend) register(ctx context.Context, n Notice, leaves int) error {
 	announcement := member.Announcement{
 		Service: n.Service, Address: n.Address, Slots: n.Slots, Start: b.startID(n),
 	}
@@ -132,15 +151,13 @@
 	if closing {
 		return nil // a draining daemon accepts the notice but does not announce the server
 	}
-	if b.hasLeftBefore(ctx, n) {
-		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("notice-of-unready-server")
-		return nil
-	}
 	endpoint, err := b.Control.Announce(ctx, announcement)
 	if err != nil {
 		return fmt.Errorf("announce backend server: %w", err)
 	}
-	b.setReady(n, announcement.Start, endpoint.Incarnation)
+	if !b.setReady(n, announcement.Start, endpoint.Incarnation, leaves) {
+		return b.withdraw(ctx, n.Address)
+	}
 	return nil
 }
 
@@ -218,18 +235,22 @@
 	return s.notice.StartUnixMilli == n.StartUnixMilli || s.notice.StartUnixMilli == 0 && n.StartUnixMilli <= s.firstSeen.UnixMilli()
 }
 
-// setReady registers the server. A new process gets a new admission controller and new connections.
-func (b *LocalBackend) setReady(n Notice, start string, incarnation uint64) {
+// setReady uses the server. A new process gets a new admission controller and new connections. It returns false if a
+// server has left meanwhile while none was in use: it may be this one.
+func (b *LocalBackend) setReady(n Notice, start string, incarnation uint64, leaves int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.current
+	if old == nil && b.leaves != leaves {
+		return false
+	}
 	if old != nil && old.start == start && old.notice.Address == n.Address && old.notice.Service == n.Service {
 		if old.leaving || isOutdated(n, old.notice) { // a later notice was processed first
-			return
+			return true
 		}
 		old.notice = n
 		old.controller.SetSlots(int(n.Slots))
-		return
+		return true
 	}
 	if old != nil {
 		b.retire(old)
@@ -243,6 +264,7 @@
 	b.updateCold(b.Clock.Now())
 	b.Log.Info().Str("instance", n.Instance).Str("service", n.Service).Uint32("slots", n.Slots).
 		Uint64("incarnation", incarnation).Msg("backend-server-ready")
+	return true
 }
 
 // retire refuses the waiting requests of an earlier server process and closes its connections. The requests
@@ -271,11 +293,19 @@
 		b.refuseWaiting(s, notRun{failure: retry.Draining{}})
 		b.Log.Info().Str("instance", n.Instance).Uint64("sequence", n.Sequence).Msg("backend-server-leaving")
 	}
+	if s == nil {
+		b.leaves++
+	}
 	b.mu.Unlock()
 	if !isCurrent {
 		b.Log.Info().Str("instance", n.Instance).Msg("unknown-backend-server-left")
 		return nil
 	}
+	return b.withdraw(ctx, address)
+}
+
+// withdraw ends the announcement of the server at an address.
+func (b *LocalBackend) withdraw(ctx context.Context, address string) error {
 	if err := b.Control.Leave(ctx, address); err != nil {
 		return fmt.Errorf("withdraw backend server: %w", err)
 	}
--- a/internal/root/relay/localbackend_health.go
+++ b/internal/root/relay/localbackend_health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -9,28 +10,37 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
+// errNoHealth reports that a server has not answered a health check: it is full, or another server than the one beside
+// this daemon.
+var errNoHealth = errors.New("health check of backend server was not answered")
+
 // CheckHealth sends a health check to the server at n.Address and registers the server if it accepts requests,
-// unless the server has sent a notice meanwhile. A daemon that starts next to a running server thus need not
-// wait for the server's next notice.
+// unless a notice of the server has been confirmed meanwhile. A daemon that starts next to a running server thus need
+// not wait for the server's next notice. The error wraps errNoHealth if the server has said nothing about itself.
 func (b *LocalBackend) CheckHealth(ctx context.Context, n Notice, path string) error {
 	if b.registered() {
 		return nil
 	}
+	pending, leaves := b.unconfirmed()
 	health, err := b.askHealth(ctx, n.Address, path)
-	if err != nil || b.registered() {
+	switch {
+	case err != nil || b.registered():
 		return err
-	}
-	if !health.Ready {
-		b.mu.Lock()
-		b.unready = health.Instance
-		b.mu.Unlock()
+	case health.Instance == "":
+		return errNoHealth
+	case !health.Ready:
 		return nil
+	case pending.Instance == health.Instance:
+		return b.register(ctx, pending, leaves)
 	}
 	n.Instance, n.State, n.ColdFor = health.Instance, StateReady, health.ColdFor
 	if !health.ColdKnown {
 		_, n.ColdFor = warmup.Limits(b.Control.Snapshot().Rules, n.Service)
 	}
-	return b.Notice(ctx, n)
+	if use, err := b.accept(n); err != nil || !use {
+		return err
+	}
+	return b.register(ctx, n, leaves)
 }
 
 func (b *LocalBackend) registered() bool {
@@ -39,18 +49,34 @@
 	return b.current != nil
 }
 
-// hasLeftBefore reports whether a notice is a late one of a server that has left. A daemon that has restarted knows
-// nothing of the leave; but the server said at the start of the daemon that it accepts no requests, and says so again.
-func (b *LocalBackend) hasLeftBefore(ctx context.Context, n Notice) bool {
+// unconfirmed returns the latest notice that no health check has confirmed, and the number of servers that have left.
+func (b *LocalBackend) unconfirmed() (pending Notice, leaves int) {
 	b.mu.Lock()
-	suspected := b.current == nil && b.unready != "" && b.unready == n.Instance
+	defer b.mu.Unlock()
+	return b.pending, b.leaves
+}
+
+// confirmNotice reports whether a notice is one of the server as it is now. A daemon that has just started knows nothing of
+// the server: the notice may have been delayed, and the server may have left meanwhile, which an earlier process of the
+// daemon has acknowledged. The first notice is therefore used only if the server itself says that it accepts requests.
+// Later notices are compared with those before. The number of servers that had left before the server was asked is
+// returned for register.
+func (b *LocalBackend) confirmNotice(ctx context.Context, n Notice) (leaves int, confirmed bool) {
+	if b.registered() {
+		return 0, true
+	}
+	b.mu.Lock()
+	if b.pending.Instance == "" || !isOutdated(n, b.pending) {
+		b.pending = n
+	}
+	leaves = b.leaves
 	b.mu.Unlock()
 	set := b.Control.Snapshot().Rules
-	if !suspected || set == nil || set.Services[n.Service] == nil {
-		return false
+	if set == nil || set.Services[n.Service] == nil {
+		return leaves, false // there is no health path yet, and no route leads to the service
 	}
 	health, err := b.askHealth(ctx, n.Address, set.Services[n.Service].HealthPath)
-	return err == nil && !health.Ready && health.Instance == n.Instance
+	return leaves, err == nil && health.Ready && health.Instance == n.Instance
 }
 
 // askHealth sends a health check to a server. A server that has not run the check has said nothing about itself.
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -39,14 +39,16 @@
 	stopMargin      = 900 * time.Millisecond
 	stopMarginShare = 0.15
 
-	// drainPollInterval is how often a draining daemon checks for requests in progress, and how often a
-	// starting daemon checks for a configuration.
+	// drainPollInterval is how often a draining daemon checks for requests in progress.
 	drainPollInterval = 50 * time.Millisecond
 
-	// healthCheckWindow is how long after its start the daemon may still check the health of its server. After
-	// that time the server has sent a notice, and no check is needed.
+	// healthCheckWindow is how long the daemon checks the health of its server by itself once it has a configuration.
+	// After that time the next notice of the server leads to a check.
 	healthCheckWindow = 3 * time.Second
 
+	// healthCheckPause is the time between two health checks while the server does not answer them.
+	healthCheckPause = 250 * time.Millisecond
+
 	// defaultSlots is the smallest number of slots assumed for a server that has not reported its number.
 	defaultSlots = 8
 
@@ -158,18 +160,26 @@
 	}}
 }
 
-// checkHealth checks the health of the local backend server once, as soon as a configuration with the health
-// path is available.
+// checkHealth checks the health of the local backend server as soon as a configuration with the health path is
+// available, and again until the server has answered.
 func (r *Relay) checkHealth(ctx context.Context) error {
-	for since := r.Clock.Now(); r.BackendAddress != "" && r.Clock.Now().Sub(since) < healthCheckWindow; {
+	if r.BackendAddress == "" {
+		return nil
+	}
+	r.Control.AwaitConfig(ctx)
+	for since := r.Clock.Now(); r.Clock.Now().Sub(since) < healthCheckWindow; {
 		if set := r.Control.Snapshot().Rules; set != nil && set.Services[r.Service] != nil {
-			n := Notice{Service: r.Service, Address: r.BackendAddress, Slots: r.estimateSlots(ctx)}
-			if err := r.LocalBackend.CheckHealth(ctx, n, set.Services[r.Service].HealthPath); err != nil {
-				r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-checked")
+			n := Notice{Service: r.Service, Address: r.BackendAddress}
+			if pending, _ := r.LocalBackend.unconfirmed(); pending.Instance == "" {
+				n.Slots = r.estimateSlots(ctx)
 			}
-			return nil
+			err := r.LocalBackend.CheckHealth(ctx, n, set.Services[r.Service].HealthPath)
+			if err == nil {
+				return nil
+			}
+			r.Log.Info().Str("address", r.BackendAddress).Err(err).Msg("backend-server-not-checked")
 		}
-		timer := r.Clock.NewTimer(drainPollInterval)
+		timer := r.Clock.NewTimer(healthCheckPause)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/root/relay/testfleet_test.go
+++ b/internal/root/relay/testfleet_test.go
@@ -76,6 +76,7 @@
 		ran      map[string]int
 		conns    []net.Conn
 		leaving  atomic.Bool                   // its health checks fail
+		full     atomic.Bool                   // it runs no health check
 		gone     chan string                   // IDs of requests whose connection ended while they ran
 		hold     chan struct{}                 // closed to complete the requests under /hold/
 		early    func(net.Conn, *http.Request) // if set, answers each request before its body is read
@@ -310,6 +311,7 @@
 		d := &testDaemon{relay: relayed, peerAddress: options.PeerAddress, frontAddress: options.Ingress.Addr().String(), server: server}
 		f.daemons = append(f.daemons, d)
 		f.ready(d)
+		server.forget()
 	}
 	return f
 }
@@ -393,6 +395,9 @@
 			if s.leaving.Load() {
 				status = "503 Leaving"
 			}
+			if s.full.Load() {
+				status = "503 Full\r\nNot-Run: 1"
+			}
 			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nInstance: i-"+s.listener.Addr().String()+"\r\nContent-Length: 0\r\n\r\n")
 		case "hold":
 			ended := make(chan struct{})
@@ -497,6 +502,14 @@
 	s.conns = nil
 }
 
+// forget makes the server forget what it has received, so that tests count no health check of the start.
+func (s *testServer) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received, s.conns = nil, nil
+	clear(s.ran)
+}
+
 func (s *testServer) runs(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
