--- a/internal/root/relay/localbackend_health.go
+++ b/internal/root/relay/localbackend_health.go
@@ -10,8 +10,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 )
 
-// errNoHealth reports that a server has not answered a health check: it is full, or another server than the one beside
-// this daemon.
+// errNoHealth reports that a server has said nothing about itself: it refused the health check, or named no instance.
 var errNoHealth = errors.New("health check of backend server was not answered")
 
 // CheckHealth sends a health check to the server at n.Address and registers the server if it accepts requests,
