daemon: SIGHUP is ignored from the first moment

A daemon whose settings changed while it was starting ended by the default action of SIGHUP: the signal was ignored only once the data folder was open and all addresses were bound.

TestHangupDuringTheStartIsIgnored on the code before: the process was gone (broken pipe) when its settings were written.

--- a/internal/daemon/quick.go
+++ b/internal/daemon/quick.go
@@ -43,6 +43,7 @@
 `
 
 func quickStart(command *quickStartCommand, stdout, stderr io.Writer) int {
+	ignoreHangup()
 	folder := command.Folder
 	if folder == "" {
 		tempFolder, err := os.MkdirTemp("", "buckthorn-quick-start-")
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -32,7 +32,12 @@
 	Settings string `arg:"--settings,required,env:BUCKTHORNPITCH_SETTINGS" placeholder:"FILE" help:"settings file in TOML"`
 }
 
+// ignoreHangup ignores SIGHUP, which means that the settings may have changed. On the users' platform the daemon polls
+// its settings file, elsewhere settings take effect at the next start.
+func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
+
 func run(command *runCommand, stdout, stderr io.Writer) int {
+	ignoreHangup() // it may arrive as soon as the process exists
 	settings, err := config.Load(command.Settings)
 	if err != nil {
 		return fail(stderr, cmds.Usage, err)
@@ -76,9 +81,6 @@
 
 // serveDaemon runs a daemon until a signal to stop arrives, and ends at once at the second one.
 func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
-	// SIGHUP means that the settings may have changed. It is ignored: on the users' platform the daemon polls its
-	// settings file, elsewhere settings take effect at the next start.
-	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
