--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-kratos/kratos/v2"
 	klog "github.com/go-kratos/kratos/v2/log"
-	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/rs/zerolog"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/clock"
@@ -75,19 +74,13 @@
 	return serveDaemon(daemon, log, stderr)
 }
 
-// serveDaemon runs the daemon until a signal arrives or it fails.
-func serveDaemon(daemon transport.Server, log zerolog.Logger, stderr io.Writer) int {
+func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	// SIGHUP means that the settings may have changed. It is ignored: on the users' platform the daemon polls its
 	// settings file, elsewhere settings take effect at the next start.
 	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
-	return serveUntil(signals, daemon, log, stderr)
-}
-
-// serveUntil runs the daemon until the first signal, on which it drains, or until the second one.
-func serveUntil(signals <-chan os.Signal, daemon transport.Server, log zerolog.Logger, stderr io.Writer) int {
 	app := kratos.New(
 		kratos.Name("buckthornd"),
 		kratos.Server(daemon),
@@ -103,13 +96,11 @@
 				return fail(stderr, cmds.Failed, err)
 			}
 			return cmds.OK
-		case <-signals:
+		case <-signals: // the application drains on the first signal
 			if signalCount > 1 {
 				log.Warn().Msg("second-signal")
 				return cmds.Failed
 			}
-			// The application handles signals itself only once its servers have started, and would miss this one.
-			_ = app.Stop() // fails only with a registrar
 		}
 	}
 }
