--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -42,6 +42,7 @@
 	displacedConnections   *prometheus.CounterVec
 	budgetRefusals         *prometheus.CounterVec
 	invalidMessages        *prometheus.CounterVec
+	callerCuts             *prometheus.CounterVec
 }
 
 // New returns a meter with its own registry.
@@ -87,7 +88,8 @@
 	m.displacedConnections = newCounterVec("connections_displaced_total", "Connections that were closed because a listener had no room for another one.", "listener")
 	m.budgetRefusals = newCounterVec("budget_refusals_total", "Requests refused and connections closed because the memory for clients was taken, by what it was needed for.", "use")
 	m.invalidMessages = newCounterVec("invalid_messages_total", "Messages of other processes of the system that are invalid and were ignored, by stream.", "stream")
-	m.Registry.MustRegister(m.invalidMessages, m.displacedConnections, m.budgetRefusals, m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
+	m.callerCuts = newCounterVec("caller_cuts_total", "Connections of callers that ended while requests had no complete response, or while bytes were dropped or left unread, by reason.", "reason")
+	m.Registry.MustRegister(m.callerCuts, m.invalidMessages, m.displacedConnections, m.budgetRefusals, m.evacuationRefusals, m.coldServers, m.coldStarts, m.calls, m.duration, m.refusals, m.sheds, m.retries, m.queueWait,
 		m.backendConnectionsLost, m.replays, m.resumes, m.truncatedResponses, m.refusalsWithinRate, m.addedLatency,
 		m.randomChoices, m.unevenRefusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -170,6 +172,10 @@
 // InvalidMessage counts an invalid message of another process of the system that was ignored.
 func (m *Meter) InvalidMessage(stream string) { m.invalidMessages.WithLabelValues(stream).Inc() }
 
+// CallerCut counts a connection of a caller that ended while requests had no complete response, or while bytes of the
+// caller were dropped or left unread.
+func (m *Meter) CallerCut(reason string) { m.callerCuts.WithLabelValues(reason).Inc() }
+
 // WatchZones registers a gauge of the availability zones under evacuation, whose number read returns at each scrape.
 func (m *Meter) WatchZones(read func() int) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -59,8 +59,9 @@
 	callerConn struct {
 		frontend   *Frontend
 		conn       net.Conn
-		limit      *limitedReader
-		reader     *bufio.Reader
+		received   *callerReader
+		limit      *limitedReader  // above received
+		reader     *bufio.Reader   // above limit
 		ctx        context.Context // ends when the caller has disconnected or receives no more responses
 		cancel     context.CancelFunc
 		inProgress sync.WaitGroup
@@ -74,10 +75,13 @@
 		idleSince time.Time // start of the current period without a request in progress
 		idle      idleState
 		last      bool // no further request is read
+		end       endState
 	}
 
 	// responseSlot is the position of one response in the pipeline of a connection.
 	responseSlot struct {
+		id       string      // of the request
+		sent     atomic.Bool // to a server or to the daemon beside one
 		ready    bool
 		method   string
 		response Response
@@ -116,34 +120,28 @@
 func (c *callerConn) serve(ctx context.Context) {
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	defer c.cancel() // also after a panic: nobody receives the responses any more
+	panicked := true
+	defer func() {
+		if panicked {
+			c.endFor(endPanic)
+			c.noteReadEnd(nil)
+			c.reportEnd()
+		}
+	}()
 	c.idleSince = time.Now()
 	c.frontend.idle.add(c, c.idleSince)
 	err := c.readRequests()
 	c.frontend.idle.remove(c)
 	if stopped := (*readStopped)(nil); errors.As(err, &stopped) {
-		c.discardInput()
+		err = c.discardInput()
 	}
+	c.noteReadEnd(err)
 	c.cancel()
 	c.inProgress.Wait()
 	c.frontend.Queued.end(c)
+	c.reportEnd()
 	_ = c.conn.Close()
-}
-
-// discardInput reads what a caller sends after its last request, until it disconnects or lingerTime after the last
-// response: unread bytes would reset the connection before that response has arrived.
-func (c *callerConn) discardInput() {
-	c.mu.Lock()
-	switch {
-	case c.broken: // the last response has set the deadline
-	case len(c.pipeline) > 0:
-		_ = c.conn.SetReadDeadline(time.Time{})
-	default:
-		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	}
-	c.mu.Unlock()
-	if n, _ := io.CopyN(io.Discard, c.conn, maxDiscarded); n == maxDiscarded {
-		c.inProgress.Wait()
-	}
+	panicked = false
 }
 
 // readStopped reports that no further request is read from a connection whose responses are still being
@@ -312,12 +310,13 @@
 			end()
 		}
 	}()
-	slot, err := c.reserveSlot(last, c.slotClaim(in), in.cost)
+	slot, err := c.reserveSlot(in, last, c.slotClaim(in), in.cost)
 	if errors.Is(err, errRequestBudget) {
 		c.frontend.Forwarder.Meter.BudgetRefused("requests")
 		return c.refuse(in, retry.Overload{})
 	}
 	if err != nil {
+		c.end.dropped = append(c.end.dropped, request.ID)
 		return err
 	}
 	if in.invalid != nil {
@@ -330,7 +329,7 @@
 		c.complete(slot, parsed.Method, c.frontend.Dialect.EncodeRefusal(request.ID, retry.Draining{}, noServerRetryAfter), true)
 		return stopAfter(true)
 	}
-	request.Body, request.Rest, request.gone = body.data, rest, c.ctx
+	request.Body, request.Rest, request.gone, request.sent = body.data, rest, c.ctx, &slot.sent
 	if takesLong(parsed) {
 		request.pass = c.passResponse(slot, request, last)
 	}
@@ -368,40 +367,46 @@
 
 // reserveSlot appends a slot to the pipeline for a request that takes about cost bytes. It waits while the pipeline is
 // full, or while the requests in progress leave no room for one that was sent ahead.
-func (c *callerConn) reserveSlot(last bool, claim budget.Claim, cost int64) (*responseSlot, error) {
+func (c *callerConn) reserveSlot(in *incoming, last bool, claim budget.Claim, cost int64) (*responseSlot, error) {
 	for {
-		c.mu.Lock()
-		if c.broken {
-			c.mu.Unlock()
-			return nil, net.ErrClosed
+		slot, freed, err := c.tryReserveSlot(in, last, claim, cost)
+		if slot != nil || err != nil {
+			return slot, err
 		}
-		if c.last {
-			c.mu.Unlock()
-			return nil, &readStopped{"a response has announced that the connection closes"}
-		}
-		slot := c.newSlot(claim, cost)
-		if slot == nil && len(c.pipeline) == 0 {
-			c.mu.Unlock()
-			return nil, errRequestBudget
-		}
-		if slot != nil {
-			c.pipeline = append(c.pipeline, slot)
-			c.last = last
-			c.frontend.idle.requestRead(c)
-			c.mu.Unlock()
-			return slot, nil
-		}
-		slotFreed := make(chan struct{})
-		c.slotFreed = slotFreed
-		c.mu.Unlock()
 		select {
-		case <-slotFreed:
+		case <-freed:
 		case <-c.ctx.Done():
 			return nil, c.ctx.Err()
 		}
 	}
 }
 
+// tryReserveSlot appends a slot to the pipeline. If there is no room, it returns a channel that is closed when a slot has
+// been freed.
+func (c *callerConn) tryReserveSlot(in *incoming, last bool, claim budget.Claim, cost int64) (*responseSlot, chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.broken:
+		return nil, nil, net.ErrClosed
+	case c.last:
+		return nil, nil, &readStopped{"a response has announced that the connection closes"}
+	}
+	slot := c.newSlot(claim, cost)
+	switch {
+	case slot != nil:
+		slot.id = in.request.ID
+		c.pipeline = append(c.pipeline, slot)
+		c.last = last
+		c.frontend.idle.requestRead(c)
+		return slot, nil, nil
+	case len(c.pipeline) == 0:
+		return nil, nil, errRequestBudget
+	}
+	c.slotFreed = make(chan struct{})
+	return nil, c.slotFreed, nil
+}
+
 // complete stores a response in its slot and writes all completed responses at the head of the pipeline.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
 	c.frontend.Requests.Release(slot.claim, slot.cost)
@@ -447,6 +452,8 @@
 	}
 	c.frontend.Queued.remove(c, slot.response.size())
 	if err != nil {
+		c.noteCut(slot)
+		c.endFor(writeEnd(err))
 		c.broken = true
 		c.cancel()
 		_ = c.conn.Close()
@@ -458,6 +465,7 @@
 		c.broken = true
 		_ = c.conn.SetReadDeadline(time.Now()) // ends awaitRequest
 		if len(c.pipeline) > 0 {
+			c.noteCut(nil)
 			c.cancel() // requests pipelined after the last response are treated as not read
 		}
 		c.closeWrite()
@@ -496,7 +504,7 @@
 
 // refuse sends a refusal for a request that cannot be served, and ends the connection.
 func (c *callerConn) refuse(in *incoming, failure retry.Failure) error {
-	slot, err := c.reserveSlot(true, budget.Claim{}, 0)
+	slot, err := c.reserveSlot(in, true, budget.Claim{}, 0)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/root/relay/callerend.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/peek"
+)
+
+// maxListedRequests bounds the requests that the log line about the end of a connection names.
+const maxListedRequests = 4
+
+// Reasons for which the connection of a caller ends.
+const (
+	endCallerLeft   connEnd = "caller-left"
+	endLastResponse connEnd = "last-response" // it announced the end, or the caller had asked for it
+	endIdle         connEnd = "idle"
+	endStop         connEnd = "stop" // the daemon stops, and no request has arrived
+	endEvicted      connEnd = "evicted"
+	endReadTimeout  connEnd = "read-timeout" // the rest of a header or a body did not arrive in time
+	endReadFailed   connEnd = "read-failed"
+	endNotAccepted  connEnd = "response-not-accepted" // the caller accepted no byte of it in time
+	endNotWhole     connEnd = "response-not-whole"    // the rest of a long response did not arrive
+	endUnread       connEnd = "responses-unread"      // the callers have left too many bytes unread
+	endPanic        connEnd = "panic"
+)
+
+var (
+	errIdle            = errors.New("no request within the idle timeout")
+	errNoRequestAtStop = errors.New("no request has arrived when the daemon stops")
+)
+
+type (
+	// connEnd is the reason for which the connection of a caller ends.
+	connEnd string
+
+	// endState is what is known about the end of a connection.
+	endState struct {
+		reason    atomic.Pointer[connEnd] // nil before the end; the first reason counts
+		discarded int64                   // bytes that were read after the last request and dropped; of the reader
+		dropped   []string                // ids of requests that were read whole and got no slot; of the reader
+
+		cut      []*responseSlot // requests without a complete response, once cutNoted is set; guarded by callerConn.mu
+		cutNoted bool
+	}
+
+	// callerReader reads from the connection of a caller and records when bytes arrived.
+	callerReader struct {
+		net.Conn
+		opened time.Time
+		last   atomic.Int64 // time.Duration from opened to the last read that returned bytes
+	}
+)
+
+func newCallerReader(conn net.Conn) *callerReader {
+	return &callerReader{Conn: conn, opened: time.Now()}
+}
+
+// Read implements io.Reader.
+func (r *callerReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if n > 0 {
+		r.last.Store(int64(time.Since(r.opened)))
+	}
+	return n, err
+}
+
+// sinceRead returns how long ago bytes were read.
+func (r *callerReader) sinceRead() time.Duration {
+	return time.Since(r.opened) - time.Duration(r.last.Load())
+}
+
+// endFor records why the connection ends, unless a reason is known already.
+func (c *callerConn) endFor(reason connEnd) { c.end.reason.CompareAndSwap(nil, &reason) }
+
+// noteCut records the requests that have no complete response; c.mu is held. first is the one that was being answered,
+// nil without one.
+func (c *callerConn) noteCut(first *responseSlot) {
+	if c.end.cutNoted {
+		return
+	}
+	c.end.cutNoted = true
+	if first != nil {
+		c.end.cut = append(c.end.cut, first)
+	}
+	c.end.cut = append(c.end.cut, c.pipeline...)
+}
+
+// noteReadEnd records that reading has ended with an error, and the requests whose response is still due then.
+func (c *callerConn) noteReadEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endFor(c.readEnd(err))
+	c.noteCut(nil)
+}
+
+// readEnd returns the reason for which reading has ended; c.mu is held.
+func (c *callerConn) readEnd(err error) connEnd {
+	netErr := net.Error(nil)
+	switch {
+	case c.broken:
+		return endLastResponse
+	case errors.Is(err, errIdle):
+		return endIdle
+	case errors.Is(err, errNoRequestAtStop):
+		return endStop
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return endReadTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
+		return endCallerLeft
+	}
+	return endReadFailed
+}
+
+// writeEnd returns the reason for which a response was not written.
+func writeEnd(err error) connEnd {
+	netErr := net.Error(nil)
+	switch {
+	case errors.Is(err, errBodyBroken):
+		return endNotWhole
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return endNotAccepted
+	}
+	return endCallerLeft
+}
+
+// discardInput reads what a caller sends after its last request, until it disconnects or lingerTime after the last
+// response: unread bytes would reset the connection before that response has arrived. It returns why it has ended.
+func (c *callerConn) discardInput() error {
+	c.mu.Lock()
+	switch {
+	case c.broken: // the last response has set the deadline
+	case len(c.pipeline) > 0:
+		_ = c.conn.SetReadDeadline(time.Time{})
+	default:
+		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	}
+	c.mu.Unlock()
+	n, err := io.CopyN(io.Discard, c.received, maxDiscarded)
+	c.end.discarded = n
+	if n == maxDiscarded {
+		c.inProgress.Wait()
+	}
+	return err
+}
+
+// reportEnd counts and logs a connection that ends while requests have no complete response, or bytes of the caller are
+// dropped or left unread.
+func (c *callerConn) reportEnd() {
+	c.mu.Lock()
+	cut := c.end.cut
+	c.mu.Unlock()
+	buffered, unread := c.reader.Buffered(), peek.StateOf(c.conn) == peek.Waiting
+	if len(cut)+len(c.end.dropped) == 0 && buffered == 0 && !unread && c.end.discarded == 0 {
+		return
+	}
+	reason := endReadFailed
+	if known := c.end.reason.Load(); known != nil {
+		reason = *known
+	}
+	ids, sent := append([]string{}, c.end.dropped...), 0
+	for _, slot := range cut {
+		ids = append(ids, slot.id)
+		if slot.sent.Load() {
+			sent++
+		}
+	}
+	c.frontend.Forwarder.Meter.CallerCut(string(reason))
+	first := ""
+	if len(ids) > 0 {
+		first = ids[0]
+	}
+	c.frontend.Log.Info().Str("request", first).Str("reason", string(reason)).Str("address", c.address.String()).
+		Int("requests", len(ids)).Int("sent", sent).Strs("ids", ids[:min(len(ids), maxListedRequests)]).
+		Dur("since-read", c.received.sinceRead()).Int("buffered", buffered).Bool("unread", unread).
+		Int64("discarded", c.end.discarded).Msg("caller-cut")
+}
+
+// markSent records whether a request has been sent to a server or to the daemon beside one, and may be running.
+func (r *Request) markSent(sent bool) {
+	if r.sent != nil {
+		r.sent.Store(sent)
+	}
+}
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -238,6 +238,7 @@
 func (s *forwardState) recordOutcome(result outcome) {
 	switch result := result.(type) {
 	case notRun:
+		s.request.markSent(false)
 		if result.reached {
 			s.sends++
 		}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -138,8 +138,12 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2})
 	}
-	limit := &limitedReader{reader: conn}
-	caller := &callerConn{frontend: f, conn: conn, address: accept.ClientAddress(conn), limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
+	received := newCallerReader(conn)
+	limit := &limitedReader{reader: received}
+	caller := &callerConn{
+		frontend: f, conn: conn, address: accept.ClientAddress(conn),
+		received: received, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10),
+	}
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -69,6 +69,7 @@
 	c := i.conns.Remove(front).(*callerConn)
 	c.idle.element, c.idle.evicted = nil, true
 	i.mu.Unlock()
+	c.endFor(endEvicted)
 	_ = c.conn.Close()
 	return true
 }
@@ -114,8 +115,9 @@
 		switch {
 		case !idle || peek.StateOf(c.conn) == peek.Waiting:
 		case finishing:
-			return net.ErrClosed
+			return errNoRequestAtStop
 		default:
+			c.endFor(endIdle)
 			return &readStopped{"idle"}
 		}
 	}
--- a/internal/root/relay/peerstreams.go
+++ b/internal/root/relay/peerstreams.go
@@ -124,6 +124,7 @@
 		p.remove(stream)
 		return nil, false, fmt.Errorf("%w: %s", errPeerStreamClosed, address)
 	}
+	request.markSent(true)
 	p.startChecks(stream)
 	reply, err = stream.awaitReply(ctx, number, pending, request, abandon)
 	if errors.Is(err, errGivenUp) {
--- a/internal/root/relay/pool.go
+++ b/internal/root/relay/pool.go
@@ -190,6 +190,7 @@
 		return response, responseMeta, false, err
 	}
 	ex.sent = sent
+	ex.request.markSent(true)
 	got, err := p.readOwnResponse(conn, ex)
 	if err != nil {
 		return got.response, got.metadata, false, sent.explain(err)
--- a/internal/root/relay/queuedresponses.go
+++ b/internal/root/relay/queuedresponses.go
@@ -45,6 +45,7 @@
 	f.Forwarder.Meter.BudgetRefused("queued-responses")
 	f.Log.Info().Str("address", victim.address.String()).Str("account", victim.account()).
 		Msg("caller-closed-unread-responses")
+	victim.endFor(endUnread)
 	victim.cancel()
 	_ = victim.conn.Close() // a write in progress fails
 }
--- a/internal/root/relay/types.go
+++ b/internal/root/relay/types.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call"
@@ -33,6 +34,9 @@
 		// arriving counts bytes that are held for a response while it arrives from another daemon, nil to count nothing.
 		arriving func(bytes int64)
 		passing  bool // pass has been called, so that no other response can follow
+		// sent is set while the request has been sent to a server, or to the daemon beside one, and may be running; nil to
+		// record nothing.
+		sent *atomic.Bool
 	}
 
 	// passFunc passes on a long response; its body is read as fast as the receiver takes it. The length is -1 if it is
