--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -71,7 +71,8 @@
 		mu        sync.Mutex
 		pipeline  []*responseSlot // in the order of the requests
 		slotFreed chan struct{}
-		broken    bool
+		broken    bool      // no further response is written
+		ended     bool      // the last response has been written
 		idleSince time.Time // start of the current period without a request in progress
 		idle      idleState
 		last      bool // no further request is read
@@ -130,7 +131,7 @@
 	}()
 	c.idleSince = time.Now()
 	c.frontend.idle.add(c, c.idleSince)
-	err := c.readRequests()
+	err := c.readError(c.readRequests())
 	c.frontend.idle.remove(c)
 	if stopped := (*readStopped)(nil); errors.As(err, &stopped) {
 		err = c.discardInput()
@@ -158,7 +159,7 @@
 		}
 		limits := c.frontend.limits()
 		// The header has to arrive in time. Deadlines of real I/O use the system clock.
-		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		c.limit.remaining = limits.HeaderSize + headerReadSlack
 		parsed, err := http.ReadRequest(c.reader)
 		if err != nil {
@@ -183,7 +184,7 @@
 		case err != nil:
 			return err
 		}
-		_ = c.conn.SetReadDeadline(time.Time{})
+		c.setReadDeadline(time.Time{})
 		in.cost += body.uncounted()
 		if whole {
 			err = c.startRequest(in, body, nil)
@@ -217,7 +218,7 @@
 	}
 	for {
 		// The timeout applies to each pause, not to the whole body.
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.frontend.BodyStall))
+		c.setReadDeadline(time.Now().Add(c.frontend.BodyStall))
 		err := body.read(r.Body)
 		switch {
 		case errors.Is(err, io.EOF):
@@ -275,7 +276,7 @@
 		}
 		_, _ = rest.Write(buf[:n]) // fails once the request has ended
 		if errors.Is(err, io.EOF) {
-			c.clearReadDeadline()
+			c.setReadDeadline(time.Time{})
 			return rest.Close()
 		}
 		if err != nil {
@@ -285,12 +286,13 @@
 	}
 }
 
-// clearReadDeadline removes the deadline of a body, but not the one that ends the connection after its last response.
-func (c *callerConn) clearReadDeadline() {
+// setReadDeadline sets the deadline for what arrives, but does not replace the one that ends the connection after its
+// last response.
+func (c *callerConn) setReadDeadline(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.broken {
-		_ = c.conn.SetReadDeadline(time.Time{})
+		_ = c.conn.SetReadDeadline(deadline)
 	}
 }
 
@@ -462,7 +464,7 @@
 		return
 	}
 	if last {
-		c.broken = true
+		c.broken, c.ended = true, true
 		_ = c.conn.SetReadDeadline(time.Now()) // ends awaitRequest
 		if len(c.pipeline) > 0 {
 			c.noteCut(nil)
--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -98,6 +98,17 @@
 	c.noteCut(nil)
 }
 
+// readError returns the error with which reading has ended. The end of a request that was being read behind the last
+// response does not matter: the caller still has to receive that response.
+func (c *callerConn) readError(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return &readStopped{"the last response is written"}
+	}
+	return err
+}
+
 // readEnd returns the reason for which reading has ended; c.mu is held.
 func (c *callerConn) readEnd(err error) connEnd {
 	netErr := net.Error(nil)
