--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -98,6 +99,30 @@
 	c.noteCut(nil)
 }
 
+// endAfterBody ends reading after the rest of a long body was not read. The request is in progress; it and earlier ones are
+// still answered, unless the caller has left.
+func (c *callerConn) endAfterBody(err error) error {
+	if !isTimeout(err) && callerLeft(err) {
+		return fmt.Errorf("read body: %w", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = true
+	return &readStopped{"the rest of a body was not read"}
+}
+
+// isTimeout reports whether a deadline of the connection has passed.
+func isTimeout(err error) bool {
+	netErr := net.Error(nil)
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// callerLeft reports whether the connection itself has ended, and not only a request on it.
+func callerLeft(err error) bool {
+	netErr := net.Error(nil)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
+}
+
 // readError returns the error with which reading has ended. The end of a request that was being read behind the last
 // response does not matter: the caller still has to receive that response.
 func (c *callerConn) readError(err error) error {
@@ -111,7 +136,6 @@
 
 // readEnd returns the reason for which reading has ended; c.mu is held.
 func (c *callerConn) readEnd(err error) connEnd {
-	netErr := net.Error(nil)
 	switch {
 	case c.broken:
 		return endLastResponse
@@ -119,7 +143,7 @@
 		return endIdle
 	case errors.Is(err, errNoRequestAtStop):
 		return endStop
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		return endReadTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET):
 		return endCallerLeft
@@ -129,11 +153,10 @@
 
 // writeEnd returns the reason for which a response was not written.
 func writeEnd(err error) connEnd {
-	netErr := net.Error(nil)
 	switch {
 	case errors.Is(err, errBodyBroken):
 		return endNotWhole
-	case errors.As(err, &netErr) && netErr.Timeout():
+	case isTimeout(err):
 		return endNotAccepted
 	}
 	return endCallerLeft
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -7,10 +7,23 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+// shortTimeout is a time limit that passes soon; tests that wait for it bound no time.
+const shortTimeout = 100 * time.Millisecond
+
+// setLimits sets the limits of the configuration in force for the daemon's callers.
+func (f *testFleet) setLimits(header, idle time.Duration) {
+	f.control.mu.Lock()
+	defer f.control.mu.Unlock()
+	set := *f.control.set
+	set.Limits.HeaderTimeout, set.Limits.IdleTimeout = header, idle
+	f.control.set = &set
+}
+
 func write(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	_, err := io.WriteString(conn, text)
@@ -21,6 +34,48 @@
 	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: shop.example\r\nId: %s\r\n\r\n", path, id)
 }
 
+// Guards against requests in progress that end without an answer because a later one on their connection does not arrive
+// in time or is malformed.
+func TestBrokenRequestCutsNoEarlierOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		status int // of the response to the later request
+	}{
+		"header": {"GET /open/echo HTTP/1.1\r\nHost: shop", http.StatusGatewayTimeout},
+		"body":   {"POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: late\r\nContent-Length: 9\r\n\r\npart", http.StatusGatewayTimeout},
+		"chunks": {"POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: late\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n", http.StatusBadRequest},
+		"long": {
+			"POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: late\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("x", 200_000),
+			http.StatusBadGateway,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1, func(o *Options) {
+				o.BodyStall = shortTimeout
+				o.MemoryLimit = 128 << 10 * keptBodyDivisor
+			})
+			d := f.daemons[0]
+			for _, route := range f.control.set.Routes {
+				route.Deadline = time.Minute
+			}
+			f.setLimits(shortTimeout, time.Minute)
+			conn := f.dial(d)
+			write(t, conn, get("/open/hold", "early"))
+			f.waitUntil("the early request runs", func() bool { return d.server.runs("early") == 1 })
+			write(t, conn, c.text)
+			time.Sleep(5 * shortTimeout)
+			close(d.server.hold)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+			assert.Equal(t, bodyOf(t, readResponse(t, conn.reader)), "held")
+			late := readResponse(t, conn.reader)
+			assert.Equal(t, late.StatusCode, c.status)
+			assert.Assert(t, late.Close)
+			_, err := conn.reader.ReadByte()
+			assert.Equal(t, err, io.EOF)
+		})
+	}
+}
+
 // Guards against a response that is cut when the daemon drains, because a later request on its connection is being read
 // at that moment: the connection was closed at once, and unread bytes of the later request reset it.
 func TestLastResponseIsNotCutByLaterRequest(t *testing.T) {
