--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -170,7 +170,7 @@
 	case c.broken: // the last response has set the deadline
 	case len(c.pipeline) > 0:
 		_ = c.conn.SetReadDeadline(time.Time{})
-	default:
+	default: // within a body whose response is written
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 	}
 	c.mu.Unlock()
--- a/internal/root/relay/callerend_test.go
+++ b/internal/root/relay/callerend_test.go
@@ -21,12 +21,13 @@
 	}
 
 	cutLine struct {
-		Message  string   `json:"message"`
-		Reason   string   `json:"reason"`
-		Requests int      `json:"requests"`
-		Sent     int      `json:"sent"`
-		IDs      []string `json:"ids"`
-		Unread   bool     `json:"unread"`
+		Message   string   `json:"message"`
+		Reason    string   `json:"reason"`
+		Requests  int      `json:"requests"`
+		Sent      int      `json:"sent"`
+		IDs       []string `json:"ids"`
+		Unread    bool     `json:"unread"`
+		Discarded int64    `json:"discarded"`
 	}
 )
 
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -105,3 +105,25 @@
 		})
 	}
 }
+
+// Guards against a request that is read and dropped: after the idle timeout the daemon went on reading before it closed
+// the connection.
+func TestIdleConnectionIsClosedUnread(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	f.setLimits(time.Second, shortTimeout)
+	log := f.logCuts(d)
+	for i := range 20 { // the requests cross the end of the connection at different moments
+		conn := f.dial(d)
+		assert.Equal(t, conn.send(fmt.Sprint("first", i), "/open/echo"), http.StatusOK)
+		time.Sleep(shortTimeout + time.Duration(i)*time.Millisecond)
+		_ = conn.send(fmt.Sprint("second", i), "/open/echo")
+		_ = conn.Close()
+	}
+	f.waitUntil("the connections have ended", func() bool { return d.relay.Frontend.Connections() == 0 })
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for _, line := range log.lines {
+		assert.Assert(t, line.Discarded == 0, "%+v", line)
+	}
+}
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -116,8 +116,7 @@
 		case finishing:
 			return errNoRequestAtStop
 		default:
-			c.endFor(endIdle)
-			return &readStopped{"idle"}
+			return errIdle
 		}
 	}
 }
