--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -124,6 +124,7 @@
 	panicked := true
 	defer func() {
 		if panicked {
+			c.frontend.idle.leave(c)
 			c.endFor(endPanic)
 			c.noteReadEnd(nil)
 			c.reportEnd()
@@ -132,7 +133,7 @@
 	c.idleSince = time.Now()
 	c.frontend.idle.add(c, c.idleSince)
 	err := c.readError(c.readRequests())
-	c.frontend.idle.remove(c)
+	c.frontend.idle.leave(c)
 	if stopped := (*readStopped)(nil); errors.As(err, &stopped) {
 		err = c.discardInput()
 	}
@@ -234,66 +235,16 @@
 	}
 }
 
-// startLongRequest serves a request whose body is not held whole, and passes the rest of it on.
-func (c *callerConn) startLongRequest(in *incoming, body *bodyBuffer, limit int64) error {
-	if !body.reserve(streamReserve) {
-		body.release()
-		c.frontend.Forwarder.Meter.BudgetRefused("bodies")
-		return c.refuse(in, retry.Overload{})
-	}
-	reader, writer := io.Pipe()
-	passed := int64(len(body.data))
-	rest := &bodyStream{ReadCloser: reader, length: in.parsed.ContentLength}
-	stopped := (*readStopped)(nil)
-	if err := c.startRequest(in, body, rest); err != nil && !errors.As(err, &stopped) {
-		return err
-	}
-	if err := c.passBody(in.parsed.Body, writer, limit-passed); err != nil {
-		return err
-	}
-	if stopped != nil {
-		return stopped
-	}
-	return nil
-}
-
-// passBody passes on what is left of a body as fast as the server reads it. Once the request has ended, it is discarded,
-// so that the caller reads the response and can send the next request.
-func (c *callerConn) passBody(body io.Reader, rest *io.PipeWriter, left int64) error {
-	buf := make([]byte, streamPart)
-	for {
-		c.mu.Lock()
-		stall := c.frontend.BodyStall
-		if c.broken { // the last response is written
-			stall = lingerTime
-		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(stall))
-		c.mu.Unlock()
-		n, err := body.Read(buf)
-		if left -= int64(n); left < 0 {
-			_ = rest.CloseWithError(errBodySize)
-			return &readStopped{"the body exceeds the size limit"}
-		}
-		_, _ = rest.Write(buf[:n]) // fails once the request has ended
-		if errors.Is(err, io.EOF) {
-			c.setReadDeadline(time.Time{})
-			return rest.Close()
-		}
-		if err != nil {
-			_ = rest.CloseWithError(errBodyBroken)
-			return c.endAfterBody(err)
-		}
-	}
-}
-
 // setReadDeadline sets the deadline for what arrives, but does not replace the one that ends the connection after its
-// last response.
-func (c *callerConn) setReadDeadline(deadline time.Time) {
+// last response. It returns false in that case.
+func (c *callerConn) setReadDeadline(deadline time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.broken {
-		_ = c.conn.SetReadDeadline(deadline)
+	if c.broken {
+		return false
 	}
+	_ = c.conn.SetReadDeadline(deadline)
+	return true
 }
 
 // startRequest serves a request in its own goroutine. The rest of its body is nil if the body is whole.
--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -32,6 +32,7 @@
 
 var (
 	errIdle            = errors.New("no request within the idle timeout")
+	errEvicted         = errors.New("no request, and a new connection needs the place")
 	errNoRequestAtStop = errors.New("no request has arrived when the daemon stops")
 )
 
@@ -141,6 +142,8 @@
 		return endLastResponse
 	case errors.Is(err, errIdle):
 		return endIdle
+	case errors.Is(err, errEvicted):
+		return endEvicted
 	case errors.Is(err, errNoRequestAtStop):
 		return endStop
 	case isTimeout(err):
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +17,39 @@
 // shortTimeout is a time limit that passes soon; tests that wait for it bound no time.
 const shortTimeout = 100 * time.Millisecond
 
+type (
+	// gatedListener hands the connections that it accepts to wrap.
+	gatedListener struct {
+		net.Listener
+		wrap func(*net.TCPConn) net.Conn
+	}
+
+	// heldReadConn holds back the bytes of a read that has returned once held is set, as a goroutine without processor time
+	// does.
+	heldReadConn struct {
+		*net.TCPConn
+		taken chan struct{} // receives a value when a read has returned bytes
+		pass  chan struct{} // a value lets the read return them
+	}
+)
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn.(*net.TCPConn)), nil
+}
+
+func (c heldReadConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.taken <- struct{}{}
+		<-c.pass
+	}
+	return n, err
+}
+
 // setLimits sets the limits of the configuration in force for the daemon's callers.
 func (f *testFleet) setLimits(header, idle time.Duration) {
 	f.control.mu.Lock()
@@ -24,6 +59,21 @@
 	f.control.set = &set
 }
 
+// serveBehind serves callers of the first daemon at another listener, and returns its address.
+func (f *testFleet) serveBehind(limit int, wrap func(*net.TCPConn) net.Conn) (*Frontend, string) {
+	f.t.Helper()
+	original, listener := f.daemons[0].relay.Frontend, listen(f.t)
+	frontend := &Frontend{
+		Listener: gatedListener{listener, wrap}, Forwarder: original.Forwarder, Dialect: original.Dialect, Log: original.Log,
+		Limits: original.Limits, BodyStall: original.BodyStall, WriteStall: original.WriteStall, Bodies: original.Bodies,
+		KeptBody: original.KeptBody, MaxConnections: limit,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go func() { _ = frontend.Run(ctx) }()
+	return frontend, listener.Addr().String()
+}
+
 func write(t *testing.T, conn net.Conn, text string) {
 	t.Helper()
 	_, err := io.WriteString(conn, text)
@@ -127,3 +177,57 @@
 		assert.Assert(t, line.Discarded == 0, "%+v", line)
 	}
 }
+
+// Guards against a request that is read and dropped: its connection was closed to make room for another one before the
+// reader had got to say that the request has arrived.
+func TestEvictionDropsNoRequestThatWasRead(t *testing.T) {
+	f := newTestFleet(t, 1)
+	taken, pass := make(chan struct{}), make(chan struct{})
+	held := 0
+	frontend, address := f.serveBehind(1, func(conn *net.TCPConn) net.Conn {
+		if held++; held > 1 {
+			return conn
+		}
+		return heldReadConn{TCPConn: conn, taken: taken, pass: pass}
+	})
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	write(t, conn, get("/open/echo", "held"))
+	<-taken
+	other, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = other.Close() }()
+	f.waitUntil("the connection is chosen to make room", func() bool {
+		frontend.idle.mu.Lock()
+		defer frontend.idle.mu.Unlock()
+		return frontend.idle.conns.Len() == 0 || frontend.Connections() == 2
+	})
+	close(pass)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	assert.Equal(t, bodyOf(t, readResponse(t, bufio.NewReader(conn))), "held ")
+}
+
+// Guards against a connection that is closed to make room although a request waits on it: its reader had no processor
+// time.
+func TestEvictionClosesNoConnectionWithAnUnreadRequest(t *testing.T) {
+	f := newTestFleet(t, 1)
+	read := make(chan struct{})
+	frontend, address := f.serveBehind(1, func(conn *net.TCPConn) net.Conn { return delayedConn{TCPConn: conn, read: read} })
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	write(t, conn, get("/open/echo", "unread"))
+	f.waitUntil("the connection is open", func() bool { return frontend.Connections() == 1 })
+	other, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = other.Close() }()
+	f.waitUntil("the connection is chosen to make room", func() bool {
+		frontend.idle.mu.Lock()
+		defer frontend.idle.mu.Unlock()
+		return frontend.idle.conns.Len() == 0 || frontend.Connections() == 2
+	})
+	close(read)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	assert.Equal(t, bodyOf(t, readResponse(t, bufio.NewReader(conn))), "unread ")
+}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -119,17 +119,25 @@
 	}
 }
 
-// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it closes
-// connections that have been idle for a while, and at the limit any idle one.
+// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it makes
+// connections end that have been idle for a while, and at the limit any idle one.
 func (f *Frontend) makeRoom() bool {
 	open, now := f.open.Load(), time.Now()
-	switch {
-	case open >= int64(f.MaxConnections):
-		return f.idle.evict(now, 0)
-	case float64(open) >= idleConnectionsShare*float64(f.MaxConnections):
-		f.idle.evict(now, minIdleTime)
+	if open < int64(f.MaxConnections) {
+		if float64(open) >= idleConnectionsShare*float64(f.MaxConnections) {
+			f.idle.evict(now, minIdleTime)
+		}
+		return true
+	}
+	for {
+		given := f.idle.evict(now, 0)
+		if given == nil {
+			return false
+		}
+		if <-given {
+			return true
+		}
 	}
-	return true
 }
 
 // serve handles one connection. It continues after Run has returned, until the requests in progress have
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"net"
 	"sync"
 	"time"
 
@@ -22,8 +21,8 @@
 	idleState struct {
 		element *list.Element // nil while a request is in progress
 		since   time.Time
-		reading bool // a request is being read
-		evicted bool
+		reading bool        // a request is being read
+		evicted chan<- bool // receives whether the reader gives the connection up, nil unless it is asked to
 	}
 )
 
@@ -31,22 +30,29 @@
 func (i *idleConns) add(c *callerConn, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if c.idle.element == nil && !c.idle.reading && !c.idle.evicted {
+	if c.idle.element == nil && !c.idle.reading {
 		c.idle.element, c.idle.since = i.conns.PushBack(c), now
 	}
 }
 
-// remove removes a connection on which a request arrives. It returns false if the connection has been evicted: the
-// request must not be read then.
-func (i *idleConns) remove(c *callerConn) bool {
+// requestArrives removes a connection on which a request, or the rest of a body, arrives.
+func (i *idleConns) requestArrives(c *callerConn) { i.remove(c, false) }
+
+// leave removes a connection that is not read any more.
+func (i *idleConns) leave(c *callerConn) { i.remove(c, true) }
+
+func (i *idleConns) remove(c *callerConn, leaving bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if c.idle.element != nil {
 		i.conns.Remove(c.idle.element)
 		c.idle.element = nil
 	}
+	if c.idle.evicted != nil {
+		c.idle.evicted <- leaving
+		c.idle.evicted = nil
+	}
 	c.idle.reading = true
-	return !c.idle.evicted
 }
 
 // requestRead records that the request that was being read is in progress.
@@ -56,21 +62,28 @@
 	c.idle.reading = false
 }
 
-// evict closes the connection that has been idle longest, if it has been idle for minIdle, and reports whether
-// there was one.
-func (i *idleConns) evict(now time.Time, minIdle time.Duration) bool {
+// evict asks the reader of the connection that has been idle longest to give it up, if it has been idle for minIdle. Only
+// the reader knows whether a request has arrived meanwhile. The channel, nil if there is no such connection, receives
+// whether the connection ends.
+func (i *idleConns) evict(now time.Time, minIdle time.Duration) <-chan bool {
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	front := i.conns.Front()
 	if front == nil || now.Sub(front.Value.(*callerConn).idle.since) < minIdle {
-		i.mu.Unlock()
-		return false
+		return nil
 	}
 	c := i.conns.Remove(front).(*callerConn)
-	c.idle.element, c.idle.evicted = nil, true
-	i.mu.Unlock()
-	c.endFor(endEvicted)
-	_ = c.conn.Close()
-	return true
+	given := make(chan bool, 1)
+	c.idle.element, c.idle.evicted = nil, given
+	_ = c.conn.SetReadDeadline(now)
+	return given
+}
+
+// isEvicted reports whether the reader of the connection is asked to give it up.
+func (i *idleConns) isEvicted(c *callerConn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return c.idle.evicted != nil
 }
 
 // wake ends the reads of the connections that have been idle for minIdle, so that their readers see whether to close
@@ -89,30 +102,29 @@
 
 // awaitRequest waits for the first byte of the next request.
 func (c *callerConn) awaitRequest() error {
-	for {
+	for waiting := false; ; {
 		limit, finishing := c.frontend.idleTimeout()
-		c.mu.Lock()
-		broken := c.broken
-		if !broken {
-			_ = c.conn.SetReadDeadline(time.Now().Add(limit))
-		}
-		c.mu.Unlock()
-		if broken {
+		if !c.setReadDeadline(time.Now().Add(limit)) {
 			return &readStopped{"the last response is written"}
 		}
+		if !waiting && c.frontend.idle.isEvicted(c) { // its deadline may just have been replaced
+			c.setReadDeadline(time.Now())
+		}
 		if _, err := c.reader.Peek(1); err == nil {
-			if !c.frontend.idle.remove(c) {
-				return net.ErrClosed
-			}
+			c.frontend.idle.requestArrives(c)
 			return nil
 		} else if !isTimeout(err) {
 			return err
 		}
+		waiting = peek.StateOf(c.conn) == peek.Waiting
 		c.mu.Lock()
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
 		switch {
-		case !idle || peek.StateOf(c.conn) == peek.Waiting:
+		case waiting:
+		case c.frontend.idle.isEvicted(c):
+			return errEvicted
+		case !idle:
 		case finishing:
 			return errNoRequestAtStop
 		default:
--- a/internal/root/relay/idleconns_test.go
+++ b/internal/root/relay/idleconns_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +100,23 @@
 	}
 	assert.Equal(t, first.send("last", "/open/echo"), 200)
 }
+
+// Guards against an upload that is cut to make room for another connection, because it counts as idle once its response
+// is written.
+func TestUploadStaysAfterItsResponse(t *testing.T) {
+	const size = 200_000
+	f := newTestFleet(t, 1, limitConnections(1), func(o *Options) { o.MemoryLimit = 128 << 10 * keptBodyDivisor })
+	d := f.daemons[0]
+	d.server.mu.Lock()
+	d.server.early = func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	}
+	d.server.mu.Unlock()
+	kept := f.dial(d)
+	write(t, kept, fmt.Sprintf("POST /once/echo HTTP/1.1\r\nHost: shop.example\r\nId: upload\r\nContent-Length: %d\r\n\r\n", size))
+	write(t, kept, strings.Repeat("x", size/2))
+	assert.Equal(t, readResponse(t, kept.reader).StatusCode, http.StatusOK)
+	assert.Equal(t, f.dial(d).send("other", "/open/echo"), 0, "there is no room for it")
+	write(t, kept, strings.Repeat("x", size/2)+get("/once/echo", "second"))
+	assert.Equal(t, readResponse(t, kept.reader).StatusCode, http.StatusOK)
+}
--- a/internal/root/relay/longrequest.go
+++ b/internal/root/relay/longrequest.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"time"
 
+	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/cross"
 )
 
@@ -50,3 +53,67 @@
 func (s *peerStream) sendBody(number uint64, credit *creditCounter, request *Request) {
 	_ = sendParts(s.writer, number, credit, io.MultiReader(bytes.NewReader(request.Body), request.Rest))
 }
+
+// bodyRead records that the rest of a long body has been read.
+func (c *callerConn) bodyRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frontend.idle.requestRead(c)
+	if len(c.pipeline) == 0 && !c.broken {
+		c.frontend.idle.add(c, time.Now())
+	}
+}
+
+// startLongRequest serves a request whose body is not held whole, and passes the rest of it on.
+func (c *callerConn) startLongRequest(in *incoming, body *bodyBuffer, limit int64) error {
+	if !body.reserve(streamReserve) {
+		body.release()
+		c.frontend.Forwarder.Meter.BudgetRefused("bodies")
+		return c.refuse(in, retry.Overload{})
+	}
+	reader, writer := io.Pipe()
+	passed := int64(len(body.data))
+	rest := &bodyStream{ReadCloser: reader, length: in.parsed.ContentLength}
+	stopped := (*readStopped)(nil)
+	if err := c.startRequest(in, body, rest); err != nil && !errors.As(err, &stopped) {
+		return err
+	}
+	c.frontend.idle.requestArrives(c) // also once the response is written
+	if err := c.passBody(in.parsed.Body, writer, limit-passed); err != nil {
+		return err
+	}
+	c.bodyRead()
+	if stopped != nil {
+		return stopped
+	}
+	return nil
+}
+
+// passBody passes on what is left of a body as fast as the server reads it. Once the request has ended, it is discarded,
+// so that the caller reads the response and can send the next request.
+func (c *callerConn) passBody(body io.Reader, rest *io.PipeWriter, left int64) error {
+	buf := make([]byte, streamPart)
+	for {
+		c.mu.Lock()
+		stall := c.frontend.BodyStall
+		if c.broken { // the last response is written
+			stall = lingerTime
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(stall))
+		c.mu.Unlock()
+		n, err := body.Read(buf)
+		if left -= int64(n); left < 0 {
+			_ = rest.CloseWithError(errBodySize)
+			return &readStopped{"the body exceeds the size limit"}
+		}
+		_, _ = rest.Write(buf[:n]) // fails once the request has ended
+		if errors.Is(err, io.EOF) {
+			c.setReadDeadline(time.Time{})
+			return rest.Close()
+		}
+		if err != nil {
+			_ = rest.CloseWithError(errBodyBroken)
+			return c.endAfterBody(err)
+		}
+	}
+}
