--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -49,33 +49,8 @@
 		cut      []*responseSlot // requests without a complete response, once cutNoted is set; guarded by callerConn.mu
 		cutNoted bool
 	}
-
-	// callerReader reads from the connection of a caller and records when bytes arrived.
-	callerReader struct {
-		net.Conn
-		opened time.Time
-		last   atomic.Int64 // time.Duration from opened to the last read that returned bytes
-	}
 )
 
-func newCallerReader(conn net.Conn) *callerReader {
-	return &callerReader{Conn: conn, opened: time.Now()}
-}
-
-// Read implements io.Reader.
-func (r *callerReader) Read(p []byte) (int, error) {
-	n, err := r.Conn.Read(p)
-	if n > 0 {
-		r.last.Store(int64(time.Since(r.opened)))
-	}
-	return n, err
-}
-
-// sinceRead returns how long ago bytes were read.
-func (r *callerReader) sinceRead() time.Duration {
-	return time.Since(r.opened) - time.Duration(r.last.Load())
-}
-
 // endFor records why the connection ends, unless a reason is known already.
 func (c *callerConn) endFor(reason connEnd) { c.end.reason.CompareAndSwap(nil, &reason) }
 
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -31,6 +31,14 @@
 		taken chan struct{} // receives a value when a read has returned bytes
 		pass  chan struct{} // a value lets the read return them
 	}
+
+	// lateReadConn lets its second read begin only once begin is closed, as in a process that was paused.
+	lateReadConn struct {
+		*net.TCPConn
+		first *bool
+		read  chan struct{} // closed when the first read has returned
+		begin chan struct{}
+	}
 )
 
 func (l gatedListener) Accept() (net.Conn, error) {
@@ -50,6 +58,17 @@
 	return n, err
 }
 
+func (c lateReadConn) Read(p []byte) (int, error) {
+	if *c.first {
+		*c.first = false
+		n, err := c.TCPConn.Read(p)
+		close(c.read)
+		return n, err
+	}
+	<-c.begin
+	return c.TCPConn.Read(p)
+}
+
 // setLimits sets the limits of the configuration in force for the daemon's callers.
 func (f *testFleet) setLimits(header, idle time.Duration) {
 	f.control.mu.Lock()
@@ -231,3 +250,34 @@
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
 	assert.Equal(t, bodyOf(t, readResponse(t, bufio.NewReader(conn))), "unread ")
 }
+
+// Guards against a request that is cut off although all of it has arrived in time: a process that had been paused saw
+// that the time was over before it saw the bytes.
+func TestArrivedRequestIsReadAfterAPause(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"header": {"GET /open/echo HTTP/1.1\r\nHost: shop", ".example\r\nId: late\r\n\r\n"},
+		"body": {
+			"POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: late\r\nContent-Length: 4\r\n\r\nha", "lf",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			f.setLimits(shortTimeout, time.Minute)
+			f.daemons[0].relay.Frontend.BodyStall = shortTimeout
+			first, read, begin := true, make(chan struct{}), make(chan struct{})
+			_, address := f.serveBehind(10, func(conn *net.TCPConn) net.Conn {
+				return lateReadConn{TCPConn: conn, first: &first, read: read, begin: begin}
+			})
+			conn, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			write(t, conn, parts[0])
+			<-read
+			write(t, conn, parts[1])
+			time.Sleep(2 * shortTimeout)
+			close(begin)
+			response := readResponse(t, bufio.NewReader(conn))
+			assert.Equal(t, response.StatusCode, http.StatusOK)
+		})
+	}
+}
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -152,6 +152,7 @@
 		frontend: f, conn: conn, address: accept.ClientAddress(conn),
 		received: received, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10),
 	}
+	received.setDeadline = caller.setReadDeadline
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -4,8 +4,6 @@
 	"container/list"
 	"sync"
 	"time"
-
-	"github.com/buckthornpitch/buckthornpitch/internal/peek"
 )
 
 type (
@@ -102,12 +100,12 @@
 
 // awaitRequest waits for the first byte of the next request.
 func (c *callerConn) awaitRequest() error {
-	for waiting := false; ; {
+	for {
 		limit, finishing := c.frontend.idleTimeout()
 		if !c.setReadDeadline(time.Now().Add(limit)) {
 			return &readStopped{"the last response is written"}
 		}
-		if !waiting && c.frontend.idle.isEvicted(c) { // its deadline may just have been replaced
+		if c.frontend.idle.isEvicted(c) { // its deadline may just have been replaced
 			c.setReadDeadline(time.Now())
 		}
 		if _, err := c.reader.Peek(1); err == nil {
@@ -116,12 +114,10 @@
 		} else if !isTimeout(err) {
 			return err
 		}
-		waiting = peek.StateOf(c.conn) == peek.Waiting
 		c.mu.Lock()
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
 		switch {
-		case waiting:
 		case c.frontend.idle.isEvicted(c):
 			return errEvicted
 		case !idle:
