--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -96,7 +97,7 @@
 // callerLeft reports whether the connection itself has ended, and not only a request on it.
 func callerLeft(err error) bool {
 	netErr := net.Error(nil)
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, context.Canceled) || errors.As(err, &netErr)
 }
 
 // readError returns the error with which reading has ended. The end of a request that was being read behind the last
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -281,3 +281,42 @@
 		})
 	}
 }
+
+// Guards against a request that ends without an answer because the daemon could not ask for its body: the time for the
+// write of an earlier response was over.
+func TestBodyIsAskedForOnAKeptConnection(t *testing.T) {
+	f := newTestFleet(t, 1, func(o *Options) { o.WriteStall = shortTimeout })
+	conn := f.dial(f.daemons[0])
+	assert.Equal(t, conn.send("first", "/open/echo"), http.StatusOK)
+	time.Sleep(2 * shortTimeout)
+	write(t, conn, expecting)
+	response, err := http.ReadResponse(conn.reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusContinue)
+	write(t, conn, "body")
+	assert.Equal(t, bodyOf(t, readResponse(t, conn.reader)), "second body")
+}
+
+// Guards against an interim response that stands before, or within, the response to an earlier request.
+func TestBodyIsAskedForBehindEarlierResponses(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	conn := f.dial(d)
+	write(t, conn, get("/open/hold", "first"))
+	f.waitUntil("the first request runs", func() bool { return d.server.runs("first") == 1 })
+	write(t, conn, expecting)
+	time.Sleep(shortTimeout)
+	close(d.server.hold)
+	first, err := http.ReadResponse(conn.reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, first.StatusCode, http.StatusOK)
+	assert.Equal(t, bodyOf(t, first), "held")
+	asked, err := http.ReadResponse(conn.reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, asked.StatusCode, http.StatusContinue)
+	write(t, conn, "body")
+	assert.Equal(t, bodyOf(t, readResponse(t, conn.reader)), "second body")
+}
+
+// expecting is the head of a request whose caller waits until it is asked for the body.
+const expecting = "POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: second\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
--- a/internal/root/relay/longrequest.go
+++ b/internal/root/relay/longrequest.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
@@ -54,6 +55,37 @@
 	_ = sendParts(s.writer, number, credit, io.MultiReader(bytes.NewReader(request.Body), request.Rest))
 }
 
+// askForBody tells a caller that waits for it to send the body, once the responses to earlier requests are written. It does
+// nothing if the body has begun to arrive.
+func (c *callerConn) askForBody() error {
+	for c.reader.Buffered() == 0 {
+		freed, err := c.tryAskForBody()
+		if freed == nil {
+			return err
+		}
+		select {
+		case <-freed:
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		}
+	}
+	return nil
+}
+
+// tryAskForBody returns a channel that is closed when a response has been written if the caller cannot be asked yet.
+func (c *callerConn) tryAskForBody() (chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.broken:
+		return nil, net.ErrClosed
+	case len(c.pipeline) == 0:
+		return nil, c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	c.slotFreed = make(chan struct{})
+	return c.slotFreed, nil
+}
+
 // bodyRead records that the rest of a long body has been read.
 func (c *callerConn) bodyRead() {
 	c.mu.Lock()
