--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -102,7 +102,10 @@
 	}
 )
 
-var errHeaderSize = errors.New("header exceeds the size limit")
+var (
+	errHeaderSize = errors.New("header exceeds the size limit")
+	errReadPanic  = errors.New("panic while a request was read")
+)
 
 // Read implements io.Reader.
 func (c *limitedReader) Read(p []byte) (int, error) {
@@ -162,17 +165,12 @@
 		// The header has to arrive in time. Deadlines of real I/O use the system clock.
 		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
 		c.limit.remaining = limits.HeaderSize + headerReadSlack
-		parsed, err := http.ReadRequest(c.reader)
+		in, err := c.readHead()
 		if err != nil {
 			return c.refuseUnread(&incoming{parsed: &http.Request{}}, err)
 		}
 		c.limit.remaining = unlimited
-		if err := head.CheckRequest(parsed); err != nil {
-			return c.refuseUnread(&incoming{parsed: &http.Request{}}, err)
-		}
-		size := headerSize(parsed)
-		in := newIncoming(parsed, size, c.frontend.Dialect)
-		if size > limits.HeaderSize {
+		if in.headerSize > limits.HeaderSize {
 			return c.refuse(in, retry.HeaderTooLarge{})
 		}
 		body, whole, err := c.readBody(in, limits)
@@ -198,6 +196,19 @@
 	}
 }
 
+// readHead reads and decodes the head of a request. The error is errReadPanic if the request has caused a panic.
+func (c *callerConn) readHead() (in *incoming, err error) {
+	defer super.Recover(&c.frontend.Log, "request-head", func() { err = errReadPanic })
+	parsed, err := http.ReadRequest(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	if err := head.CheckRequest(parsed); err != nil {
+		return nil, err
+	}
+	return newIncoming(parsed, headerSize(parsed), c.frontend.Dialect), nil
+}
+
 // readBody reads the body of a request, or the beginning of one that is too long to be held whole. The caller releases
 // it once the request has ended.
 func (c *callerConn) readBody(in *incoming, limits rules.Limits) (body *bodyBuffer, whole bool, err error) {
@@ -478,6 +489,8 @@
 		return err
 	case errors.Is(err, errHeaderSize):
 		return c.refuse(in, retry.HeaderTooLarge{})
+	case errors.Is(err, errReadPanic):
+		return c.refuse(in, retry.Overload{})
 	}
 	return c.refuse(in, retry.BadRequest{})
 }
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -320,3 +320,19 @@
 
 // expecting is the head of a request whose caller waits until it is asked for the body.
 const expecting = "POST /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: second\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+
+// Guards against requests in progress that end without an answer because a later one on their connection causes a panic.
+func TestPanicCutsNoEarlierRequest(t *testing.T) {
+	f := newTestFleet(t, 1)
+	d := f.daemons[0]
+	conn := f.dial(d)
+	write(t, conn, get("/open/hold", "early"))
+	f.waitUntil("the early request runs", func() bool { return d.server.runs("early") == 1 })
+	write(t, conn, "GET /open/echo HTTP/1.1\r\nHost: shop.example\r\nId: late\r\nPanic: decode\r\n\r\n")
+	time.Sleep(shortTimeout)
+	close(d.server.hold)
+	assert.Equal(t, bodyOf(t, readResponse(t, conn.reader)), "held")
+	late := readResponse(t, conn.reader)
+	assert.Equal(t, late.Header.Get("Outcome"), "not-run")
+	assert.Assert(t, late.Close)
+}
--- a/internal/root/relay/requestbudget.go
+++ b/internal/root/relay/requestbudget.go
@@ -30,13 +30,14 @@
 	request         Request // its body follows
 	invalid         error   // why it cannot be decoded, nil for a valid request
 	expectsContinue bool
+	headerSize      int64 // of the request line and the header, in bytes
 	cost            int64 // about the bytes that it takes while it is in progress, beside a counted body
 }
 
 // newIncoming decodes a request whose header has the given size in bytes.
 func newIncoming(parsed *http.Request, header int64, dialect Dialect) *incoming {
 	in := &incoming{
-		parsed: parsed, cost: requestCost(parsed, header),
+		parsed: parsed, headerSize: header, cost: requestCost(parsed, header),
 		expectsContinue: strings.EqualFold(parsed.Header.Get("Expect"), "100-continue"),
 	}
 	in.request, in.invalid = dialect.DecodeRequest(parsed)
