--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -74,6 +74,7 @@
 	return serveDaemon(daemon, log, stderr)
 }
 
+// serveDaemon runs a daemon until a signal to stop arrives, and ends at once at the second one.
 func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	// SIGHUP means that the settings may have changed. It is ignored: on the users' platform the daemon polls its
 	// settings file, elsewhere settings take effect at the next start.
@@ -81,6 +82,10 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	return serveUntil(signals, daemon, log, stderr)
+}
+
+func serveUntil(signals <-chan os.Signal, daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	app := kratos.New(
 		kratos.Name("buckthornd"),
 		kratos.Server(daemon),
@@ -96,11 +101,15 @@
 				return fail(stderr, cmds.Failed, err)
 			}
 			return cmds.OK
-		case <-signals: // the application drains on the first signal
+		case <-signals:
 			if signalCount > 1 {
 				log.Warn().Msg("second-signal")
 				return cmds.Failed
 			}
+			// The application listens for signals only once its servers have started.
+			if err := app.Stop(); err != nil {
+				log.Warn().Err(err).Msg("application-stop-failed")
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/daemon/signals_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthornpitch/buckthornpitch/internal/clock"
+	"github.com/buckthornpitch/buckthornpitch/internal/cmds"
+	"github.com/buckthornpitch/buckthornpitch/internal/config"
+	"github.com/buckthornpitch/buckthornpitch/internal/root"
+)
+
+// Guards against a daemon that goes on serving until it is killed: the signal to stop arrived before the application
+// listened for it.
+func TestStopDuringTheStartIsObeyed(t *testing.T) {
+	f := &fleet{t: t, folder: t.TempDir(), daemons: map[string]*process{}}
+	p := f.add("c1", true)
+	p.writeSettings("zone-a", fmt.Sprintf("c1 = %q\n", p.peer))
+	p.writeRules(testRules(1, "Ana", ""))
+	settings, err := config.Load(filepath.Join(p.folder, "settings.toml"))
+	assert.NilError(t, err)
+	daemon, err := root.New(settings, clock.Real{}, zerolog.Nop())
+	assert.NilError(t, err)
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	done := make(chan int, 1)
+	go func() { done <- serveUntil(signals, daemon, zerolog.Nop(), os.Stderr) }()
+	select {
+	case status := <-done:
+		assert.Equal(t, status, cmds.OK)
+	case <-time.After(conditionTimeout):
+		t.Fatal("the daemon still runs")
+	}
+}
--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -130,7 +130,7 @@
 	settingsGroup := &super.Group{Name: "settings", Log: log, Children: []super.Child{{Name: "settings-watch", Run: builder.watchSettings}}}
 	children = append(children, linkGroup.AsChild(), adminServer.Group().AsChild(), settingsGroup.AsChild(), builder.loop.Group().AsChild())
 	return &Daemon{
-		dialers: []*link.Dialer{builder.trafficDialer, builder.controlDialer}, log: log, done: make(chan error, 1),
+		dialers: []*link.Dialer{builder.trafficDialer, builder.controlDialer}, log: log, stop: make(chan struct{}), done: make(chan error, 1),
 		group: &super.Group{Name: "root", Log: log, Children: children},
 	}, nil
 }
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -45,7 +46,8 @@
 	group   *super.Group
 	dialers []*link.Dialer
 	log     zerolog.Logger
-	cancel  context.CancelFunc
+	stop    chan struct{} // closed to stop the daemon, which may not have started yet
+	once    sync.Once
 	done    chan error
 }
 
@@ -109,7 +111,7 @@
 	}
 	linkGroup := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: peerServer.Run}}}
 	return &Daemon{
-		dialers: []*link.Dialer{callDialer, controlDialer}, log: log, done: make(chan error, 1),
+		dialers: []*link.Dialer{callDialer, controlDialer}, log: log, stop: make(chan struct{}), done: make(chan error, 1),
 		group: &super.Group{Name: "root", Log: log, Children: []super.Child{
 			traffic.Group().AsChild(), linkGroup.AsChild(), adminServer.Group().AsChild(), loop.Group().AsChild(),
 		}},
@@ -119,7 +121,14 @@
 // Start runs the daemon until Stop.
 func (d *Daemon) Start(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	d.cancel = cancel
+	defer cancel()
+	go func() {
+		select {
+		case <-d.stop:
+			cancel()
+		case <-runCtx.Done():
+		}
+	}()
 	d.log.Info().Msg("daemon-started")
 	err := d.group.Serve(runCtx)
 	for _, dialer := range d.dialers {
@@ -135,7 +144,7 @@
 // Stop shuts the daemon down gracefully: it waits for running requests and returns when Start has ended.
 func (d *Daemon) Stop(context.Context) error {
 	d.log.Info().Msg("daemon-stopping")
-	d.cancel()
+	d.once.Do(func() { close(d.stop) })
 	<-d.done
 	d.log.Info().Msg("daemon-stopped")
 	return nil
