--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -114,6 +114,7 @@
 		} else if !isTimeout(err) {
 			return err
 		}
+		limit, finishing = c.frontend.idleTimeout() // the configuration may have changed
 		c.mu.Lock()
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
--- a/internal/root/relay/idleconns_test.go
+++ b/internal/root/relay/idleconns_test.go
@@ -120,3 +120,26 @@
 	write(t, kept, strings.Repeat("x", size/2)+get("/once/echo", "second"))
 	assert.Equal(t, readResponse(t, kept.reader).StatusCode, http.StatusOK)
 }
+
+// Guards against a connection that is closed for the idle timeout of an earlier configuration, while its caller goes by
+// the one in force.
+func TestIdleTimeoutFollowsTheConfiguration(t *testing.T) {
+	const before, attempts = time.Second, 10
+	f := newTestFleet(t, 1)
+	for range attempts {
+		f.setLimits(time.Second, before)
+		kept := f.dial(f.daemons[0])
+		started := time.Now()
+		assert.Equal(t, kept.send("first", "/open/slow?ms=300"), 200)
+		// The reader looks at the connection when the request is 1 s old, and again when it is 2 s old.
+		time.Sleep(before*3/2 - time.Since(started))
+		f.setLimits(time.Second, time.Minute)
+		if time.Since(started) > before*2 {
+			continue // the change came too late for this connection
+		}
+		time.Sleep(before)
+		assert.Equal(t, kept.send("second", "/open/echo"), 200)
+		return
+	}
+	t.Fatal("the machine is too slow for each attempt")
+}
