--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -119,17 +119,25 @@
 	}
 }
 
-// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it closes
-// connections that have been idle for a while, and at the limit any idle one.
+// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it makes
+// connections end that have been idle for a while, and at the limit any idle one.
 func (f *Frontend) makeRoom() bool {
 	open, now := f.open.Load(), time.Now()
-	switch {
-	case open >= int64(f.MaxConnections):
-		return f.idle.evict(now, 0)
-	case float64(open) >= idleConnectionsShare*float64(f.MaxConnections):
-		f.idle.evict(now, minIdleTime)
+	if open < int64(f.MaxConnections) {
+		if float64(open) >= idleConnectionsShare*float64(f.MaxConnections) {
+			f.idle.evict(now, minIdleTime)
+		}
+		return true
+	}
+	for {
+		given := f.idle.evict(now, 0)
+		if given == nil {
+			return false
+		}
+		if <-given {
+			return true
+		}
 	}
-	return true
 }
 
 // serve handles one connection. It continues after Run has returned, until the requests in progress have
@@ -138,8 +146,13 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2})
 	}
-	limit := &limitedReader{reader: conn}
-	caller := &callerConn{frontend: f, conn: conn, address: accept.ClientAddress(conn), limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
+	received := newCallerReader(conn)
+	limit := &limitedReader{reader: received}
+	caller := &callerConn{
+		frontend: f, conn: conn, address: accept.ClientAddress(conn),
+		received: received, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10),
+	}
+	received.setDeadline = caller.setReadDeadline
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
