--- a/internal/root/fleet.go
+++ b/internal/root/fleet.go
@@ -129,10 +129,8 @@
 	linkGroup := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: builder.peerServer.Run}}}
 	settingsGroup := &super.Group{Name: "settings", Log: log, Children: []super.Child{{Name: "settings-watch", Run: builder.watchSettings}}}
 	children = append(children, linkGroup.AsChild(), adminServer.Group().AsChild(), settingsGroup.AsChild(), builder.loop.Group().AsChild())
-	return &Daemon{
-		dialers: []*link.Dialer{builder.trafficDialer, builder.controlDialer}, log: log, done: make(chan error, 1),
-		group: &super.Group{Name: "root", Log: log, Children: children},
-	}, nil
+	group := &super.Group{Name: "root", Log: log, Children: children}
+	return newDaemon(group, log, builder.trafficDialer, builder.controlDialer), nil
 }
 
 // buildCommon builds the parts that all daemons have: data folder, control loop, dialers and peer server.
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -45,10 +45,16 @@
 	group   *super.Group
 	dialers []*link.Dialer
 	log     zerolog.Logger
+	running context.Context // ends when the daemon is to stop, which may be before Start
 	cancel  context.CancelFunc
 	done    chan error
 }
 
+func newDaemon(group *super.Group, log zerolog.Logger, dialers ...*link.Dialer) *Daemon {
+	running, cancel := context.WithCancel(context.Background())
+	return &Daemon{group: group, dialers: dialers, log: log, running: running, cancel: cancel, done: make(chan error, 1)}
+}
+
 // New binds the addresses of the settings, opens the data folder and builds the parts of a daemon.
 func New(settings *config.Settings, clk clock.Clock, log zerolog.Logger) (daemon *Daemon, err error) {
 	var opened resources
@@ -108,20 +114,16 @@
 		Meter:    metrics, Guard: guard, MaxHeader: int(limits.HeaderSize), Settings: settingsSection(settings), Log: log,
 	}
 	linkGroup := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: peerServer.Run}}}
-	return &Daemon{
-		dialers: []*link.Dialer{callDialer, controlDialer}, log: log, done: make(chan error, 1),
-		group: &super.Group{Name: "root", Log: log, Children: []super.Child{
-			traffic.Group().AsChild(), linkGroup.AsChild(), adminServer.Group().AsChild(), loop.Group().AsChild(),
-		}},
-	}, nil
+	group := &super.Group{Name: "root", Log: log, Children: []super.Child{
+		traffic.Group().AsChild(), linkGroup.AsChild(), adminServer.Group().AsChild(), loop.Group().AsChild(),
+	}}
+	return newDaemon(group, log, callDialer, controlDialer), nil
 }
 
 // Start runs the daemon until Stop.
-func (d *Daemon) Start(ctx context.Context) error {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	d.cancel = cancel
+func (d *Daemon) Start(context.Context) error {
 	d.log.Info().Msg("daemon-started")
-	err := d.group.Serve(runCtx)
+	err := d.group.Serve(d.running)
 	for _, dialer := range d.dialers {
 		dialer.Close()
 	}
@@ -132,7 +134,8 @@
 	return err
 }
 
-// Stop shuts the daemon down gracefully: it waits for running requests and returns when Start has ended.
+// Stop shuts the daemon down gracefully: it waits for running requests and returns when Start has ended. The application
+// may call it before Start, when a signal arrives at once.
 func (d *Daemon) Stop(context.Context) error {
 	d.log.Info().Msg("daemon-stopping")
 	d.cancel()
