--- a/internal/accept/listener_test.go
+++ b/internal/accept/listener_test.go
@@ -1,8 +1,10 @@
 package accept
 
 import (
+	"context"
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -110,3 +112,24 @@
 	assert.NilError(t, listener.Close())
 	assert.Equal(t, <-accepted, callers)
 }
+
+// scriptedListener fails with one error, and then with net.ErrClosed.
+type scriptedListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *scriptedListener) Accept() (net.Conn, error) {
+	err := l.failures[0]
+	l.failures = l.failures[1:]
+	return nil, err
+}
+
+// Guards against a failure to accept that nobody reports, and against one that lasts beyond the end of the listener.
+func TestNextReportsFailures(t *testing.T) {
+	listener := &scriptedListener{failures: []error{syscall.EMFILE, syscall.ENFILE, net.ErrClosed}}
+	var reported []error
+	_, err := Next(context.Background(), listener, func(err error) { reported = append(reported, err) })
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.DeepEqual(t, reported, []error{syscall.EMFILE, syscall.ENFILE})
+}
--- a/internal/root/link/link_test.go
+++ b/internal/root/link/link_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,6 +112,40 @@
 	}
 }
 
+// failingListener fails one Accept after the first connection, as without a free file descriptor.
+type failingListener struct {
+	net.Listener
+	accepted int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.accepted++
+	if l.accepted == 2 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a daemon that no other daemon can connect to any more: after a failed Accept the server waited for its
+// open sessions, and accepted none until all of them had ended.
+func TestServerAcceptsAfterAFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &Server{Listener: &failingListener{Listener: listener}, Name: "server", Secret: testSecret, Log: zerolog.Nop(), MaxConnections: 2}
+	server.Handlers = map[StreamType]Handler{StreamCall: func(ctx context.Context, _ *Stream) { <-ctx.Done() }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	for _, name := range []string{"first", "second"} {
+		dialer := &Dialer{Name: name, Secret: testSecret}
+		defer dialer.Close()
+		_, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+		assert.NilError(t, err)
+	}
+	cancel()
+	assert.NilError(t, <-done)
+}
+
 // Guards against more open connections than MaxConnections from peers that never authenticate.
 func TestConnectionLimit(t *testing.T) {
 	address, _ := startServer(t, 1)
--- a/internal/root/link/server.go
+++ b/internal/root/link/server.go
@@ -37,6 +37,7 @@
 
 		sessions atomic.Int64
 		refused  logs.Repeat // lines about peers that are not authenticated
+		failed   logs.Repeat // lines about failures to accept
 	}
 )
 
@@ -52,7 +53,7 @@
 	defer stop()
 	slots := make(chan struct{}, s.MaxConnections)
 	for {
-		conn, err := s.Listener.Accept()
+		conn, err := accept.Next(ctx, s.Listener, s.reportAccept)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -74,6 +75,13 @@
 	}
 }
 
+// reportAccept logs that a connection could not be accepted.
+func (s *Server) reportAccept(err error) {
+	if others, ok := s.failed.Allow(time.Now()); ok {
+		s.Log.Warn().Err(err).Int("others", others).Msg("peer-not-accepted")
+	}
+}
+
 // serveConn authenticates the peer and serves the streams of its session. When ctx ends it accepts no more
 // streams and waits for the running ones.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn, handshake *accept.Slot) {
