--- a/internal/root/call/conn.go
+++ b/internal/root/call/conn.go
@@ -33,7 +33,7 @@
 }
 
 func newBoundedListener(listener net.Listener, limit int) *boundedListener {
-	return &boundedListener{Listener: accept.New(listener), slots: make(chan struct{}, limit)}
+	return &boundedListener{Listener: accept.LateReads(accept.New(listener)), slots: make(chan struct{}, limit)}
 }
 
 // openConns returns the number of open connections.
