--- a/internal/accept/guard.go
+++ b/internal/accept/guard.go
@@ -128,15 +128,14 @@
 	return nil
 }
 
-// ConnState records for the guard of a connection whether it is idle. It is the hook of an HTTP server.
-func ConnState(conn net.Conn, state http.ConnState) {
+// track records whether a connection of an HTTP server is idle. A nil guard records nothing.
+func (g *Guard) track(conn net.Conn, state http.ConnState) {
 	guarded, ok := conn.(*guardedConn)
-	if !ok {
+	if g == nil || !ok {
 		return
 	}
-	guard := guarded.slot.guard
-	guard.mu.Lock()
-	defer guard.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	guarded.slot.conn.Idle = state == http.StateIdle
 }
 
--- a/internal/root/admin/server.go
+++ b/internal/root/admin/server.go
@@ -30,7 +30,8 @@
 	metricsPath         = "/metrics"
 	reportTimeout       = 2 * time.Second // for a report of the control loop, and for the header of a request
 	defaultHistoryLimit = 20
-	stopTimeout         = 5 * time.Second
+	answerTimeout       = time.Second // for requests in progress at a stop; then they are told that there is no answer
+	stopTimeout         = answerTimeout + time.Second/2
 )
 
 var errInvalidParameter = errors.New("invalid parameter")
@@ -81,10 +82,10 @@
 func (s *Server) run(ctx context.Context) error {
 	// Without an explicit endpoint kratos lists the network interfaces, which some instances do not permit.
 	endpoint := &url.URL{Scheme: "http", Host: s.Listener.Addr().String()}
-	server := khttp.NewServer(khttp.Listener(s.Guard.Listen("admin", s.Listener)), khttp.Endpoint(endpoint), khttp.Timeout(0))
+	listener := s.Guard.Listen("admin", accept.LateReads(accept.New(s.Listener)))
+	server := khttp.NewServer(khttp.Listener(listener), khttp.Endpoint(endpoint), khttp.Timeout(0))
 	server.ReadHeaderTimeout = reportTimeout
 	server.MaxHeaderBytes = s.MaxHeader
-	server.ConnState = accept.ConnState
 	server.HandleFunc(admin.PathStatus, s.handle(s.status))
 	server.HandleFunc(admin.PathInForce, s.handle(s.inForce))
 	server.HandleFunc(admin.PathRules, s.handle(s.rules))
@@ -97,16 +98,13 @@
 	server.HandleFunc(admin.PathEvacuateZone, s.handleOrder(true))
 	server.HandleFunc(admin.PathRestoreZone, s.handleOrder(false))
 	server.Handle(metricsPath, promhttp.HandlerFor(s.Meter.Registry, promhttp.HandlerOpts{}))
-	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Start(context.WithoutCancel(ctx)) }()
-	select {
-	case err := <-serveErr:
+	running := accept.HTTP{
+		Name: "admin", Server: server, Listener: listener, Guard: s.Guard,
+		AnswerWithin: answerTimeout, CloseWithin: stopTimeout, Log: s.Log,
+	}
+	if err := running.Serve(ctx); err != nil {
 		return fmt.Errorf("admin server: %w", err)
-	case <-ctx.Done():
 	}
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	_ = server.Stop(stopCtx)
 	return nil
 }
 
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -44,7 +44,6 @@
 		backends *backends
 		parents  *parentRequests
 		active   atomic.Int64
-		leaving  atomic.Bool // responses ask callers to close their connections
 	}
 
 	// caller is the client account of a request's key, or the reason why the request is refused.
@@ -62,9 +61,6 @@
 	id := newToken()
 	active := h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	// The daemons add up to two fields.
 	if size, fields := headerSize(r); size > h.MaxHeader || fields > maxHeaders-2 {
 		h.refuse(w, id, "", retry.HeaderTooLarge{}, nil)
--- a/internal/root/call/stop_test.go
+++ b/internal/root/call/stop_test.go
@@ -111,6 +111,32 @@
 	assert.NilError(t, err)
 }
 
+// Guards against requests that end without a response or a refusal when the daemon stops, although they have arrived
+// whole before: the reader of their connection had not had the processor.
+func TestStopAnswersRequestsThatHaveArrived(t *testing.T) {
+	for name, used := range map[string]bool{"new connection": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			f, l, conn, accepted := pausedFleet(t, used)
+			_, err := io.WriteString(conn, keptRequest)
+			assert.NilError(t, err)
+			accepted.awaitBytes(t)
+			f.nodes[0].stop()
+			for { // until the listener is closed
+				another, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					break
+				}
+				_ = another.Close()
+			}
+			time.Sleep(100 * time.Millisecond) // the server closes connections without a request
+			l.resume()
+			// The daemon's own server no longer takes requests.
+			assertStatus(t, conn, http.StatusServiceUnavailable)
+			<-f.nodes[0].ended
+		})
+	}
+}
+
 // Guards against a request that ends without a response or a refusal, because its reader did not get the processor from
 // before the request arrived until after the idle timeout of its connection, as when the process is paused.
 func TestRequestBeforeTheIdleTimeoutIsAnswered(t *testing.T) {
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -166,36 +167,36 @@
 // the server waits until the last response is complete.
 func (t *Traffic) serveHTTP(name string, listener net.Listener, handle http.HandlerFunc) func(context.Context) error {
 	return func(ctx context.Context) error {
+		var closing atomic.Bool
 		server := khttp.NewServer(
 			khttp.Listener(listener),
 			khttp.Timeout(0), // the default of one second would cut downloads
-			khttp.Filter(func(http.Handler) http.Handler { return handle }),
+			khttp.Filter(func(http.Handler) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if closing.Load() {
+						w.Header().Set("Connection", "close")
+					}
+					handle(w, r)
+				})
+			}),
 		)
 		server.ReadHeaderTimeout = t.HeaderTimeout
 		server.IdleTimeout = t.IdleTimeout
 		server.MaxHeaderBytes = t.MaxHeader
 		server.ErrorLog = stdlog.New(t.Log, "", 0)
-		serveErr := make(chan error, 1)
-		go func() { serveErr <- server.Start(context.WithoutCancel(ctx)) }()
-		select {
-		case err := <-serveErr:
+		running := accept.HTTP{Name: name, Server: server, Listener: listener, Log: t.Log, OnStop: func() {
+			closing.Store(true)
+			if name == "ingress" {
+				// Idle connections stay open during the delay, because a caller may be sending a request on
+				// one when it is closed.
+				t.Control.StartDrain()
+				t.wait(t.LeaveDelay)
+				t.server.leaving.Store(true)
+			}
+			t.Log.Info().Str("server", name).Msg("server-draining")
+		}}
+		if err := running.Serve(ctx); err != nil {
 			return fmt.Errorf("%s server: %w", name, err)
-		case <-ctx.Done():
-		}
-		if name == "ingress" {
-			// Idle connections stay open during the delay, because a caller may be sending a request on
-			// one when it is closed.
-			t.handler.leaving.Store(true)
-			t.Control.StartDrain()
-			t.wait(t.LeaveDelay)
-			t.server.leaving.Store(true)
-		}
-		server.SetKeepAlivesEnabled(false)
-		t.Log.Info().Str("server", name).Msg("server-draining")
-		// Close accepts the callers that wait. Stop would call it with the lock that the server needs to accept.
-		_ = listener.Close()
-		if err := server.Stop(context.WithoutCancel(ctx)); err != nil {
-			t.Log.Warn().Str("server", name).Err(err).Msg("server-stop-failed")
 		}
 		return nil
 	}
