--- a/internal/root/ctrl/config.go
+++ b/internal/root/ctrl/config.go
@@ -55,8 +55,12 @@
 	return set, nil
 }
 
-// validateRules checks a rules text before the leader proposes it.
+// validateRules checks a rules text before the leader proposes it. The command of a difference does not show the size of
+// the text.
 func (l *Loop) validateRules(text []byte) error {
+	if len(text) > state.MaxText {
+		return fmt.Errorf("the configuration has %d bytes as it is stored, the limit is %d", len(text), state.MaxText)
+	}
 	_, err := l.parseRules("rules", text)
 	return err
 }
--- a/internal/root/ctrl/limits_test.go
+++ b/internal/root/ctrl/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -41,6 +42,38 @@
 	assert.Assert(t, begun)
 }
 
+// Guards against a configuration above the limit of its text that is accepted as a difference, after which no control
+// instance can restore its snapshot and start, and against one that never gets a verdict. A configuration that is posted
+// grows by line breaks once its size has been checked.
+func TestConfigurationAboveLimit(t *testing.T) {
+	f := newDynamicFleet(t, 3)
+	for _, l := range f.loops {
+		l.cfg.Parse = func(name string, text []byte) (*rules.Set, error) {
+			checked, _, _ := bytes.Cut(text, []byte("# padding"))
+			return rules.Parse(name, checked)
+		}
+	}
+	padded := func(number, base uint64, size int) Draft {
+		d := draft(number, base, "# padding")
+		d.Text = append(d.Text, bytes.Repeat([]byte("x"), size-len(d.Text))...)
+		return d
+	}
+	assertInvalid := func(result SubmitResult) {
+		t.Helper()
+		refused, ok := result.(SubmitRefused)
+		assert.Assert(t, ok && refused.Invalid, "%#v", result)
+	}
+	assertInvalid(f.submit(f.leader(), padded(3, 0, state.MaxText+1)))
+	assert.DeepEqual(t, f.submit(f.leader(), padded(3, 0, state.MaxText)), SubmitResult(SubmitAccepted{Number: 3}))
+	grown := padded(4, 3, state.MaxText)
+	grown.Text = append(grown.Text, '\n')
+	assertInvalid(f.submit(f.leader(), grown))
+	snapshot, err := f.loops[f.leader()].voter.machine.Freeze().Encode()
+	assert.NilError(t, err)
+	_, err = state.Restore(snapshot, acceptCheckedText)
+	assert.NilError(t, err)
+}
+
 // Guards against a service of an accepted configuration whose name no message holds, or more services than a subscription
 // holds: the daemon would lose its control stream each time that it subscribes.
 func TestSubscriptionAboveLimit(t *testing.T) {
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -334,11 +334,13 @@
 // whether the command was committed, a daemon receives no reply and sends the command again on its next
 // control stream.
 func (l *Loop) handleDropped(action raft.Dropped) {
-	origin, ok := l.voter.proposals[action.ID]
-	if !ok {
-		return
+	if origin, ok := l.voter.proposals[action.ID]; ok {
+		delete(l.voter.proposals, action.ID)
+		l.replyDropped(origin, action.Reason)
 	}
-	delete(l.voter.proposals, action.ID)
+}
+
+func (l *Loop) replyDropped(origin proposer, reason raft.DropReason) {
 	switch origin := origin.(type) {
 	case draftProposer:
 		origin.reply <- SubmitUnconfirmed{}
@@ -349,7 +351,7 @@
 	case remoteZoneProposer:
 		l.sendToDaemon(origin.session, orderReply(origin.id, OrderUnconfirmed{}))
 	}
-	if once, ok := origin.(onceProposer); ok && action.Reason != raft.DroppedUnknown && action.Reason != raft.DroppedNotLeader {
+	if once, ok := origin.(onceProposer); ok && reason != raft.DroppedUnknown && reason != raft.DroppedNotLeader {
 		l.replyOnce(once, nil)
 	}
 }
@@ -360,9 +362,7 @@
 	body, err := state.EncodeCommand(command)
 	if err != nil {
 		l.log.Warn().Err(err).Msg("command-refused")
-		if once, ok := origin.(onceProposer); ok {
-			l.replyOnce(once, nil)
-		}
+		l.replyDropped(origin, raft.DroppedTooLarge)
 		return
 	}
 	v.nextProposal++
