--- a/internal/root/call/respond.go
+++ b/internal/root/call/respond.go
@@ -104,8 +104,9 @@
 }
 
 // end sends the trailer. It flushes first, because net/http sends trailers only with a chunked response
-// whose header has been written.
+// whose header has been written. The server writes the end of the response after it.
 func (s *streamingSink) end(trailer []field.Field) error {
+	s.extend()
 	if len(trailer) == 0 {
 		return nil
 	}
--- a/internal/root/call/response_test.go
+++ b/internal/root/call/response_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -289,3 +290,26 @@
 		}
 	}
 }
+
+// deadlineWriter counts the write deadlines that are set.
+type deadlineWriter struct {
+	http.ResponseWriter
+	deadlines int
+}
+
+func (w *deadlineWriter) SetWriteDeadline(time.Time) error {
+	w.deadlines++
+	return nil
+}
+
+// Guards against a response in chunks without its end, and so a connection that breaks off after a complete response,
+// because the server pauses before the end for longer than a caller may take to accept a byte.
+func TestEndOfResponseHasItsOwnTime(t *testing.T) {
+	w := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
+	out := newStreamingSink(w, time.Nanosecond)
+	assert.NilError(t, out.start(&ResponseHead{Status: http.StatusOK, ContentLength: -1}))
+	assert.Equal(t, w.deadlines, 1)
+	time.Sleep(time.Millisecond) // the pause of the server
+	assert.NilError(t, out.end(nil))
+	assert.Equal(t, w.deadlines, 2)
+}
