--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -68,7 +68,7 @@
 		Overloaded bool
 	}
 
-	broken struct{ callerGone bool } // callerGone is set when writing to the caller failed
+	broken struct{ cause error } // wraps errCallerGone when writing to the caller failed
 
 	// attemptResult is the result of sending the request once, to one instance.
 	attemptResult struct {
@@ -85,6 +85,8 @@
 func (failed) result()    {}
 func (broken) result()    {}
 
+func (b broken) callerGone() bool { return errors.Is(b.cause, errCallerGone) }
+
 // Forward sends the request until there is a response or no retry is allowed, and streams the response
 // to out.
 func (f *Forwarder) Forward(ctx context.Context, r *Request, out sink) result {
@@ -423,11 +425,11 @@
 		responded.Route, responded.Size = r.Route.Name, attempt.call.bodySize
 		feedback = responded
 	}
-	if interrupted, ok := outcome.(broken); ok && !interrupted.callerGone && ctx.Err() == nil {
+	if interrupted, ok := outcome.(broken); ok && !interrupted.callerGone() && ctx.Err() == nil {
 		feedback = picker.Failed{}
 		if resume != nil {
 			instances.Done(f.Clock.Now(), endpoint.ID, feedback)
-			return f.resume(ctx, r, out, resume, instances, []string{endpoint.ID})
+			return f.resume(ctx, r, out, resume, instances, []string{endpoint.ID}, interrupted)
 		}
 	}
 	instances.Done(f.Clock.Now(), endpoint.ID, feedback)
@@ -442,7 +444,7 @@
 func (f *Forwarder) relay(ctx context.Context, r *Request, out sink, attempt attemptResult, resume *resumption) result {
 	defer attempt.close()
 	if err := startResponse(out, attempt.response); err != nil {
-		return broken{callerGone: true}
+		return broken{err}
 	}
 	for {
 		message, err := attempt.call.next()
@@ -450,22 +452,22 @@
 			if discard(out) && !r.idempotent() {
 				return failed{Failure: retry.BackendLost{}, Final: true}
 			}
-			return broken{}
+			return broken{err}
 		}
 		switch message := message.(type) {
 		case dataMessage:
 			if err := writeData(out, message.bytes); err != nil {
-				return broken{callerGone: true}
+				return broken{err}
 			}
 			resume.addSent(len(message.bytes))
 		case endMessage:
 			if err := endResponse(out, message.Trailer); err != nil {
-				return broken{callerGone: true}
+				return broken{err}
 			}
 			overloaded := attempt.response.Status >= http.StatusInternalServerError && message.Report.Overloaded
 			return delivered{Status: attempt.response.Status, Overloaded: overloaded}
 		case admittedMessage, refusalMessage, responseHeadMessage:
-			return broken{}
+			return broken{errWrongMessage}
 		}
 	}
 }
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -44,6 +44,7 @@
 		backends *backends
 		parents  *parentRequests
 		active   atomic.Int64
+		cuts     zerolog.Logger // bounded lines about responses that broke off
 	}
 
 	// caller is the client account of a request's key, or the reason why the request is refused.
@@ -234,6 +235,8 @@
 		h.refuse(w, request.ID, request.Account, outcome.Failure, rule)
 	case broken:
 		h.Meter.TruncatedResponse()
+		h.cuts.Info().Str("request", request.ID).Str("route", request.Route.Name).Str("account", request.Account).
+			Bool("caller-left", outcome.callerGone()).Dur("took", h.Clock.Now().Sub(request.Started)).Err(outcome.cause).Msg("response-cut")
 		// The panic closes the connection, so that the caller gets an error and not a shorter response.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -22,6 +22,9 @@
 var (
 	errNotSent   = errors.New("call not sent")
 	errTruncated = errors.New("call stream ended before the response was complete")
+
+	// errWrongMessage reports a message at a position that the protocol does not allow.
+	errWrongMessage = errors.New("unexpected message of the daemon of the server")
 )
 
 type (
--- a/internal/root/call/resume.go
+++ b/internal/root/call/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,6 +12,9 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
 )
 
+// errRangeLength reports a partial response that is longer or shorter than the missing part.
+var errRangeLength = errors.New("partial response of another length than requested")
+
 // resumption is the state of a download that can be continued from another instance: an idempotent GET
 // whose response has a strong validator and a known length.
 type resumption struct {
@@ -42,19 +46,19 @@
 
 // resume requests the missing part from further instances until the response is complete or no retry is
 // allowed.
-func (f *Forwarder) resume(ctx context.Context, r *Request, out sink, s *resumption, instances *picker.Picker, tried []string) result {
+func (f *Forwarder) resume(ctx context.Context, r *Request, out sink, s *resumption, instances *picker.Picker, tried []string, interrupted broken) result {
 	rangeRequest := r.rangeRequest()
 	for attempts := 1; s.sent < s.length; attempts++ {
 		verdict := f.decide(r, attemptResult{failure: retry.BackendLost{}}, attempts, false)
 		retryVerdict, ok := verdict.(retry.Retry)
 		if !ok || !f.pause(ctx, retryVerdict.After) {
-			return broken{}
+			return interrupted
 		}
 		now := f.Clock.Now()
 		policy := f.reach(r)
 		choice, ok := f.pick(instances, now, r, tried, policy)
 		if !ok {
-			return broken{}
+			return interrupted
 		}
 		tried = append(tried, choice.ID)
 		f.Meter.Retry(r.Route.Service)
@@ -71,10 +75,11 @@
 				f.Planner.Success(f.Clock.Now(), r.Route.Service)
 				return outcome
 			case broken:
-				if outcome.callerGone || ctx.Err() != nil {
+				if outcome.callerGone() || ctx.Err() != nil {
 					instances.Done(f.Clock.Now(), choice.ID, picker.Canceled{})
 					return outcome
 				}
+				interrupted = outcome
 			}
 			instances.Done(f.Clock.Now(), choice.ID, picker.Failed{})
 			continue
@@ -82,10 +87,10 @@
 		attempt.close()
 		instances.Done(f.Clock.Now(), choice.ID, attempt.feedback)
 		if attempt.failure == nil {
-			return broken{} // the instance has another representation
+			return interrupted // the instance has another representation
 		}
 	}
-	return broken{}
+	return interrupted
 }
 
 // rangeRequest returns a copy of a GET request with its own header, for the fields of a range request.
@@ -113,27 +118,27 @@
 	for {
 		message, err := attempt.call.next()
 		if err != nil {
-			return broken{}
+			return broken{err}
 		}
 		switch message := message.(type) {
 		case dataMessage:
 			if s.sent+int64(len(message.bytes)) > s.length {
-				return broken{}
+				return broken{errRangeLength}
 			}
-			if writeData(out, message.bytes) != nil {
-				return broken{callerGone: true}
+			if err := writeData(out, message.bytes); err != nil {
+				return broken{err}
 			}
 			s.addSent(len(message.bytes))
 		case endMessage:
 			if s.sent != s.length {
-				return broken{}
+				return broken{errRangeLength}
 			}
-			if endResponse(out, message.Trailer) != nil {
-				return broken{callerGone: true}
+			if err := endResponse(out, message.Trailer); err != nil {
+				return broken{err}
 			}
 			return delivered{Status: http.StatusOK}
 		default:
-			return broken{}
+			return broken{errWrongMessage}
 		}
 	}
 }
--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -106,6 +106,7 @@
 		Clock: clk, Control: control, Forwarder: forwarder, Meter: m, Log: log,
 		MaxBody: options.MaxBody, MaxHeader: options.MaxHeader, MaxCalls: options.MaxCalls,
 		BodyTimeout: options.BodyTimeout, WriteTimeout: options.WriteTimeout, backends: servers, parents: parents,
+		cuts: log.Sample(logs.NewBudget(clk.Now)),
 	}
 	traffic := &Traffic{
 		Options: options, Clock: clk, Control: control, Meter: m, Log: log,
