--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -173,6 +173,7 @@
 // contains.
 func (l *Loop) restartMember(now time.Time, restored raft.RecoveredState) {
 	v := l.voter
+	v.writer.member++
 	v.machine = state.New(acceptCheckedText)
 	v.node = raft.New(v.config(l.cfg), restored, now)
 	v.inputs, v.leader = nil, nil
--- a/internal/root/ctrl/writer.go
+++ b/internal/root/ctrl/writer.go
@@ -18,10 +18,18 @@
 type (
 	// writer owns the storage: it executes the writes that the loop submits, in order, and posts the results.
 	writer struct {
-		storage disk.Storage
-		loop    *Loop
-		jobs    chan writeJob
-		failed  bool // writes are dropped until the storage has been reopened
+		storage  disk.Storage
+		loop     *Loop
+		jobs     chan queuedWrite
+		failed   bool   // writes are dropped until the storage has been reopened
+		reopened uint64 // how often the storage has been reopened
+		member   uint64 // value of reopened with which the consensus member started; only the loop uses it
+	}
+
+	// queuedWrite is a write of the consensus member that started after so many reopenings of the storage.
+	queuedWrite struct {
+		job    writeJob
+		member uint64
 	}
 
 	// writeJob is batchWrite or snapshotWrite.
@@ -35,11 +43,11 @@
 func (snapshotWrite) writeJob() {}
 
 func newWriter(storage disk.Storage, loop *Loop) *writer {
-	return &writer{storage: storage, loop: loop, jobs: make(chan writeJob, writerQueueSize)}
+	return &writer{storage: storage, loop: loop, jobs: make(chan queuedWrite, writerQueueSize)}
 }
 
 // submit queues a write.
-func (w *writer) submit(job writeJob) { w.jobs <- job }
+func (w *writer) submit(job writeJob) { w.jobs <- queuedWrite{job: job, member: w.member} }
 
 // run executes writes until ctx ends and then closes the storage.
 func (w *writer) run(ctx context.Context) error {
@@ -49,11 +57,12 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case job := <-w.jobs:
-			if w.failed {
-				continue // a write of the consensus member that has stopped
+		case queued := <-w.jobs:
+			// The loop may learn of a failure, and so end the consensus member, only after the storage has been reopened.
+			if w.failed || queued.member != w.reopened {
+				continue
 			}
-			result := w.write(job)
+			result := w.write(queued.job)
 			w.loop.post(ctx, raftEvent{input: result})
 			if _, w.failed = result.(raft.PersistFailed); w.failed && w.loop.cfg.Reopen != nil {
 				retry = w.loop.clock.NewTimer(reopenInterval).C()
@@ -86,6 +95,7 @@
 		return false
 	}
 	w.failed = false
+	w.reopened++
 	return w.loop.post(ctx, storageReopened{restored: restored})
 }
 
