--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -79,7 +79,7 @@
 	return serveDaemon(daemon, log, stderr)
 }
 
-// serveDaemon runs a daemon until a signal to stop arrives, and ends at once at the second one.
+// serveDaemon runs the daemon until a signal to stop arrives or it fails.
 func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -87,6 +87,7 @@
 	return serveUntil(signals, daemon, log, stderr)
 }
 
+// serveUntil runs the daemon until the first signal, on which it drains, or until the second one.
 func serveUntil(signals <-chan os.Signal, daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	app := kratos.New(
 		kratos.Name("buckthornd"),
--- a/internal/root/call/ingress.go
+++ b/internal/root/call/ingress.go
@@ -44,7 +44,7 @@
 		backends *backends
 		parents  *parentRequests
 		active   atomic.Int64
-		leaving  atomic.Bool // responses ask callers to close their connections
+		cuts     zerolog.Logger // bounded lines about responses that broke off
 	}
 
 	// caller is the client account of a request's key, or the reason why the request is refused.
@@ -62,9 +62,6 @@
 	id := newToken()
 	active := h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	// The daemons add up to two fields.
 	if size, fields := headerSize(r); size > h.MaxHeader || fields > maxHeaders-2 {
 		h.refuse(w, id, "", retry.HeaderTooLarge{}, nil)
@@ -238,6 +235,8 @@
 		h.refuse(w, request.ID, request.Account, outcome.Failure, rule)
 	case broken:
 		h.Meter.TruncatedResponse()
+		h.cuts.Info().Str("request", request.ID).Str("route", request.Route.Name).Str("account", request.Account).
+			Bool("caller-left", outcome.callerGone()).Dur("took", h.Clock.Now().Sub(request.Started)).Err(outcome.cause).Msg("response-cut")
 		// The panic closes the connection, so that the caller gets an error and not a shorter response.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -173,6 +173,7 @@
 // contains.
 func (l *Loop) restartMember(now time.Time, restored raft.RecoveredState) {
 	v := l.voter
+	v.writer.member++
 	v.machine = state.New(acceptCheckedText)
 	v.node = raft.New(v.config(l.cfg), restored, now)
 	v.inputs, v.leader = nil, nil
@@ -334,11 +335,13 @@
 // whether the command was committed, a daemon receives no reply and sends the command again on its next
 // control stream.
 func (l *Loop) handleDropped(action raft.Dropped) {
-	origin, ok := l.voter.proposals[action.ID]
-	if !ok {
-		return
+	if origin, ok := l.voter.proposals[action.ID]; ok {
+		delete(l.voter.proposals, action.ID)
+		l.replyDropped(origin, action.Reason)
 	}
-	delete(l.voter.proposals, action.ID)
+}
+
+func (l *Loop) replyDropped(origin proposer, reason raft.DropReason) {
 	switch origin := origin.(type) {
 	case draftProposer:
 		origin.reply <- SubmitUnconfirmed{}
@@ -349,7 +352,7 @@
 	case remoteZoneProposer:
 		l.sendToDaemon(origin.session, orderReply(origin.id, OrderUnconfirmed{}))
 	}
-	if once, ok := origin.(onceProposer); ok && action.Reason != raft.DroppedUnknown && action.Reason != raft.DroppedNotLeader {
+	if once, ok := origin.(onceProposer); ok && reason != raft.DroppedUnknown && reason != raft.DroppedNotLeader {
 		l.replyOnce(once, nil)
 	}
 }
@@ -360,9 +363,7 @@
 	body, err := state.EncodeCommand(command)
 	if err != nil {
 		l.log.Warn().Err(err).Msg("command-refused")
-		if once, ok := origin.(onceProposer); ok {
-			l.replyOnce(once, nil)
-		}
+		l.replyDropped(origin, raft.DroppedTooLarge)
 		return
 	}
 	v.nextProposal++
--- a/internal/root/root.go
+++ b/internal/root/root.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/netip"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,11 +45,16 @@
 	group   *super.Group
 	dialers []*link.Dialer
 	log     zerolog.Logger
-	stop    chan struct{} // closed to stop the daemon, which may not have started yet
-	once    sync.Once
+	running context.Context // ends when the daemon is to stop, which may be before Start
+	cancel  context.CancelFunc
 	done    chan error
 }
 
+func newDaemon(group *super.Group, log zerolog.Logger, dialers ...*link.Dialer) *Daemon {
+	running, cancel := context.WithCancel(context.Background())
+	return &Daemon{group: group, dialers: dialers, log: log, running: running, cancel: cancel, done: make(chan error, 1)}
+}
+
 // New binds the addresses of the settings, opens the data folder and builds the parts of a daemon.
 func New(settings *config.Settings, clk clock.Clock, log zerolog.Logger) (daemon *Daemon, err error) {
 	var opened resources
@@ -110,27 +114,16 @@
 		Meter:    metrics, Guard: guard, MaxHeader: int(limits.HeaderSize), Settings: settingsSection(settings), Log: log,
 	}
 	linkGroup := &super.Group{Name: "link", Log: log, Children: []super.Child{{Name: "peers", Run: peerServer.Run}}}
-	return &Daemon{
-		dialers: []*link.Dialer{callDialer, controlDialer}, log: log, stop: make(chan struct{}), done: make(chan error, 1),
-		group: &super.Group{Name: "root", Log: log, Children: []super.Child{
-			traffic.Group().AsChild(), linkGroup.AsChild(), adminServer.Group().AsChild(), loop.Group().AsChild(),
-		}},
-	}, nil
+	group := &super.Group{Name: "root", Log: log, Children: []super.Child{
+		traffic.Group().AsChild(), linkGroup.AsChild(), adminServer.Group().AsChild(), loop.Group().AsChild(),
+	}}
+	return newDaemon(group, log, callDialer, controlDialer), nil
 }
 
 // Start runs the daemon until Stop.
-func (d *Daemon) Start(ctx context.Context) error {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	go func() {
-		select {
-		case <-d.stop:
-			cancel()
-		case <-runCtx.Done():
-		}
-	}()
+func (d *Daemon) Start(context.Context) error {
 	d.log.Info().Msg("daemon-started")
-	err := d.group.Serve(runCtx)
+	err := d.group.Serve(d.running)
 	for _, dialer := range d.dialers {
 		dialer.Close()
 	}
@@ -141,10 +134,11 @@
 	return err
 }
 
-// Stop shuts the daemon down gracefully: it waits for running requests and returns when Start has ended.
+// Stop shuts the daemon down gracefully: it waits for running requests and returns when Start has ended. The application
+// may call it before Start, when a signal arrives at once.
 func (d *Daemon) Stop(context.Context) error {
 	d.log.Info().Msg("daemon-stopping")
-	d.once.Do(func() { close(d.stop) })
+	d.cancel()
 	<-d.done
 	d.log.Info().Msg("daemon-stopped")
 	return nil
