--- a/internal/root/ctrl/disk/disk.go
+++ b/internal/root/ctrl/disk/disk.go
@@ -81,6 +81,7 @@
 		pendingReset *logReset // written with the next record
 		lastSeq      uint64    // sequence number of the latest batch
 		buf          []byte
+		repairs      []string // see raft.RecoveredState
 		stopErr      error
 	}
 
--- a/internal/root/ctrl/disk/load.go
+++ b/internal/root/ctrl/disk/load.go
@@ -38,6 +38,7 @@
 	for _, name := range names {
 		switch {
 		case strings.HasSuffix(name, tempSuffix):
+			d.repaired("%s removed", name)
 			if err := d.fs.Remove(d.path(name)); err != nil {
 				return restored, err
 			}
@@ -66,6 +67,7 @@
 	}
 	if count := len(d.segments); count > 0 && d.segments[count-1].size == 0 {
 		// The process crashed before the first sync of this segment.
+		d.repaired("%s removed, it has no complete record", segmentName(d.segments[count-1].number))
 		if err := d.fs.Remove(d.path(segmentName(d.segments[count-1].number))); err != nil {
 			return restored, err
 		}
@@ -82,7 +84,7 @@
 	if err := d.reconcile(&replay, restored.Snapshot); err != nil {
 		return restored, err
 	}
-	restored.HardState, restored.Entries = replay.hardState, replay.entries
+	restored.HardState, restored.Entries, restored.Repairs = replay.hardState, replay.entries, d.repairs
 	d.hardState = replay.hardState
 	return restored, d.openLastSegment()
 }
@@ -111,6 +113,7 @@
 		return fmt.Errorf("%w: %s at offset 0: empty segment", ErrDamaged, name)
 	}
 	if size < len(data) && size > 0 {
+		d.repaired("%s truncated from %d to %d bytes", segmentName(s.number), len(data), size)
 		if err := d.fs.Truncate(name, int64(size)); err != nil {
 			return err
 		}
@@ -169,6 +172,7 @@
 		continues = replay.entries[snapshot.Index-d.baseIndex-1].Term == snapshot.Term
 	}
 	if !continues {
+		d.repaired("%d entries up to %d removed, they do not continue the snapshot", len(replay.entries), d.lastIndex)
 		replay.entries = nil
 		d.baseIndex, d.lastIndex = snapshot.Index, snapshot.Index
 		d.pendingReset = &logReset{Index: snapshot.Index, Term: snapshot.Term}
@@ -176,6 +180,10 @@
 	return nil
 }
 
+func (d *Disk) repaired(format string, args ...any) {
+	d.repairs = append(d.repairs, fmt.Sprintf(format, args...))
+}
+
 // parseFileNumber returns the hexadecimal number after the prefix of a file name: the number of a segment or the
 // index of a snapshot.
 func parseFileNumber(name, prefix string) (uint64, error) {
--- a/internal/root/ctrl/raft/boot.go
+++ b/internal/root/ctrl/raft/boot.go
@@ -95,9 +95,14 @@
 func (n *Node) onHello(m *Hello) {
 	from := m.Header.From
 	if m.Header.Group != "" && n.Group() != "" && m.Header.Group != n.Group() {
-		return // the sender belongs to another group
+		n.reportRefusal(m, "it belongs to the group "+m.Header.Group)
+		return
+	}
+	if from.Name == n.self.Name {
+		return
 	}
-	if from.Name == n.self.Name || !n.addPeer(from.Name) {
+	if !n.addPeer(from.Name) {
+		n.reportRefusal(m, "the group has no place for this name")
 		return
 	}
 	reply := &HelloReply{Header: n.newHeader(from), Boot: m.Header.Boot, Start: m.Header.Start}
@@ -108,10 +113,16 @@
 	if reply.Reason = n.refusalReason(m); reply.Reason == "" {
 		reply.Accepted = true
 		n.acceptBoot(m)
+	} else {
+		n.reportRefusal(m, reply.Reason)
 	}
 	n.sendAfterWrites(from, reply)
 }
 
+func (n *Node) reportRefusal(m *Hello, reason string) {
+	n.actions = append(n.actions, RefusedPeer{Peer: m.Header.From, Boot: m.Header.Boot, Reason: reason})
+}
+
 // refusalReason returns why the sender's disk must not take part, or an empty string. A disk that was
 // restored to an older state sends a boot number that was used before, or, after more starts, a lineage
 // without the start that this member has stored.
--- a/internal/root/ctrl/raft/event.go
+++ b/internal/root/ctrl/raft/event.go
@@ -110,6 +110,19 @@
 
 	// Stopped reports that the disk failed; the member stops permanently.
 	Stopped struct{ Err error }
+
+	// ChangedVoters reports why this leader has appended the membership at Index.
+	ChangedVoters struct {
+		Index  uint64
+		Reason string
+	}
+
+	// RefusedPeer reports that this member has refused a Hello of a start of Peer.
+	RefusedPeer struct {
+		Peer   Voter
+		Boot   uint64
+		Reason string
+	}
 )
 
 func (Tick) event()              {}
@@ -134,3 +147,5 @@
 func (SteppedDown) action()     {}
 func (Fenced) action()          {}
 func (Stopped) action()         {}
+func (ChangedVoters) action()   {}
+func (RefusedPeer) action()     {}
--- a/internal/root/ctrl/raft/lead.go
+++ b/internal/root/ctrl/raft/lead.go
@@ -179,6 +179,22 @@
 	return true
 }
 
+// SyncedBy returns the names of the voters that this leader knows to hold the entry at index on their disks.
+func (n *Node) SyncedBy(index uint64) []string {
+	if n.role != Leader {
+		return nil
+	}
+	var names []string
+	for _, v := range n.membership().Voters {
+		if v == n.self && n.writes.durableIndex >= index {
+			names = append(names, v.Name)
+		} else if p := n.leaderState.progressOf(v.Disk); p != nil && p.match >= index {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
 func (n *Node) replicateAll() {
 	heartbeatDue := !n.now.Before(n.leaderState.nextHeartbeat)
 	if heartbeatDue {
--- a/internal/root/ctrl/raft/member.go
+++ b/internal/root/ctrl/raft/member.go
@@ -25,7 +25,7 @@
 	switch {
 	case !n.leaderState.ready || current.Index > n.commit:
 	case current.Leaving != "":
-		n.appendMembership(func(m *Membership) { removeVoter(m, current.Leaving) })
+		n.appendMembership("its successor votes", func(m *Membership) { removeVoter(m, current.Leaving) })
 	case current.TargetSize > 0:
 		n.changeOpenGroup(current)
 	default:
@@ -42,7 +42,7 @@
 		}
 		if current.Joining != "" {
 			if p.peer.Name == current.Joining {
-				n.appendMembership(func(m *Membership) { addVoter(m, p.peer) })
+				n.appendMembership("it takes the place of a removed voter", func(m *Membership) { addVoter(m, p.peer) })
 				return
 			}
 			continue
@@ -52,12 +52,12 @@
 			continue
 		}
 		if n.isResponsiveVoter(*replaced) {
-			n.appendMembership(func(m *Membership) {
+			n.appendMembership("it replaces a voter that replies", func(m *Membership) {
 				addVoter(m, p.peer)
 				m.Leaving = replaced.Disk
 			})
 		} else {
-			n.appendMembership(func(m *Membership) {
+			n.appendMembership("its successor has caught up", func(m *Membership) {
 				removeVoter(m, replaced.Disk)
 				m.Joining = p.peer.Name
 			})
@@ -72,7 +72,7 @@
 func (n *Node) changeOpenGroup(current *Membership) {
 	isOverTarget := uint64(len(current.Voters)) > current.TargetSize
 	if stopping := n.stoppingVoter(current); isOverTarget && stopping != nil {
-		n.appendMembership(func(m *Membership) { removeVoter(m, stopping.Disk) })
+		n.appendMembership("it stops and there is a spare", func(m *Membership) { removeVoter(m, stopping.Disk) })
 		return
 	}
 	for _, p := range n.leaderState.progress {
@@ -84,7 +84,7 @@
 		return
 	}
 	if unreachable := n.unreachableVoter(current); unreachable != nil {
-		n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
+		n.appendMembership("it is silent and there is a spare", func(m *Membership) { removeVoter(m, unreachable.Disk) })
 	}
 }
 
@@ -98,21 +98,21 @@
 	extends := n.extends(current, learner)
 	switch {
 	case replaced != nil && n.isResponsiveVoter(*replaced):
-		n.appendMembership(func(m *Membership) {
+		n.appendMembership("it replaces a voter of its name that replies", func(m *Membership) {
 			addVoter(m, learner)
 			m.Leaving = replaced.Disk
 		})
 	case replaced != nil:
-		n.appendMembership(func(m *Membership) { removeVoter(m, replaced.Disk) })
+		n.appendMembership("its name has a new disk", func(m *Membership) { removeVoter(m, replaced.Disk) })
 	case extends && size < MaxVoters:
-		n.appendMembership(func(m *Membership) {
+		n.appendMembership("it extends the group", func(m *Membership) {
 			addVoter(m, learner)
 			m.TargetSize++
 		})
 	case unreachable != nil && (size > current.TargetSize || size == current.TargetSize && extends):
-		n.appendMembership(func(m *Membership) { removeVoter(m, unreachable.Disk) })
+		n.appendMembership("it is silent and a learner waits", func(m *Membership) { removeVoter(m, unreachable.Disk) })
 	case size < current.TargetSize || size == current.TargetSize && !extends:
-		n.appendMembership(func(m *Membership) { addVoter(m, learner) })
+		n.appendMembership("it takes a free place or becomes the spare", func(m *Membership) { addVoter(m, learner) })
 	default:
 		return false
 	}
@@ -189,11 +189,13 @@
 	return n.isResponsive(p) && p.snapshot == nil && p.match+maxLearnerLag >= n.log.lastIndex() && p.match >= n.leaderState.firstIndex
 }
 
-func (n *Node) appendMembership(change func(m *Membership)) {
+// appendMembership appends a changed copy of the membership; reason is for the log.
+func (n *Node) appendMembership(reason string, change func(m *Membership)) {
 	m := *n.membership()
 	m.Voters, m.Removed = slices.Clone(m.Voters), slices.Clone(m.Removed)
 	m.Index = n.log.lastIndex() + 1
 	change(&m)
+	n.actions = append(n.actions, ChangedVoters{Index: m.Index, Reason: reason})
 	n.appendEntries(Entry{Index: m.Index, Term: n.hardState.Term, Kind: EntryMembership, Membership: &m})
 }
 
--- a/internal/root/ctrl/raft/types.go
+++ b/internal/root/ctrl/raft/types.go
@@ -192,6 +192,8 @@
 		HardState HardState
 		Snapshot  *Snapshot
 		Entries   []Entry
+		// Repairs describes what an interrupted write had left on the disk, and what was done about it.
+		Repairs []string
 	}
 
 	// Status describes a member for operators and for the control loop.
--- a/internal/root/ctrl/voter.go
+++ b/internal/root/ctrl/voter.go
@@ -32,7 +32,10 @@
 
 		encodeJobs chan encodeJob // queue of the goroutine that encodes snapshots
 
-		membershipIndex uint64 // of the latest membership that was logged
+		membershipIndex uint64             // of the latest membership that was logged
+		voterNames      []string           // of the latest membership that was logged
+		changeReason    raft.ChangedVoters // of the latest membership that this leader has appended
+		refusedPeer     raft.RefusedPeer   // latest one that was logged
 
 		stopReply chan<- struct{} // receives a value once this member may stop, nil before a stop and after it
 
@@ -118,6 +121,7 @@
 		}
 	}
 	v.node = raft.New(v.config(cfg), restored, now)
+	l.logRecovered(&restored)
 	return v, nil
 }
 
@@ -188,6 +192,7 @@
 		l.stepRaft(now, raft.StopRequested{})
 	}
 	l.log.Info().Uint64("boot", restored.Boot).Msg("storage-reopened")
+	l.logRecovered(&restored)
 }
 
 // stepRaft passes an event to the consensus member and executes its actions in order. Events that result from
@@ -210,21 +215,6 @@
 	l.logMembership()
 }
 
-// logMembership logs the voters after each change.
-func (l *Loop) logMembership() {
-	v := l.voter
-	if v.node.MembershipIndex() == v.membershipIndex {
-		return
-	}
-	status := v.node.Status()
-	v.membershipIndex = v.node.MembershipIndex()
-	names := make([]string, 0, len(status.Voters))
-	for _, voter := range status.Voters {
-		names = append(names, voter.Name)
-	}
-	l.log.Info().Uint64("index", v.membershipIndex).Strs("voters", names).Uint64("term", status.Term).Str("leader", status.Leader).Msg("voters-changed")
-}
-
 // execute performs one action of the consensus member.
 func (l *Loop) execute(now time.Time, action raft.Action) {
 	v := l.voter
@@ -253,6 +243,10 @@
 		l.log.Error().Str("by", action.By).Str("reason", action.Reason).Msg("disk-refused-by-peer")
 	case raft.Stopped:
 		l.log.Error().Err(action.Err).Msg("disk-failed")
+	case raft.ChangedVoters:
+		v.changeReason = action
+	case raft.RefusedPeer:
+		l.logRefusedPeer(action)
 	}
 }
 
@@ -271,9 +265,14 @@
 		l.logOrder(entry.Index, result)
 		if origin, ok := v.proposals[entry.Proposal]; ok && entry.Proposal != 0 {
 			delete(v.proposals, entry.Proposal)
+			l.logAcknowledged(entry, origin, result)
 			l.replyToProposer(origin, result)
 		}
 	}
+	if v.revision() != revision {
+		last := entries[len(entries)-1]
+		l.log.Info().Uint64("revision", v.revision()).Uint64("index", last.Index).Uint64("term", last.Term).Msg("revision-committed")
+	}
 	if v.leader == nil {
 		return
 	}
@@ -377,6 +376,7 @@
 		panic(fmt.Sprintf("restore snapshot at index %d: %v", snapshot.Index, err))
 	}
 	l.voter.machine = machine
+	l.log.Info().Uint64("index", snapshot.Index).Uint64("term", snapshot.Term).Uint64("revision", l.voter.revision()).Msg("snapshot-restored")
 }
 
 // takeSnapshot copies the state for the encoder, so that the loop does not wait: encoding 100,000 records
