--- a/internal/root/ctrl/disk/disk.go
+++ b/internal/root/ctrl/disk/disk.go
@@ -257,14 +257,18 @@
 	return d.fs.SyncDir(d.dir)
 }
 
-// openLastSegment opens the last segment, if there is one, to append records to it.
+// openLastSegment opens the last segment, if there is one, to append records to it. It syncs the segment, because the
+// member takes all that Load returns as durable: a process that was killed may have written a record without its sync.
+// The other segments and the names of the files are synced: by the writer before it begins a segment, and by Open.
 func (d *Disk) openLastSegment() error {
 	if len(d.segments) == 0 {
 		return nil
 	}
 	var err error
-	d.file, err = d.fs.Append(d.path(segmentName(d.segments[len(d.segments)-1].number)))
-	return err
+	if d.file, err = d.fs.Append(d.path(segmentName(d.segments[len(d.segments)-1].number))); err != nil {
+		return err
+	}
+	return d.file.Sync()
 }
 
 // compact removes the snapshots before index. It removes the oldest segment while all of its entries are at
