--- a/internal/root/ctrl/raft/member.go
+++ b/internal/root/ctrl/raft/member.go
@@ -17,8 +17,9 @@
 // changeMembership appends the next step of a replacement. Voters are added and removed one at a time, each
 // step after the previous one is committed, so that any two majorities overlap. A responsive voter is
 // removed after its replacement has been added. An unresponsive voter whose name has a new disk is removed first: in a
-// larger group it would not contribute to a majority, and losing the new disk as well would then stop the group. An
-// unresponsive voter that may still have its disk is removed after a spare has been added: without it, a smaller group
+// larger group it would not contribute to a majority, and losing the new disk as well would then stop the group. In an
+// open group a name is an address, so that a new disk under it proves that the earlier one is gone, even if it has
+// replied just before. An unresponsive voter that may still have its disk is removed after a spare has been added: without it, a smaller group
 // would stop when another disk is lost.
 func (n *Node) changeMembership() {
 	current := n.membership()
@@ -97,13 +98,15 @@
 	replaced, unreachable := n.voterReplacedBy(learner.Name), n.unreachableVoter(current)
 	extends := n.extends(current, learner)
 	switch {
+	case replaced != nil && replaced.Name == learner.Name:
+		n.appendMembership("its name has a new disk", func(m *Membership) { removeVoter(m, replaced.Disk) })
 	case replaced != nil && n.isResponsiveVoter(*replaced):
-		n.appendMembership("it replaces a voter of its name that replies", func(m *Membership) {
+		n.appendMembership("it replaces a voter that replies", func(m *Membership) {
 			addVoter(m, learner)
 			m.Leaving = replaced.Disk
 		})
 	case replaced != nil:
-		n.appendMembership("its name has a new disk", func(m *Membership) { removeVoter(m, replaced.Disk) })
+		n.appendMembership("its successor has caught up", func(m *Membership) { removeVoter(m, replaced.Disk) })
 	case extends && size < MaxVoters:
 		n.appendMembership("it extends the group", func(m *Membership) {
 			addVoter(m, learner)
--- a/internal/root/ctrl/raft/member_test.go
+++ b/internal/root/ctrl/raft/member_test.go
@@ -203,3 +203,23 @@
 		assert.Assert(t, len(m.Voters) >= 3, "%v vote", m.Voters)
 	}
 }
+
+// Guards against a group that ends when a member loses its disk twice: its earlier disk is gone once it presents a new
+// one, however recently it replied, and must not vote beside it.
+func TestLostDiskIsRemovedBeforeItsSuccessorVotes(t *testing.T) {
+	h := newOpenHarness(t, func(*Membership) {})
+	h.replyAll("b", "c")
+	hello := &Hello{Header: h.headerFrom("c", 0)}
+	hello.Header.From.Disk, hello.Header.Group = "dc2", ""
+	h.receive(hello)
+	for range 4 {
+		reply := &AppendReply{Header: h.headerFrom("c", 2), Match: h.node.Status().Last, SentAt: h.node.sinceElection()}
+		reply.Header.From.Disk = "dc2"
+		h.receive(reply)
+		h.replyAll("b")
+	}
+	assert.DeepEqual(t, h.node.Status().Voters, []Voter{{Name: "a", Disk: "da"}, {Name: "b", Disk: "db"}, {Name: "c", Disk: "dc2"}})
+	for _, m := range h.node.memberships {
+		assert.Assert(t, len(m.Voters) <= 3, "%v vote", m.Voters)
+	}
+}
