--- a/internal/root/ctrl/raft/simul/check_test.go
+++ b/internal/root/ctrl/raft/simul/check_test.go
@@ -90,6 +90,7 @@
 		if e.Proposal != 0 {
 			h.acked, h.ackedCount = max(h.acked, e.Index), h.ackedCount+1
 			h.latestAcked = max(h.latestAcked, h.proposedAt[e.Proposal])
+			g.losses.due = g.losses.armed
 		}
 	}
 }
