--- a/internal/root/ctrl/disk/memfs_test.go
+++ b/internal/root/ctrl/disk/memfs_test.go
@@ -27,6 +27,7 @@
 		pending   []func()            // unsynced changes of the folder, in order
 		ops       int                 // number of writes, syncs and changes of the folder so far
 		crashAt   int                 // number of the operation at which the machine crashes, 0 for none
+		onlyKill  bool                // at crashAt only the process ends, and the machine keeps what was written
 		failAt    int                 // number of the operation that fails, 0 for none
 		freeSpace int                 // bytes left, negative for unlimited
 		locked    bool
