--- a/internal/root/link/link_test.go
+++ b/internal/root/link/link_test.go
@@ -112,6 +112,45 @@
 	}
 }
 
+// Guards against a request that gets no response by its deadline because its stream cannot be opened: a peer that is paused
+// accepts none, and the session allows a bounded number of them.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	paused := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			_, _ = authenticate(conn, testSecret, "paused", "", false)
+			paused <- conn
+		}
+	}()
+	dialer := &Dialer{Name: "client", Secret: testSecret}
+	defer func() {
+		dialer.Close()
+		_ = (<-paused).Close()
+	}()
+	for range acceptBacklog {
+		_, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	opened := make(chan error, 1)
+	go func() {
+		_, err := dialer.Open(ctx, listener.Addr().String(), StreamCall)
+		opened <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // it waits for the session
+	cancel()
+	select {
+	case err := <-opened:
+		assert.ErrorIs(t, err, ErrUnreachable)
+		assert.ErrorIs(t, err, context.Canceled)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Open goes on after its context")
+	}
+}
+
 // failingListener fails one Accept after the first connection, as without a free file descriptor.
 type failingListener struct {
 	net.Listener
