--- a/internal/root/call/traffic.go
+++ b/internal/root/call/traffic.go
@@ -169,6 +169,7 @@
 func (t *Traffic) serveHTTP(name string, listener net.Listener, handle http.HandlerFunc) func(context.Context) error {
 	return func(ctx context.Context) error {
 		var closing atomic.Bool
+		handle := t.refusePanicked(handle)
 		server := khttp.NewServer(
 			khttp.Listener(listener),
 			khttp.Timeout(0), // the default of one second would cut downloads
