--- a/internal/root/call/forward.go
+++ b/internal/root/call/forward.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/crash"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/picker"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/call/retry"
+	"github.com/buckthornpitch/buckthornpitch/internal/root/link"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/reach"
 	"github.com/buckthornpitch/buckthornpitch/internal/root/warmup"
 	"github.com/buckthornpitch/buckthornpitch/internal/snap"
@@ -263,7 +264,7 @@
 		attempt.feedback = pickerFeedback(ctx, r, attempt)
 		return attempt
 	}
-	call.cancel = cancel
+	call.cancel, call.lent = cancel, retries
 	attempt := f.receiveHead(sendCtx, r, call, &choice.Endpoint)
 	attempt.latency = f.Clock.Now().Sub(started)
 	attempt.feedback = pickerFeedback(ctx, r, attempt)
@@ -299,8 +300,11 @@
 // receiveHead reads messages until the head of the response or a refusal. After admission it starts to
 // stream the rest of the request body.
 func (f *Forwarder) receiveHead(ctx context.Context, r *Request, call *outgoingCall, endpoint *snap.Endpoint) attemptResult {
-	for {
+	for first := true; ; first = false {
 		message, err := call.next()
+		if first && errors.Is(err, link.ErrReset) {
+			return attemptResult{failure: retry.Unreached{}, report: Report{Unspent: call.lent}}
+		}
 		if err != nil {
 			return attemptResult{failure: lostFailure(ctx, r)}
 		}
--- a/internal/root/call/outgoing.go
+++ b/internal/root/call/outgoing.go
@@ -43,6 +43,7 @@
 		buffer []byte
 		// bodySize is the number of bytes of the body of the response that have been received.
 		bodySize int
+		lent     uint32 // retries
 		stop     func() bool
 		cancel   context.CancelFunc
 	}
@@ -92,6 +93,9 @@
 	}
 	if err != nil {
 		call.close()
+		if errors.Is(err, link.ErrReset) {
+			return nil, fmt.Errorf("%w: %w", errNotSent, err)
+		}
 		return nil, fmt.Errorf("send call head: %w", err)
 	}
 	return call, nil
--- a/internal/root/link/link_test.go
+++ b/internal/root/link/link_test.go
@@ -151,6 +151,38 @@
 	}
 }
 
+// Guards against a request that counts as sent although the daemon of the server, which stops or has too many streams, has
+// reset its stream without accepting it.
+func TestStreamThatIsNotAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan *yamux.Session, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = authenticate(conn, testSecret, "full", "", false)
+		config := sessionConfig(0)
+		config.AcceptBacklog = 1
+		session, _ := yamux.Server(conn, config)
+		accepted <- session
+	}()
+	dialer := &Dialer{Name: "client", Secret: testSecret}
+	defer func() {
+		dialer.Close()
+		_ = (<-accepted).Close()
+	}()
+	_, err = dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+	assert.NilError(t, err)
+	second, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+	if err == nil { // the reset has not arrived yet
+		_, err = second.Read(make([]byte, 1))
+	}
+	assert.ErrorIs(t, err, ErrReset)
+}
+
 // failingListener fails one Accept after the first connection, as without a free file descriptor.
 type failingListener struct {
 	net.Listener
--- a/internal/root/link/stream.go
+++ b/internal/root/link/stream.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -55,18 +56,30 @@
 	}
 )
 
+// ErrReset reports a stream that its peer has reset. A peer that has sent nothing before has not accepted the stream,
+// because it stops or too many others wait.
+var ErrReset = errors.New("stream reset by peer")
+
 // Read reads from the stream.
 func (s *Stream) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
 	s.Bytes.Add(s.Cause, cross.Received, n)
-	return n, err
+	return n, translate(err)
 }
 
 // Write writes to the stream.
 func (s *Stream) Write(p []byte) (int, error) {
 	n, err := s.Conn.Write(p)
 	s.Bytes.Add(s.Cause, cross.Sent, n)
-	return n, err
+	return n, translate(err)
+}
+
+// translate returns an error of the session as one of this package. The others stay as they are, io.EOF among them.
+func translate(err error) error {
+	if errors.Is(err, yamux.ErrConnectionReset) {
+		return fmt.Errorf("%w: %w", ErrReset, err)
+	}
+	return err
 }
 
 // Check returns an error if the stream type is unknown.
