--- a/internal/root/ctrl/raft/simul/final_test.go
+++ b/internal/root/ctrl/raft/simul/final_test.go
@@ -85,6 +85,7 @@
 		tolerated: shape.tolerated, overlaps: rapid.Bool().Draw(t, "overlaps"),
 		faulty: map[string]time.Duration{}, disks: map[string]time.Duration{}, heirs: map[string]string{},
 	}
+	g.network.holdsCut = rapid.Bool().Draw(t, "holds-cut")
 	g.run(settleTime)
 	g.requireService(0)
 	hasBursts := rapid.Bool().Draw(t, "bursts")
