--- a/internal/root/ctrl/recoverylog.go
+++ b/internal/root/ctrl/recoverylog.go
@@ -37,7 +37,7 @@
 	}
 	line := l.log.Info().Uint64("index", v.membershipIndex).Strs("voters", names).Strs("before", v.voterNames).
 		Uint64("term", status.Term).Str("leader", status.Leader)
-	if v.changeReason.Index == v.membershipIndex {
+	if status.Role == raft.Leader && v.changeReason.Index == v.membershipIndex {
 		line = line.Str("reason", v.changeReason.Reason)
 	}
 	line.Msg("voters-changed")
