--- a/internal/root/ctrl/disk/powerloss_test.go
+++ b/internal/root/ctrl/disk/powerloss_test.go
@@ -178,3 +178,20 @@
 		fs.crashAt = fs.ops + 1 + w.random.IntN(60)
 	}
 }
+
+// Guards against a disk that cannot be opened because a loss of power has kept the end of its last write, which is
+// shorter than a sector, and not the beginning.
+func TestLastWriteWithoutItsBeginning(t *testing.T) {
+	fs := newMemFS(3)
+	d, _ := openDisk(t, fs)
+	assert.NilError(t, save(d, raft.Batch{Entries: entries(1, 1, 1)}))
+	segment := d.path(segmentName(1))
+	begin := len(fs.files[segment].data)
+	assert.NilError(t, save(d, raft.Batch{Entries: entries(2, 2, 1)}))
+	for end := begin + headerSize; end < len(fs.files[segment].data); end++ {
+		torn := fs.clone()
+		clear(torn.files[segment].data[begin:end])
+		_, r := openDisk(t, torn)
+		assert.Equal(t, len(r.Entries), 1)
+	}
+}
--- a/internal/root/ctrl/disk/record.go
+++ b/internal/root/ctrl/disk/record.go
@@ -142,8 +142,8 @@
 }
 
 // isTorn reports whether the data from offset on can be the result of one write that a crash interrupted: no
-// valid record follows, and the data is too short, ends with a zero byte or has a sector of zeros. Any other
-// data was changed after its sync, and removing it would lose acknowledged entries.
+// valid record follows, and the data is too short, begins with zeros in place of a header, ends with a zero byte or has
+// a sector of zeros. Any other data was changed after its sync, and removing it would lose acknowledged entries.
 func isTorn(data []byte, offset int) bool {
 	tail := data[offset:]
 	magic := binary.LittleEndian.AppendUint32(nil, recordMagic)
@@ -160,7 +160,7 @@
 	if size, ok := readHeader(tail); len(tail) < headerSize || (ok && size > len(tail)) {
 		return true
 	}
-	if tail[len(tail)-1] == 0 {
+	if tail[len(tail)-1] == 0 || len(bytes.Trim(tail[:headerSize], "\x00")) == 0 {
 		return true
 	}
 	for sectorStart := offset; sectorStart < len(data); {
