--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -45,6 +45,9 @@
 		state.tried = append(state.tried, choice.ID)
 		f.reportResult(svc, state, choice.ID, result, report)
 		state.recordOutcome(result)
+		if _, neverRan := result.(notRun); neverRan {
+			state.request.markSent(false)
+		}
 		f.countUneven(state, result)
 		if ctx.Err() != nil {
 			return state.expiredOutcome()
@@ -238,7 +241,6 @@
 func (s *forwardState) recordOutcome(result outcome) {
 	switch result := result.(type) {
 	case notRun:
-		s.request.markSent(false)
 		if result.reached {
 			s.sends++
 		}
