--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -101,7 +101,7 @@
 // awaitRequest waits for the first byte of the next request.
 func (c *callerConn) awaitRequest() error {
 	for {
-		limit, finishing := c.frontend.idleTimeout()
+		limit, _ := c.frontend.idleTimeout()
 		if !c.setReadDeadline(time.Now().Add(limit)) {
 			return &readStopped{"the last response is written"}
 		}
@@ -114,7 +114,7 @@
 		} else if !isTimeout(err) {
 			return err
 		}
-		limit, finishing = c.frontend.idleTimeout() // the configuration may have changed
+		limit, finishing := c.frontend.idleTimeout() // the configuration may have changed
 		c.mu.Lock()
 		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
