--- a/internal/root/relay/forwarder.go
+++ b/internal/root/relay/forwarder.go
@@ -85,6 +85,9 @@
 
 		stop atomic.Pointer[time.Time] // when a draining daemon stops, nil before
 
+		ended context.Context // ends when no request can be in progress any longer, because the daemon ends
+		end   context.CancelFunc
+
 		mu               sync.Mutex
 		services         map[string]*serviceState
 		splits           map[string]*share.Split           // keyed by route
@@ -130,10 +133,12 @@
 		f.logResult(state, *refused)
 		return f.Dialect.EncodeRefusal(r.ID, refused.failure, refused.retryAfter)
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, state.deadline.Sub(started)+responseMargin)
 	defer cancel()
+	defer context.AfterFunc(f.ended, cancel)()
 	result := f.forward(ctx, state)
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(caller.Err(), context.Canceled) {
 		f.Log.Info().Str("request", r.ID).Str("route", state.route.Name).Int("sends", state.sends).Dur("took", f.Clock.Now().Sub(started)).Msg("caller-left")
 		return Response{Status: http.StatusBadGateway, Header: http.Header{}} // the caller has disconnected
 	}
@@ -208,6 +213,9 @@
 // stops: they would be cut off with an unknown outcome.
 func (f *Forwarder) StartDraining(stop time.Time) { f.stop.Store(&stop) }
 
+// EndRequests ends the requests in progress, because the daemon ends. What has not run is refused as such.
+func (f *Forwarder) EndRequests() { f.end() }
+
 func (f *Forwarder) endsTooLate(state *forwardState) bool {
 	stop := f.stop.Load()
 	return stop != nil && !state.idempotent() && state.deadline.Add(responseMargin).After(*stop)
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -30,8 +30,10 @@
 	minIdleTime = time.Second
 
 	// maxFinishTime bounds the wait for the connections that were accepted last, finishIdleTime is how long a
-	// request may take to arrive on them, and finishPollInterval is the interval at which they are checked.
+	// request may take to arrive on them, and finishPollInterval is the interval at which they are checked. Requests
+	// that are in progress after maxRequestTime are ended, so that their callers get an answer.
 	maxFinishTime      = 400 * time.Millisecond
+	maxRequestTime     = 300 * time.Millisecond
 	finishIdleTime     = 100 * time.Millisecond
 	finishPollInterval = 10 * time.Millisecond
 
@@ -102,11 +104,12 @@
 }
 
 // Finish waits for the connections that were accepted last, after Run has returned: their requests get a response
-// before the process ends. Connections on which no request has arrived are closed.
+// before the process ends, and so do those that take too long. Connections on which no request has arrived are closed.
 func (f *Frontend) Finish() {
 	f.finishing.Store(true)
 	timer := time.NewTimer(maxFinishTime)
 	defer timer.Stop()
+	defer time.AfterFunc(maxRequestTime, f.Forwarder.EndRequests).Stop()
 	ticker := time.NewTicker(finishPollInterval)
 	defer ticker.Stop()
 	for f.open.Load() > 0 {
--- a/internal/root/relay/relay.go
+++ b/internal/root/relay/relay.go
@@ -123,6 +123,7 @@
 		Log: requests, PeerAddress: o.PeerAddress, Zone: o.Zone, Seed: o.Seed, Started: clk.Now(),
 		RetryRatio: o.RetryRatio, RetryWindow: o.RetryWindow,
 	}
+	forwarder.ended, forwarder.end = context.WithCancel(context.Background())
 	return &Relay{
 		Options: o, Memory: memory, LocalBackend: backend, PeerStreams: streams, Control: control, Clock: clk, Log: log,
 		Server: &PeerServer{Clock: clk, LocalBackend: backend, Log: log, MaxBody: maxBody, Memory: memory},
--- a/internal/root/relay/stop_test.go
+++ b/internal/root/relay/stop_test.go
@@ -145,3 +145,37 @@
 		})
 	}
 }
+
+// Guards against requests that are still in progress when a daemon has no more time to stop, and whose connections then
+// end with the process, without an answer.
+func TestRequestsInProgressAtTheEndOfAStopAreAnswered(t *testing.T) {
+	f := newTestFleet(t, 2, func(o *Options) { o.StopWithin = 3 * time.Second })
+	for _, route := range f.control.set.Routes {
+		route.Deadline = time.Minute
+	}
+	d, other := f.daemons[0], f.daemons[1] // the local server gets no requests during the drain
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		d.relay.drain()
+		d.relay.Frontend.Finish()
+	}()
+	f.waitUntil("the daemon drains", d.relay.Frontend.draining)
+	var callers []*keptConn
+	for i := range 3 { // the other server has two slots
+		conn := f.dial(d)
+		write(t, conn, get("/open/hold", fmt.Sprint("r", i)))
+		callers = append(callers, conn)
+	}
+	f.waitUntil("two requests run and one waits", func() bool {
+		_, running, waiting := other.relay.LocalBackend.Status()
+		return running == 2 && waiting == 1
+	})
+	<-drained
+	for _, conn := range callers {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+		response := readResponse(t, conn.reader)
+		assert.Assert(t, response.Close)
+		assert.Assert(t, response.StatusCode == http.StatusBadGateway || response.StatusCode == http.StatusServiceUnavailable, response.Status)
+	}
+}
