--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -16,6 +16,9 @@
 // maxListedRequests bounds the requests that the log line about the end of a connection names.
 const maxListedRequests = 4
 
+// unreadTime bounds a read of bytes that have arrived before a connection is closed.
+const unreadTime = 10 * time.Millisecond
+
 // Reasons for which the connection of a caller ends.
 const (
 	endCallerLeft   connEnd = "caller-left"
@@ -153,12 +156,17 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 	}
 	c.mu.Unlock()
-	n, err := io.CopyN(io.Discard, c.received, maxDiscarded)
-	c.end.discarded = n
-	if n == maxDiscarded {
-		c.inProgress.Wait()
+	for {
+		n, err := io.CopyN(io.Discard, c.received, maxDiscarded-c.end.discarded)
+		c.end.discarded += n
+		if err == nil { // as much as allowed
+			c.inProgress.Wait()
+		}
+		if !isTimeout(err) || peek.StateOf(c.conn) != peek.Waiting {
+			return err
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(unreadTime)) // the reader had no processor time
 	}
-	return err
 }
 
 // reportEnd counts and logs a connection that ends while requests have no complete response, or bytes of the caller are
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -336,3 +336,36 @@
 	assert.Equal(t, late.Header.Get("Outcome"), "not-run")
 	assert.Assert(t, late.Close)
 }
+
+// Guards against a response that is cut because its connection is closed with unread bytes: the reader had no processor
+// time until the connection was to be read no longer.
+func TestLastResponseIsNotCutByUnreadBytes(t *testing.T) {
+	const size = 4 << 20
+	f := newTestFleet(t, 1, func(o *Options) { o.Limits.BodySize = 2 * size })
+	first, read, begin := true, make(chan struct{}), make(chan struct{})
+	frontend, address := f.serveBehind(10, func(conn *net.TCPConn) net.Conn {
+		return lateReadConn{TCPConn: conn, first: &first, read: read, begin: begin}
+	})
+	frontend.StartDraining()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(16<<10))
+	write(t, conn, get(fmt.Sprintf("/open/large?bytes=%d", size), "early"))
+	<-read
+	write(t, conn, get("/open/echo", "late"))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	got := int64(0)
+	for frontend.Active() > 0 { // until all of the response is in the buffers of the system
+		n, err := io.CopyN(io.Discard, response.Body, 16<<10)
+		assert.NilError(t, err)
+		got += n
+	}
+	time.Sleep(2 * lingerTime)
+	close(begin)
+	f.waitUntil("the connection has ended", func() bool { return frontend.Connections() == 0 })
+	n, err := io.Copy(io.Discard, response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, got+n, int64(size))
+}
