--- a/internal/root/relay/callerconn.go
+++ b/internal/root/relay/callerconn.go
@@ -70,6 +70,7 @@
 
 		mu        sync.Mutex
 		pipeline  []*responseSlot // in the order of the requests
+		writing   *responseSlot   // taken from the pipeline and being written, nil if none is
 		slotFreed chan struct{}
 		broken    bool      // no further response is written
 		ended     bool      // the last response has been written
@@ -371,10 +372,11 @@
 	return nil, c.slotFreed, nil
 }
 
-// complete stores a response in its slot and writes all completed responses at the head of the pipeline.
+// complete stores a response in its slot and writes all completed responses at the head of the pipeline, unless another
+// goroutine is writing: that one goes on with them.
 func (c *callerConn) complete(slot *responseSlot, method string, response Response, last bool) {
 	c.frontend.Requests.Release(slot.claim, slot.cost)
-	c.frontend.Queued.add(c, response.size()) // before the lock, which is held while an earlier response is written
+	c.frontend.Queued.add(c, response.size()) // before the lock, because it may close this connection
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.broken {
@@ -382,16 +384,10 @@
 		return // nobody receives the response
 	}
 	slot.ready, slot.method, slot.response, slot.close = true, method, response, last
-	for len(c.pipeline) > 0 && c.pipeline[0].ready && !c.broken {
-		first := c.pipeline[0]
-		c.pipeline = c.pipeline[1:]
-		if len(c.pipeline) > 0 && c.pipeline[0].turn != nil {
-			defer close(c.pipeline[0].turn) // after the write
-			c.pipeline[0].turn = nil
-		}
-		c.writeResponse(first, first.close || len(c.pipeline) == 0 && (c.last || c.frontend.draining()))
+	if c.writing == nil {
+		c.writeReady()
 	}
-	if len(c.pipeline) == 0 {
+	if c.isIdle() {
 		c.idleSince = time.Now()
 		if !c.broken {
 			c.frontend.idle.add(c, c.idleSince)
@@ -403,12 +399,31 @@
 	}
 }
 
-// writeResponse writes a response; c.mu is held, so that responses keep the order of the requests.
+// isIdle reports whether no response is due or being written; c.mu is held.
+func (c *callerConn) isIdle() bool { return len(c.pipeline) == 0 && c.writing == nil }
+
+// writeReady writes the completed responses at the head of the pipeline; c.mu is held, but not during a write.
+func (c *callerConn) writeReady() {
+	for len(c.pipeline) > 0 && c.pipeline[0].ready && !c.broken {
+		first := c.pipeline[0]
+		c.pipeline = c.pipeline[1:]
+		c.writing = first
+		c.writeResponse(first, first.close || len(c.pipeline) == 0 && (c.last || c.frontend.draining()))
+		c.writing = nil
+		if len(c.pipeline) > 0 && c.pipeline[0].turn != nil {
+			close(c.pipeline[0].turn)
+			c.pipeline[0].turn = nil
+		}
+	}
+}
+
+// writeResponse writes a response; c.mu is held, but not during the write.
 func (c *callerConn) writeResponse(slot *responseSlot, last bool) {
 	err := error(nil)
 	switch {
 	case !slot.started:
-		err = c.writeWhole(slot, last)
+		c.last = c.last || last // it announces the end, so that no further request may be read
+		err = c.unlocked(func() error { return c.writeWhole(slot, last) })
 	case !slot.passed:
 		err = errBodyBroken // the caller sees that the response is not whole
 	default: // its head may not have announced the end
@@ -416,7 +431,7 @@
 	}
 	c.frontend.Queued.remove(c, slot.response.size())
 	if err != nil {
-		c.noteCut(slot)
+		c.noteCut()
 		c.endFor(writeEnd(err))
 		c.broken = true
 		c.cancel()
@@ -429,13 +444,21 @@
 		c.broken, c.ended = true, true
 		_ = c.conn.SetReadDeadline(time.Now()) // ends awaitRequest
 		if len(c.pipeline) > 0 {
-			c.noteCut(nil)
+			c.writing = nil // it is answered
+			c.noteCut()
 			c.cancel() // requests pipelined after the last response are treated as not read
 		}
 		c.closeWrite()
 	}
 }
 
+// unlocked runs a function without c.mu, which is held before and after.
+func (c *callerConn) unlocked(run func() error) error {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	return run()
+}
+
 // writeWhole writes a response whose body is held.
 func (c *callerConn) writeWhole(slot *responseSlot, last bool) error {
 	head, body := encodeResponse(slot.method, slot.response, last)
--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -58,15 +58,14 @@
 // endFor records why the connection ends, unless a reason is known already.
 func (c *callerConn) endFor(reason connEnd) { c.end.reason.CompareAndSwap(nil, &reason) }
 
-// noteCut records the requests that have no complete response; c.mu is held. first is the one that was being answered,
-// nil without one.
-func (c *callerConn) noteCut(first *responseSlot) {
+// noteCut records the requests that have no complete response; c.mu is held.
+func (c *callerConn) noteCut() {
 	if c.end.cutNoted {
 		return
 	}
 	c.end.cutNoted = true
-	if first != nil {
-		c.end.cut = append(c.end.cut, first)
+	if c.writing != nil {
+		c.end.cut = append(c.end.cut, c.writing)
 	}
 	c.end.cut = append(c.end.cut, c.pipeline...)
 }
@@ -76,7 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endFor(c.readEnd(err))
-	c.noteCut(nil)
+	c.noteCut()
 }
 
 // endAfterBody ends reading after the rest of a long body was not read. The request is in progress; it and earlier ones are
@@ -150,7 +149,7 @@
 	c.mu.Lock()
 	switch {
 	case c.broken: // the last response has set the deadline
-	case len(c.pipeline) > 0:
+	case !c.isIdle():
 		_ = c.conn.SetReadDeadline(time.Time{})
 	default: // within a body whose response is written
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/root/relay/cutrequests_test.go
+++ b/internal/root/relay/cutrequests_test.go
@@ -369,3 +369,41 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got+n, int64(size))
 }
+
+// Guards against a caller that sends whole requests before it reads the response to an earlier one, and waits for the
+// daemon, which waits for the caller to read.
+func TestRequestsAreReadWhileAResponseIsWritten(t *testing.T) {
+	const size = 12 << 20 // more than the buffers of a connection hold
+	for name, kept := range map[string]int64{"kept": 16 << 20, "long": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1, func(o *Options) {
+				o.Limits.BodySize = 2 * size
+				o.MemoryLimit = keptBodyDivisor * kept
+				o.WriteStall = time.Minute
+			})
+			d := f.daemons[0]
+			f.control.mu.Lock()
+			for _, route := range f.control.set.Routes {
+				route.Deadline = time.Minute
+			}
+			f.control.set.Limits.BodySize = 2 * size
+			f.control.mu.Unlock()
+			conn := f.dial(d)
+			write(t, conn, get(fmt.Sprintf("/open/large?bytes=%d", size), "first"))
+			_, err := conn.reader.Peek(1) // the response is being written
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+			write(t, conn, get("/open/echo", "second"))
+			write(t, conn, fmt.Sprintf("POST /open/slow?ms=0 HTTP/1.1\r\nHost: shop.example\r\nId: third\r\nContent-Length: %d\r\n\r\n", size))
+			write(t, conn, strings.Repeat("x", size))
+			first, err := http.ReadResponse(conn.reader, nil)
+			assert.NilError(t, err)
+			n, err := io.Copy(io.Discard, first.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, n, int64(size))
+			for range 2 {
+				assert.Equal(t, readResponse(t, conn.reader).StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
--- a/internal/root/relay/idleconns.go
+++ b/internal/root/relay/idleconns.go
@@ -116,7 +116,7 @@
 		}
 		limit, finishing := c.frontend.idleTimeout() // the configuration may have changed
 		c.mu.Lock()
-		idle := len(c.pipeline) == 0 && time.Since(c.idleSince) >= limit
+		idle := c.isIdle() && time.Since(c.idleSince) >= limit
 		c.mu.Unlock()
 		switch {
 		case c.frontend.idle.isEvicted(c):
--- a/internal/root/relay/longrequest.go
+++ b/internal/root/relay/longrequest.go
@@ -79,7 +79,7 @@
 	switch {
 	case c.broken:
 		return nil, net.ErrClosed
-	case len(c.pipeline) == 0:
+	case c.isIdle():
 		return nil, c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	c.slotFreed = make(chan struct{})
@@ -91,7 +91,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.frontend.idle.requestRead(c)
-	if len(c.pipeline) == 0 && !c.broken {
+	if c.isIdle() && !c.broken {
 		c.frontend.idle.add(c, time.Now())
 	}
 }
--- a/internal/root/relay/longresponse.go
+++ b/internal/root/relay/longresponse.go
@@ -121,7 +121,7 @@
 func (c *callerConn) awaitTurn(slot *responseSlot) error {
 	c.mu.Lock()
 	turn := make(chan struct{})
-	if len(c.pipeline) > 0 && c.pipeline[0] == slot {
+	if c.writing == nil && len(c.pipeline) > 0 && c.pipeline[0] == slot {
 		close(turn)
 	} else {
 		slot.turn = turn
