--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -39,6 +39,26 @@
 	return found
 }
 
+// Unsent returns the number of bytes that were written to a connection and that the peer has not acknowledged, zero if it
+// is not known.
+func Unsent(conn net.Conn) int {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unsent := 0
+	_ = control.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			unsent = n
+		}
+	})
+	return unsent
+}
+
 func stateOf(fd int) State {
 	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
 	_, err := unix.Poll(polled, 0)
--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -125,3 +125,22 @@
 	cancel()
 	sending.Wait()
 }
+
+// Guards against a response whose caller still accepts it and that counts as accepted.
+func TestUnsent(t *testing.T) {
+	client, server := pair(t)
+	assert.NilError(t, client.SetReadBuffer(4<<10))
+	assert.Equal(t, Unsent(server), 0)
+	const size = 64 << 10
+	assert.NilError(t, server.SetWriteBuffer(2*size))
+	_, err := server.Write(make([]byte, size))
+	assert.NilError(t, err)
+	assert.Assert(t, Unsent(server) > 0)
+	_, err = io.ReadFull(client, make([]byte, size))
+	assert.NilError(t, err)
+	for start := time.Now(); Unsent(server) > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Since(start) < 10*time.Second)
+	}
+	assert.NilError(t, server.Close())
+	assert.Equal(t, Unsent(server), 0)
+}
--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -53,6 +54,13 @@
 		cut      []*responseSlot // requests without a complete response, once cutNoted is set; guarded by callerConn.mu
 		cutNoted bool
 	}
+
+	// acceptance observes how the peer of a connection accepts the bytes that have been written.
+	acceptance struct {
+		conn   net.Conn
+		unsent int       // least number of bytes seen that the peer had not accepted
+		since  time.Time // when that number was seen first
+	}
 )
 
 // endFor records why the connection ends, unless a reason is known already.
@@ -144,7 +152,8 @@
 }
 
 // discardInput reads what a caller sends after its last request, until it disconnects or lingerTime after the last
-// response: unread bytes would reset the connection before that response has arrived. It returns why it has ended.
+// response, and as long as the caller accepts that response: bytes that nobody reads would reset the connection before it
+// has arrived. It returns why it has ended.
 func (c *callerConn) discardInput() error {
 	c.mu.Lock()
 	switch {
@@ -155,19 +164,35 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 	}
 	c.mu.Unlock()
+	accepted := acceptance{conn: c.conn, unsent: math.MaxInt, since: time.Now()}
 	for {
 		n, err := io.CopyN(io.Discard, c.received, maxDiscarded-c.end.discarded)
 		c.end.discarded += n
-		if err == nil { // as much as allowed
+		switch {
+		case err == nil: // as much as allowed
 			c.inProgress.Wait()
-		}
-		if !isTimeout(err) || peek.StateOf(c.conn) != peek.Waiting {
+			return nil
+		case !isTimeout(err):
+			return err
+		case peek.StateOf(c.conn) == peek.Waiting: // the reader had no processor time
+			_ = c.conn.SetReadDeadline(time.Now().Add(unreadTime))
+		case accepted.inProgress(c.frontend.WriteStall):
+			_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+		default:
 			return err
 		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(unreadTime)) // the reader had no processor time
 	}
 }
 
+// inProgress reports whether the peer still accepts bytes. It does not once it has accepted none for stall.
+func (a *acceptance) inProgress(stall time.Duration) bool {
+	unsent := peek.Unsent(a.conn)
+	if unsent < a.unsent {
+		a.unsent, a.since = unsent, time.Now()
+	}
+	return unsent > 0 && time.Since(a.since) < stall
+}
+
 // reportEnd counts and logs a connection that ends while requests have no complete response, or bytes of the caller are
 // dropped or left unread.
 func (c *callerConn) reportEnd() {
