--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,9 @@
 // maxListedRequests bounds the requests that the log line about the end of a connection names.
 const maxListedRequests = 4
 
+// unreadTime bounds a read of bytes that have arrived before a connection is closed.
+const unreadTime = 10 * time.Millisecond
+
 // Reasons for which the connection of a caller ends.
 const (
 	endCallerLeft   connEnd = "caller-left"
@@ -50,20 +54,26 @@
 		cut      []*responseSlot // requests without a complete response, once cutNoted is set; guarded by callerConn.mu
 		cutNoted bool
 	}
+
+	// acceptance observes how the peer of a connection accepts the bytes that have been written.
+	acceptance struct {
+		conn   net.Conn
+		unsent int       // least number of bytes seen that the peer had not accepted
+		since  time.Time // when that number was seen first
+	}
 )
 
 // endFor records why the connection ends, unless a reason is known already.
 func (c *callerConn) endFor(reason connEnd) { c.end.reason.CompareAndSwap(nil, &reason) }
 
-// noteCut records the requests that have no complete response; c.mu is held. first is the one that was being answered,
-// nil without one.
-func (c *callerConn) noteCut(first *responseSlot) {
+// noteCut records the requests that have no complete response; c.mu is held.
+func (c *callerConn) noteCut() {
 	if c.end.cutNoted {
 		return
 	}
 	c.end.cutNoted = true
-	if first != nil {
-		c.end.cut = append(c.end.cut, first)
+	if c.writing != nil {
+		c.end.cut = append(c.end.cut, c.writing)
 	}
 	c.end.cut = append(c.end.cut, c.pipeline...)
 }
@@ -73,7 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endFor(c.readEnd(err))
-	c.noteCut(nil)
+	c.noteCut()
 }
 
 // endAfterBody ends reading after the rest of a long body was not read. The request is in progress; it and earlier ones are
@@ -142,23 +152,45 @@
 }
 
 // discardInput reads what a caller sends after its last request, until it disconnects or lingerTime after the last
-// response: unread bytes would reset the connection before that response has arrived. It returns why it has ended.
+// response, and as long as the caller accepts that response: bytes that nobody reads would reset the connection before it
+// has arrived. It returns why it has ended.
 func (c *callerConn) discardInput() error {
 	c.mu.Lock()
 	switch {
 	case c.broken: // the last response has set the deadline
-	case len(c.pipeline) > 0:
+	case !c.isIdle():
 		_ = c.conn.SetReadDeadline(time.Time{})
 	default: // within a body whose response is written
 		_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
 	}
 	c.mu.Unlock()
-	n, err := io.CopyN(io.Discard, c.received, maxDiscarded)
-	c.end.discarded = n
-	if n == maxDiscarded {
-		c.inProgress.Wait()
+	accepted := acceptance{conn: c.conn, unsent: math.MaxInt, since: time.Now()}
+	for {
+		n, err := io.CopyN(io.Discard, c.received, maxDiscarded-c.end.discarded)
+		c.end.discarded += n
+		switch {
+		case err == nil: // as much as allowed
+			c.inProgress.Wait()
+			return nil
+		case !isTimeout(err):
+			return err
+		case peek.StateOf(c.conn) == peek.Waiting: // the reader had no processor time
+			_ = c.conn.SetReadDeadline(time.Now().Add(unreadTime))
+		case accepted.inProgress(c.frontend.WriteStall):
+			_ = c.conn.SetReadDeadline(time.Now().Add(lingerTime))
+		default:
+			return err
+		}
 	}
-	return err
+}
+
+// inProgress reports whether the peer still accepts bytes. It does not once it has accepted none for stall.
+func (a *acceptance) inProgress(stall time.Duration) bool {
+	unsent := peek.Unsent(a.conn)
+	if unsent < a.unsent {
+		a.unsent, a.since = unsent, time.Now()
+	}
+	return unsent > 0 && time.Since(a.since) < stall
 }
 
 // reportEnd counts and logs a connection that ends while requests have no complete response, or bytes of the caller are
