--- a/internal/root/relay/callerend.go
+++ b/internal/root/relay/callerend.go
@@ -193,20 +193,25 @@
 	return unsent > 0 && time.Since(a.since) < stall
 }
 
-// reportEnd counts and logs a connection that ends while requests have no complete response, or bytes of the caller are
-// dropped or left unread.
+// reportEnd counts a connection that ends while requests have no complete response, or bytes of the caller are dropped or
+// left unread. It logs the end unless the caller has left: then each of its requests has a line of its own.
 func (c *callerConn) reportEnd() {
 	c.mu.Lock()
 	cut := c.end.cut
 	c.mu.Unlock()
-	buffered, unread := c.reader.Buffered(), peek.StateOf(c.conn) == peek.Waiting
-	if len(cut)+len(c.end.dropped) == 0 && buffered == 0 && !unread && c.end.discarded == 0 {
-		return
-	}
 	reason := endReadFailed
 	if known := c.end.reason.Load(); known != nil {
 		reason = *known
 	}
+	buffered, left := c.reader.Buffered(), reason == endCallerLeft
+	unread := !left && peek.StateOf(c.conn) == peek.Waiting
+	if len(cut)+len(c.end.dropped) == 0 && buffered == 0 && !unread && c.end.discarded == 0 {
+		return
+	}
+	c.frontend.Forwarder.Meter.CallerCut(string(reason))
+	if left {
+		return
+	}
 	ids, sent := append([]string{}, c.end.dropped...), 0
 	for _, slot := range cut {
 		ids = append(ids, slot.id)
@@ -214,7 +219,6 @@
 			sent++
 		}
 	}
-	c.frontend.Forwarder.Meter.CallerCut(string(reason))
 	first := ""
 	if len(ids) > 0 {
 		first = ids[0]
