--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -32,7 +32,12 @@
 	Settings string `arg:"--settings,required,env:BUCKTHORNPITCH_SETTINGS" placeholder:"FILE" help:"settings file in TOML"`
 }
 
+// ignoreHangup ignores SIGHUP, which means that the settings may have changed. On the users' platform the daemon polls
+// its settings file, elsewhere settings take effect at the next start.
+func ignoreHangup() { signal.Ignore(syscall.SIGHUP) }
+
 func run(command *runCommand, stdout, stderr io.Writer) int {
+	ignoreHangup() // it may arrive as soon as the process exists
 	settings, err := config.Load(command.Settings)
 	if err != nil {
 		return fail(stderr, cmds.Usage, err)
@@ -74,13 +79,16 @@
 	return serveDaemon(daemon, log, stderr)
 }
 
+// serveDaemon runs the daemon until a signal to stop arrives or it fails.
 func serveDaemon(daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
-	// SIGHUP means that the settings may have changed. It is ignored: on the users' platform the daemon polls its
-	// settings file, elsewhere settings take effect at the next start.
-	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	return serveUntil(signals, daemon, log, stderr)
+}
+
+// serveUntil runs the daemon until the first signal, on which it drains, or until the second one.
+func serveUntil(signals <-chan os.Signal, daemon *root.Daemon, log zerolog.Logger, stderr io.Writer) int {
 	app := kratos.New(
 		kratos.Name("buckthornd"),
 		kratos.Server(daemon),
@@ -96,11 +104,15 @@
 				return fail(stderr, cmds.Failed, err)
 			}
 			return cmds.OK
-		case <-signals: // the application drains on the first signal
+		case <-signals:
 			if signalCount > 1 {
 				log.Warn().Msg("second-signal")
 				return cmds.Failed
 			}
+			// The application listens for signals only once its servers have started.
+			if err := app.Stop(); err != nil {
+				log.Warn().Err(err).Msg("application-stop-failed")
+			}
 		}
 	}
 }
--- a/internal/root/link/link_test.go
+++ b/internal/root/link/link_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -111,6 +112,111 @@
 	}
 }
 
+// Guards against a request that gets no response by its deadline because its stream cannot be opened: a peer that is paused
+// accepts none, and the session allows a bounded number of them.
+func TestOpenEndsWithItsContext(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	paused := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			_, _ = authenticate(conn, testSecret, "paused", "", false)
+			paused <- conn
+		}
+	}()
+	dialer := &Dialer{Name: "client", Secret: testSecret}
+	defer func() {
+		dialer.Close()
+		_ = (<-paused).Close()
+	}()
+	for range acceptBacklog {
+		_, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+		assert.NilError(t, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	opened := make(chan error, 1)
+	go func() {
+		_, err := dialer.Open(ctx, listener.Addr().String(), StreamCall)
+		opened <- err
+	}()
+	time.Sleep(100 * time.Millisecond) // it waits for the session
+	cancel()
+	select {
+	case err := <-opened:
+		assert.ErrorIs(t, err, ErrUnreachable)
+		assert.ErrorIs(t, err, context.Canceled)
+	case <-time.After(10 * time.Second):
+		t.Fatal("Open goes on after its context")
+	}
+}
+
+// Guards against a request that counts as sent although the daemon of the server, which stops or has too many streams, has
+// reset its stream without accepting it.
+func TestStreamThatIsNotAccepted(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan *yamux.Session, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = authenticate(conn, testSecret, "full", "", false)
+		config := sessionConfig(0)
+		config.AcceptBacklog = 1
+		session, _ := yamux.Server(conn, config)
+		accepted <- session
+	}()
+	dialer := &Dialer{Name: "client", Secret: testSecret}
+	defer func() {
+		dialer.Close()
+		_ = (<-accepted).Close()
+	}()
+	_, err = dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+	assert.NilError(t, err)
+	second, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+	if err == nil { // the reset has not arrived yet
+		_, err = second.Read(make([]byte, 1))
+	}
+	assert.ErrorIs(t, err, ErrReset)
+}
+
+// failingListener fails one Accept after the first connection, as without a free file descriptor.
+type failingListener struct {
+	net.Listener
+	accepted int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.accepted++
+	if l.accepted == 2 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a daemon that no other daemon can connect to any more: after a failed Accept the server waited for its
+// open sessions, and accepted none until all of them had ended.
+func TestServerAcceptsAfterAFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &Server{Listener: &failingListener{Listener: listener}, Name: "server", Secret: testSecret, Log: zerolog.Nop(), MaxConnections: 2}
+	server.Handlers = map[StreamType]Handler{StreamCall: func(ctx context.Context, _ *Stream) { <-ctx.Done() }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	for _, name := range []string{"first", "second"} {
+		dialer := &Dialer{Name: name, Secret: testSecret}
+		defer dialer.Close()
+		_, err := dialer.Open(context.Background(), listener.Addr().String(), StreamCall)
+		assert.NilError(t, err)
+	}
+	cancel()
+	assert.NilError(t, <-done)
+}
+
 // Guards against more open connections than MaxConnections from peers that never authenticate.
 func TestConnectionLimit(t *testing.T) {
 	address, _ := startServer(t, 1)
--- a/internal/root/relay/forward.go
+++ b/internal/root/relay/forward.go
@@ -45,6 +45,9 @@
 		state.tried = append(state.tried, choice.ID)
 		f.reportResult(svc, state, choice.ID, result, report)
 		state.recordOutcome(result)
+		if _, neverRan := result.(notRun); neverRan {
+			state.request.markSent(false)
+		}
 		f.countUneven(state, result)
 		if ctx.Err() != nil {
 			return state.expiredOutcome()
--- a/internal/root/relay/frontend.go
+++ b/internal/root/relay/frontend.go
@@ -30,8 +30,10 @@
 	minIdleTime = time.Second
 
 	// maxFinishTime bounds the wait for the connections that were accepted last, finishIdleTime is how long a
-	// request may take to arrive on them, and finishPollInterval is the interval at which they are checked.
+	// request may take to arrive on them, and finishPollInterval is the interval at which they are checked. Requests
+	// that are in progress after maxRequestTime are ended, so that their callers get an answer.
 	maxFinishTime      = 400 * time.Millisecond
+	maxRequestTime     = 300 * time.Millisecond
 	finishIdleTime     = 100 * time.Millisecond
 	finishPollInterval = 10 * time.Millisecond
 
@@ -102,11 +104,12 @@
 }
 
 // Finish waits for the connections that were accepted last, after Run has returned: their requests get a response
-// before the process ends. Connections on which no request has arrived are closed.
+// before the process ends, and so do those that take too long. Connections on which no request has arrived are closed.
 func (f *Frontend) Finish() {
 	f.finishing.Store(true)
 	timer := time.NewTimer(maxFinishTime)
 	defer timer.Stop()
+	defer time.AfterFunc(maxRequestTime, f.Forwarder.EndRequests).Stop()
 	ticker := time.NewTicker(finishPollInterval)
 	defer ticker.Stop()
 	for f.open.Load() > 0 {
@@ -119,17 +122,25 @@
 	}
 }
 
-// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it closes
-// connections that have been idle for a while, and at the limit any idle one.
+// makeRoom reports whether another connection may be opened. Beyond idleConnectionsShare of the limit, it makes
+// connections end that have been idle for a while, and at the limit any idle one.
 func (f *Frontend) makeRoom() bool {
 	open, now := f.open.Load(), time.Now()
-	switch {
-	case open >= int64(f.MaxConnections):
-		return f.idle.evict(now, 0)
-	case float64(open) >= idleConnectionsShare*float64(f.MaxConnections):
-		f.idle.evict(now, minIdleTime)
+	if open < int64(f.MaxConnections) {
+		if float64(open) >= idleConnectionsShare*float64(f.MaxConnections) {
+			f.idle.evict(now, minIdleTime)
+		}
+		return true
+	}
+	for {
+		given := f.idle.evict(now, 0)
+		if given == nil {
+			return false
+		}
+		if <-given {
+			return true
+		}
 	}
-	return true
 }
 
 // serve handles one connection. It continues after Run has returned, until the requests in progress have
@@ -138,8 +149,13 @@
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2})
 	}
-	limit := &limitedReader{reader: conn}
-	caller := &callerConn{frontend: f, conn: conn, address: accept.ClientAddress(conn), limit: limit, reader: bufio.NewReaderSize(limit, 4<<10)}
+	received := newCallerReader(conn)
+	limit := &limitedReader{reader: received}
+	caller := &callerConn{
+		frontend: f, conn: conn, address: accept.ClientAddress(conn),
+		received: received, limit: limit, reader: bufio.NewReaderSize(limit, 4<<10),
+	}
+	received.setDeadline = caller.setReadDeadline
 	limit.remaining = unlimited
 	caller.serve(context.Background())
 }
